--- /dev/null
+++ b/src/agent/agent.cpp
@@ -0,0 +1,239 @@
+#include "agent/agent.h"
+
+#include <glog/logging.h>
+
+#include <random>
+
+namespace quayrill {
+
+using namespace std::chrono_literals;
+
+namespace {
+constexpr Span kTick = 50ms;
+constexpr Span kPollEvery = 400ms;
+constexpr Span kSoundSpan = 1500ms;
+constexpr Span kOrderDue = 1500ms;
+constexpr std::size_t kWaves = 3;  // ours: a third of a model's servers switches at a time
+constexpr Span kWaveSpan = 5s;
+
+AgentBoot coreBoot(const Boot& boot) {
+  std::random_device entropy;
+  const std::uint64_t nonce = (static_cast<std::uint64_t>(entropy()) << 32) | entropy();
+  return {boot.cohort, boot.zone, boot.seeds, boot.callers.value, nonce | 1, boot.copiesWanted};
+}
+}  // namespace
+
+Agent::Agent(Boot boot) : boot_(std::move(boot)) {}
+
+absl::Status Agent::start() {
+  std::optional<std::map<std::string, std::string>> kept;
+  if (!boot_.dataFolder.empty()) {
+    disk_ = std::make_unique<Disk>();
+    if (auto status = disk_->open(boot_.dataFolder); !status.ok()) return status;
+    kept = disk_->readAll();
+  }
+  core_.emplace(coreBoot(boot_), kept);
+  link_ = std::make_unique<CohortLink>(io_, boot_.cohort, boot_.cohortVia, [this](Envelope e) {
+    AgentEffects effects;
+    core_->onMessage(e, BootClock::now(), &effects);
+    apply(std::move(effects));
+  });
+  if (auto status = link_->start(); !status.ok()) return status;
+  HttpServerBoot serverBoot;
+  serverBoot.listen = boot_.operators;
+  serverBoot.bodyLimit = 4 << 20;
+  operators_ = std::make_unique<HttpServer>(
+      io_, serverBoot, [this](Circuit&, HttpRequest& request) { return handle(request); });
+  if (auto status = operators_->start(); !status.ok()) return status;
+  AgentEffects effects;
+  effects.copyWork = core_->start();
+  apply(std::move(effects));
+  asio::co_spawn(io_, tickLoop(), asio::detached);
+  asio::co_spawn(io_, platformLoop(), asio::detached);
+  return absl::OkStatus();
+}
+
+void Agent::run() { io_.run(); }
+void Agent::stop() { io_.stop(); }
+void Agent::beginLeaving() {
+  asio::post(io_, [this] { core_->setLeaving(true); });
+}
+
+void Agent::apply(AgentEffects effects) {
+  for (const Envelope& envelope : effects.sends) link_->send(envelope);
+  for (CopyWork& work : effects.copyWork) {
+    auto answer = std::make_shared<std::optional<Envelope>>(std::move(work.answer));
+    disk_->write(std::move(work.writes), [this, answer](absl::Status status) {
+      asio::post(io_, [this, answer, status] {
+        core_->onCopyWorkDone();
+        if (!status.ok()) {
+          if (counters_.diskDefects++ == 0)
+            LOG(ERROR) << "register copy stops voting: "
+                       << message({DefectKind::DiskDefect, status.ToString()});
+          core_->onDiskDefect();
+        } else if (*answer) {
+          link_->send(**answer);
+        }
+      });
+    });
+  }
+  for (const ChangeDone& done : effects.done) {
+    const auto waiter = waiters_.find(done.operation);
+    if (waiter == waiters_.end()) continue;
+    const Waiter wake = std::move(waiter->second);
+    waiters_.erase(waiter);
+    wake(done);
+  }
+  takeSpec();
+}
+
+void Agent::takeSpec() {
+  const RegisterValue& value = core_->freshness().spec().value;
+  if (value.version == specVersion_) return;
+  auto parsed = parseSpec(value.body);
+  if (!parsed.ok()) {
+    // Checked before it was proposed, so only a newer build's spec can get here.
+    LOG_EVERY_N(ERROR, 1000) << "spec " << value.version
+                             << " is not understood: " << parsed.status().message()
+                             << ": upgrade this daemon";
+    return;
+  }
+  const Instant now = BootClock::now();
+  for (const auto& [model, weights] : parsed->weights) {
+    if (!spec_ || spec_->weights[model] != weights) weightsNamedAt_[model] = now;
+  }
+  spec_ = std::move(*parsed);
+  specVersion_ = value.version;
+  ++counters_.specChanges;
+  LOG(INFO) << "spec " << specVersion_ << " in force";
+}
+
+awaitable<void> Agent::tickLoop() {
+  asio::steady_timer timer(io_);
+  for (;;) {
+    const Instant now = BootClock::now();
+    AgentEffects effects;
+    core_->onTick(now, &effects);
+    apply(std::move(effects));
+    tickOrders(now);
+    timer.expires_after(kTick);
+    ErrorCode code;
+    co_await timer.async_wait(into(code));
+  }
+}
+
+awaitable<void> Agent::platformLoop() {
+  for (;;) {
+    const Instant askedAt = BootClock::now();
+    const auto listed = co_await readPlatformList(boot_.platform, 800ms);
+    if (listed.ok()) {
+      listedAt_ = askedAt;
+      std::set<ServerName> names;
+      for (const ListedServer& server : *listed) {
+        names.insert(server.name);
+        const auto [row, fresh] = servers_.try_emplace(server.name);
+        if (!fresh && !row->second.listed.leaving && server.leaving)
+          LOG(INFO) << "server " << server.name.value << " is leaving";
+        row->second.listed = server;
+        if (!fresh) continue;
+        row->second.life = ++pollLife_;
+        LOG(INFO) << "server " << server.name.value << " listed";
+        asio::co_spawn(io_, pollLoop(server.name, pollLife_), asio::detached);
+      }
+      std::erase_if(servers_, [&](const auto& row) { return !names.contains(row.first); });
+    }
+    co_await pauseFor(kPollEvery);
+  }
+}
+
+awaitable<void> Agent::pollLoop(ServerName server, std::uint64_t life) {
+  const Address address{server.value};
+  for (;;) {
+    const auto state = co_await readServer(address, 700ms);
+    const auto row = servers_.find(server);
+    if (row == servers_.end() || row->second.life != life) co_return;
+    if (state.ok()) {
+      row->second.state = *state;
+      row->second.soundAt = state->polledAt;
+    }
+    co_await pauseFor(kPollEvery);
+  }
+}
+
+// A third of the servers at a time, so that a roll-out never takes all of a model's servers.
+bool Agent::isWaveDue(const ServerName& server, const ModelName& model, Instant now) const {
+  std::size_t rank = 0;
+  for (const auto& [name, row] : servers_) {
+    if (name == server) break;
+    if (row.state && row.state->model == model) ++rank;
+  }
+  const auto namedAt = weightsNamedAt_.find(model);
+  if (namedAt == weightsNamedAt_.end()) return true;
+  return now - namedAt->second >= kWaveSpan * static_cast<int>(rank % kWaves);
+}
+
+void Agent::tickOrders(Instant now) {
+  if (!spec_) return;
+  for (auto& [name, row] : servers_) {
+    if (!row.state || now - row.soundAt > kSoundSpan) continue;
+    const auto wanted = spec_->weights.find(row.state->model);
+    if (wanted == spec_->weights.end()) continue;
+    const std::string duty = "orders/" + name.value;
+    const RegisterKey key{"hold/" + duty};
+    AgentEffects effects;
+    if (row.state->weights == wanted->second) {
+      if (!row.orderBusy && core_->held(key, Span{}, now)) core_->releaseHold(key, now, &effects);
+    } else if (core_->isMine(duty, now) && isWaveDue(name, row.state->model, now)) {
+      core_->pursueHold(key, now, &effects);
+      const auto fence = core_->held(key, kOrderDue + 200ms, now);
+      const auto confirmed = core_->freshness().confirmedAt();
+      const bool fresh = confirmed && now - *confirmed < boot_.freshLimit;
+      if (fence && fresh && !row.orderBusy && now >= row.nextOrder) {
+        row.orderBusy = true;
+        row.nextOrder = now + 1s;
+        asio::co_spawn(io_, order(name, wanted->second, *fence), asio::detached);
+      }
+    }
+    apply(std::move(effects));
+  }
+}
+
+awaitable<void> Agent::order(ServerName server, WeightsVersion weights, Fence fence) {
+  ++counters_.weightOrders;
+  const Address address{server.value};
+  const auto status = co_await orderWeights(address, weights, fence, kOrderDue);
+  decisions_.add(server.value, nlohmann::json{{"decision", "weights"},
+                                              {"server", server.value},
+                                              {"weights", weights.value},
+                                              {"fence", fence.value},
+                                              {"daemon", boot_.cohort.value},
+                                              {"result", status.ToString()}}
+                                   .dump());
+  const auto row = servers_.find(server);
+  if (row != servers_.end()) row->second.orderBusy = false;
+}
+
+Snapshot Agent::snapshot(std::uint64_t knownSpec, Instant now) const {
+  const auto ago = [&](const std::optional<Instant>& at) -> std::int64_t {
+    if (!at) return -1;
+    return std::chrono::duration_cast<std::chrono::microseconds>(now - *at).count();
+  };
+  Snapshot snapshot;
+  snapshot.specVersion = specVersion_;
+  if (knownSpec != specVersion_) snapshot.specBody = core_->freshness().spec().value.body;
+  // A spec that this build can't read is not in force here, however fresh it is.
+  const bool inForce = specVersion_ == core_->freshness().spec().value.version && specVersion_ > 0;
+  snapshot.confirmedAgoMicros = inForce ? ago(core_->freshness().confirmedAt()) : -1;
+  snapshot.listedAgoMicros = ago(listedAt_);
+  for (const auto& [name, row] : servers_) {
+    if (!row.state) continue;
+    ServerState state = *row.state;
+    state.zone = row.listed.zone;
+    state.leaving = row.listed.leaving;
+    state.sound = state.sound && now - row.soundAt < kSoundSpan;
+    snapshot.servers.push_back(toSnapshot(state));
+  }
+  return snapshot;
+}
+
+}  // namespace quayrill
--- /dev/null
+++ b/src/agent/agent.h
@@ -0,0 +1,73 @@
+#pragma once
+// The agent's shell: one control thread round the control logic, with its sockets and its disk.
+#include <map>
+#include <memory>
+#include <optional>
+#include <set>
+
+#include "agent/core/agent_core.h"
+#include "agent/snapshot.h"
+#include "base/counters.h"
+#include "base/decision_log.h"
+#include "boot/boot.h"
+#include "net/cohort_link.h"
+#include "net/disk.h"
+#include "net/model_server.h"
+#include "spec/spec.h"
+
+namespace quayrill {
+
+class Agent {
+ public:
+  explicit Agent(Boot boot);
+  absl::Status start();
+  void run();  // on the calling thread, until stop
+  void beginLeaving();
+  void stop();
+
+ private:
+  struct Polled {
+    ListedServer listed;
+    std::optional<ServerState> state;
+    Instant soundAt{};  // start of the last poll that was answered
+    std::uint64_t life = 0;
+    bool orderBusy = false;
+    Instant nextOrder{};
+  };
+  using Waiter = std::function<void(const ChangeDone&)>;
+
+  void apply(AgentEffects effects);
+  awaitable<void> tickLoop();
+  awaitable<void> platformLoop();
+  awaitable<void> pollLoop(ServerName server, std::uint64_t life);
+  void tickOrders(Instant now);
+  bool isWaveDue(const ServerName& server, const ModelName& model, Instant now) const;
+  awaitable<void> order(ServerName server, WeightsVersion weights, Fence fence);
+  void takeSpec();
+
+  awaitable<std::optional<HttpResponse>> handle(HttpRequest& request);
+  awaitable<HttpResponse> changeSpec(HttpRequest& request, bool isPatch);
+  awaitable<ChangeDone> ask(ChangeAsked change);
+  Snapshot snapshot(std::uint64_t knownSpec, Instant now) const;
+  nlohmann::json membersJson(Instant now) const;
+  nlohmann::json specJson() const;
+
+  Boot boot_;
+  asio::io_context io_{1};
+  std::optional<AgentCore> core_;
+  std::unique_ptr<Disk> disk_;
+  std::unique_ptr<CohortLink> link_;
+  std::unique_ptr<HttpServer> operators_;
+  Counters counters_;
+  DecisionLog decisions_{20000};
+  std::map<OperationId, Waiter> waiters_;  // one for each operator call under way
+  // servers_ holds exactly what the platform listed last.
+  std::map<ServerName, Polled> servers_;
+  std::uint64_t pollLife_ = 0;
+  std::optional<Instant> listedAt_;  // start of the last read of the platform's list
+  std::optional<Spec> spec_;         // the spec in force, parsed
+  std::uint64_t specVersion_ = 0;
+  std::map<ModelName, Instant> weightsNamedAt_;
+};
+
+}  // namespace quayrill
--- /dev/null
+++ b/src/agent/core/agent_core.h
@@ -0,0 +1,111 @@
+#pragma once
+// All control logic of one daemon: (state, event, now) -> effects. The shells and the simulator
+// drive the same code.
+#include <optional>
+#include <random>
+#include <set>
+
+#include "agent/core/freshness.h"
+#include "agent/core/holds.h"
+#include "agent/core/membership.h"
+#include "agent/core/news.h"
+#include "register/copy.h"
+#include "register/proposer.h"
+
+namespace quayrill {
+
+struct AgentBoot {
+  Address self;
+  std::string zone;
+  std::vector<Address> seeds;
+  std::string proxyAddress;
+  std::uint64_t nonce = 0;  // random at every start
+  std::size_t copiesWanted = 4;
+};
+
+// One piece of work for the copy's disk: the writes are synced in order, then the answer leaves.
+struct CopyWork {
+  std::vector<DiskWrite> writes;
+  std::optional<Envelope> answer;
+};
+
+struct AgentEffects {
+  std::vector<Envelope> sends;
+  std::vector<CopyWork> copyWork;
+  std::vector<ChangeDone> done;  // of the operations asked from outside
+};
+
+class AgentCore {
+ public:
+  // `disk` is what the data folder held, or nothing where there is no folder.
+  AgentCore(AgentBoot boot, std::optional<std::map<std::string, std::string>> disk);
+  std::vector<CopyWork> start();
+
+  void onMessage(const Envelope& envelope, Instant now, AgentEffects* effects);
+  void onTick(Instant now, AgentEffects* effects);
+  OperationId askChange(ChangeAsked change, Instant now, AgentEffects* effects);
+  void onDiskDefect();
+  // One piece of copy work is synced and answered.
+  void onCopyWorkDone() { --copyBacklog_; }
+  void setLeaving(bool leaving) { leaving_ = leaving; }
+
+  // True where `duty` falls to this daemon among the live ones.
+  bool isMine(const std::string& duty, Instant now) const;
+  void pursueHold(const RegisterKey& duty, Instant now, AgentEffects* effects);
+  void releaseHold(const RegisterKey& duty, Instant now, AgentEffects* effects);
+  std::optional<Fence> held(const RegisterKey& duty, Span needed, Instant now) const {
+    return holds_.held(duty, needed, now);
+  }
+
+  const Freshness& freshness() const { return freshness_; }
+  std::vector<NewsItem> live(Instant now) const { return news_.live(now); }
+  const AgentBoot& boot() const { return boot_; }
+  StoreId store() const { return copy_ ? copy_->store() : StoreId{}; }
+  bool isWritable() const { return copy_ && copy_->isVoting(); }
+  bool isVoting() const { return copy_ && copy_->isVoting() && copy_->isMember(); }
+  std::vector<Address> view() const { return membership_.view(); }
+
+ private:
+  enum class Purpose { Outside, Settle, Hold, Copies, Sweep };
+  void handleCopy(const Envelope& envelope, AgentEffects* effects);
+  void handleFounding(const Envelope& envelope, Instant now, AgentEffects* effects);
+  bool mayFound() const;
+  void tickFounding(Instant now, AgentEffects* effects);
+  void tickCopies(Instant now, AgentEffects* effects);
+  void tickSweep(Instant now, AgentEffects* effects);
+  void begin(ChangeAsked change, Purpose purpose, Instant now, AgentEffects* effects);
+  void finish(const std::vector<ChangeDone>& done, Instant now, AgentEffects* effects);
+  void adopt(const CopySet& copies, AgentEffects* effects);
+  void hand(CopyWork work, AgentEffects* effects);
+  void sendAll(std::vector<std::pair<CopyMember, Message>> sends, AgentEffects* effects);
+  std::optional<CopySet> nextCopySet(Instant now) const;
+
+  AgentBoot boot_;
+  std::mt19937_64 random_;
+  std::optional<RegisterCopy> copy_;
+  Membership membership_;
+  News news_;
+  Freshness freshness_;
+  Proposer proposer_;
+  Holds holds_;
+  std::map<OperationId, Purpose> purposes_;  // one row per operation under way
+  std::uint64_t operationCounter_ = 0;
+  // Copy work handed out and not yet done; past the limit the copy takes no more messages, so a
+  // slow disk delays answers by a bounded queue only.
+  std::size_t copyBacklog_ = 0;
+  bool leaving_ = false;
+  Instant startedAt_{};
+  Instant nextBeat_{}, nextPull_{}, nextConfirm_{}, nextFounding_{}, nextCopies_{}, nextSweep_{};
+  Span settlePatience_{};
+  // Founding: the seeds that said 'unfounded' in the present round.
+  std::uint64_t foundingRound_ = 0;
+  std::set<Address> unfounded_;
+  Address grantedTo_;
+  Instant grantUntil_{};
+  std::set<RegisterKey> unswept_;  // keys yet to be rewritten before the epoch is settled
+  Epoch sweptEpoch_;
+  bool sweepListed_ = false;
+  std::map<StoreId, Instant> missingSince_;
+};
+
+}  // namespace quayrill
--- /dev/null
+++ b/src/agent/core/freshness.h
@@ -0,0 +1,55 @@
+#pragma once
+// Learns chosen values of the spec and of the copy set, and when they were last known to be the
+// newest. Asks copies; never guesses from a minority.
+#include <map>
+#include <optional>
+
+#include "base/clock.h"
+#include "register/copy.h"
+
+namespace quayrill {
+
+struct ChosenValue {
+  Ballot ballot;
+  RegisterValue value;
+};
+
+class Freshness {
+ public:
+  // Replaces the copy set if `copies` is newer; rounds asked of the older set are forgotten.
+  bool adopt(const CopySet& copies);
+  const CopySet& copies() const { return copies_; }
+  const ChosenValue& spec() const { return spec_; }
+  std::optional<Instant> confirmedAt() const { return confirmedAt_; }
+  const std::vector<RegisterKey>& knownKeys() const { return knownKeys_; }
+  std::uint64_t copySetVersion() const { return copySetValue_.value.version; }
+  // Every key that a majority holds between them, once so many answered from inside this epoch.
+  std::optional<std::vector<RegisterKey>> keysOfMajority() const;
+
+  std::vector<std::pair<CopyMember, Message>> begin(Instant now);
+  void onAnswer(const ConfirmAnswer& answer, Instant now);
+  // A value that a round of this daemon's own proposer proved chosen.
+  void learnChosen(const RegisterKey& key, const ChosenValue& chosen);
+  // The key that needs a read to settle it, once it has stayed unsettled for a while.
+  std::optional<RegisterKey> wantsSettling(Instant now, Span patience) const;
+
+ private:
+  struct Round {
+    Instant sentAt;
+    std::map<StoreId, ConfirmAnswer> answers;
+  };
+  enum class Verdict { Current, Unsettled };
+  Verdict judge(const Round& round, const RegisterKey& key, ChosenValue* chosen);
+
+  CopySet copies_;
+  // chosen values only; their versions never fall
+  ChosenValue spec_, copySetValue_;
+  // The start of the newest round whose answers meet every majority and show nothing newer.
+  std::optional<Instant> confirmedAt_;
+  std::map<std::uint64_t, Round> rounds_;  // at most kRounds, newest last
+  std::uint64_t sequence_ = 0;
+  std::map<RegisterKey, Instant> unsettledSince_;
+  std::vector<RegisterKey> knownKeys_;
+};
+
+}  // namespace quayrill
--- /dev/null
+++ b/src/agent/core/holds.cpp
@@ -0,0 +1,92 @@
+#include "agent/core/holds.h"
+
+#include <nlohmann/json.hpp>
+
+namespace quayrill {
+
+using namespace std::chrono_literals;
+
+namespace {
+constexpr Span kTerm = 4s;
+constexpr Span kMargin = 500ms;  // clock rates differ by far less than this in one term
+constexpr Span kRenewBefore = 2500ms;
+}  // namespace
+
+std::string encodeHold(const HoldBody& hold) {
+  return nlohmann::json{{"holder", hold.holder.value},
+                        {"nonce", hold.nonce},
+                        {"fence", hold.fence.value},
+                        {"released", hold.released}}
+      .dump();
+}
+
+HoldBody decodeHold(const std::string& body) {
+  const auto json = nlohmann::json::parse(body, nullptr, false);
+  if (!json.is_object()) return {{}, 0, {}, true};
+  return {Address{json.value("holder", "")}, json.value("nonce", std::uint64_t{0}),
+          Fence{json.value("fence", std::uint64_t{0})}, json.value("released", true)};
+}
+
+ChangeAsked Holds::change(const RegisterKey& duty, Row& row, Instant now, bool isRead,
+                          const HoldBody& body) {
+  row.busy = true;
+  row.askedAt = now;
+  row.askedFence = body.fence;
+  row.releasing = body.released;
+  return {{}, duty, isRead, row.version, encodeHold(body), {}, now + 1500ms};
+}
+
+std::optional<ChangeAsked> Holds::pursue(const RegisterKey& duty, Instant now) {
+  Row& row = rows_[duty];
+  if (row.busy || now < row.retryAt) return std::nullopt;
+  const bool mine = row.body.holder == self_ && row.body.nonce == nonce_ && !row.body.released;
+  if (mine && now < row.validUntil) {
+    if (row.validUntil - now > kRenewBefore) return std::nullopt;
+    return change(duty, row, now, false, {self_, nonce_, row.body.fence, false});
+  }
+  if (!row.known) return change(duty, row, now, true, {});
+  const bool free = row.version == 0 || row.body.released || mine;
+  if (!free && now - row.seenAt < kTerm + kMargin) {
+    row.retryAt = now + 300ms;  // look again: a renewal starts the term anew
+    return change(duty, row, now, true, {});
+  }
+  return change(duty, row, now, false, {self_, nonce_, Fence{row.body.fence.value + 1}, false});
+}
+
+std::optional<ChangeAsked> Holds::release(const RegisterKey& duty, Instant now) {
+  Row& row = rows_[duty];
+  if (row.busy || row.body.released || row.body.holder != self_ || row.body.nonce != nonce_)
+    return std::nullopt;
+  row.validUntil = now;
+  return change(duty, row, now, false, {self_, nonce_, row.body.fence, true});
+}
+
+void Holds::onDone(const ChangeDone& done, Instant now) {
+  Row& row = rows_[done.key];
+  row.busy = false;
+  if (done.result == ChangeResult::NotTried || done.result == ChangeResult::Unknown) {
+    row.known = false;
+    row.retryAt = now + 300ms;
+    return;
+  }
+  if (!row.known || row.version != done.value.version) row.seenAt = now;
+  row.known = true;
+  row.version = done.value.version;
+  row.body = decodeHold(done.value.body);
+  const bool mine = row.body.holder == self_ && row.body.nonce == nonce_ && !row.body.released;
+  if (done.result == ChangeResult::Chosen && mine && row.body.fence == row.askedFence &&
+      !row.releasing)
+    row.validUntil = row.askedAt + kTerm - kMargin;
+}
+
+std::optional<Fence> Holds::held(const RegisterKey& duty, Span needed, Instant now) const {
+  const auto row = rows_.find(duty);
+  if (row == rows_.end()) return std::nullopt;
+  const HoldBody& body = row->second.body;
+  if (body.holder != self_ || body.nonce != nonce_ || body.released || row->second.releasing)
+    return std::nullopt;
+  if (now + needed >= row->second.validUntil) return std::nullopt;
+  return body.fence;
+}
+
+}  // namespace quayrill
--- /dev/null
+++ b/src/agent/core/holds.h
@@ -0,0 +1,54 @@
+#pragma once
+// Holds on duties: a register value each, taken over only after its term was watched out.
+#include <map>
+#include <optional>
+#include <string>
+
+#include "base/clock.h"
+#include "register/proposer.h"
+
+namespace quayrill {
+
+struct HoldBody {
+  Address holder;
+  std::uint64_t nonce = 0;  // the holder's life
+  Fence fence;
+  bool released = false;
+};
+std::string encodeHold(const HoldBody& hold);
+HoldBody decodeHold(const std::string& body);
+
+class Holds {
+ public:
+  Holds(Address self, std::uint64_t nonce) : self_(std::move(self)), nonce_(nonce) {}
+
+  // The register change that brings this daemon nearer to holding the duty, if one is due now.
+  std::optional<ChangeAsked> pursue(const RegisterKey& duty, Instant now);
+  std::optional<ChangeAsked> release(const RegisterKey& duty, Instant now);
+  void onDone(const ChangeDone& done, Instant now);
+  // The fence, while the hold is sure to last for `needed` more.
+  std::optional<Fence> held(const RegisterKey& duty, Span needed, Instant now) const;
+
+ private:
+  // validUntil counts from before the change was sent, and a rival counts the whole term from
+  // after it saw the change: so two terms never overlap.
+  struct Row {
+    bool known = false;
+    std::uint64_t version = 0;
+    HoldBody body;
+    Instant seenAt;      // when this version was first seen here
+    Instant validUntil;  // only when held by this life
+    bool busy = false;
+    bool releasing = false;
+    Instant askedAt;
+    Fence askedFence;
+    Instant retryAt;
+  };
+  ChangeAsked change(const RegisterKey& duty, Row& row, Instant now, bool isRead,
+                     const HoldBody& body);
+  Address self_;
+  std::uint64_t nonce_;
+  std::map<RegisterKey, Row> rows_;
+};
+
+}  // namespace quayrill
--- /dev/null
+++ b/src/agent/operators.cpp
@@ -0,0 +1,156 @@
+// The operator API of an agent.
+#include <glog/logging.h>
+
+#include "agent/agent.h"
+
+namespace quayrill {
+
+using namespace std::chrono_literals;
+using Json = nlohmann::json;
+
+namespace {
+HttpResponse turnedAway(const std::string& why) {
+  HttpResponse response = defectResponse({DefectKind::TurnedAway, why});
+  response.set(http::field::retry_after, "1");
+  return response;
+}
+}  // namespace
+
+awaitable<ChangeDone> Agent::ask(ChangeAsked change) {
+  auto timer = std::make_shared<asio::steady_timer>(io_);
+  auto result = std::make_shared<std::optional<ChangeDone>>();
+  timer->expires_at(std::chrono::steady_clock::time_point::max());
+  AgentEffects effects;
+  const OperationId operation = core_->askChange(change, BootClock::now(), &effects);
+  waiters_[operation] = [timer, result](const ChangeDone& done) {
+    *result = done;
+    timer->cancel();
+  };
+  apply(std::move(effects));
+  while (!*result) {
+    ErrorCode code;
+    co_await timer->async_wait(into(code));
+  }
+  co_return **result;
+}
+
+awaitable<HttpResponse> Agent::changeSpec(HttpRequest& request, bool isPatch) {
+  const std::string expectText = queryValue(request, "expect");
+  if (expectText.empty() || expectText.find_first_not_of("0123456789") != std::string::npos ||
+      expectText.size() > 18)
+    co_return defectResponse(
+        {DefectKind::MalformedRequest, "?expect=VERSION is missing: name the version you read"});
+  const std::uint64_t expected = std::stoull(expectText);
+  const CopySet& copies = core_->freshness().copies();
+  if (copies.members.size() < std::min<std::size_t>(3, boot_.copiesWanted))
+    co_return turnedAway("too few register copies to survive the loss of one");
+  ChangeAsked read{{}, kSpecKey, true, 0, {}, {}, BootClock::now() + 2s};
+  const ChangeDone current = co_await ask(read);
+  if (current.result != ChangeResult::Chosen)
+    co_return turnedAway("no majority of register copies answered");
+  if (current.value.version != expected) {
+    HttpResponse response =
+        defectResponse({DefectKind::VersionConflict,
+                        "the spec is at version " + std::to_string(current.value.version)});
+    response.set("Quayrill-Spec-Version", std::to_string(current.value.version));
+    co_return response;
+  }
+  std::string body = request.body();
+  if (isPatch) {
+    const auto patched = patchSpec(current.value.body, body);
+    if (!patched.ok())
+      co_return defectResponse({DefectKind::BadSpec, std::string(patched.status().message())});
+    body = *patched;
+  }
+  if (const auto parsed = parseSpec(body); !parsed.ok())
+    co_return defectResponse({DefectKind::BadSpec, std::string(parsed.status().message())});
+  ChangeAsked change{{}, kSpecKey, false, expected, body, {}, BootClock::now() + 3s};
+  const ChangeDone done = co_await ask(change);
+  switch (done.result) {
+    case ChangeResult::Chosen: {
+      LOG(INFO) << "spec " << done.value.version << " acknowledged";
+      HttpResponse response = jsonResponse(200, {{"version", done.value.version}});
+      response.set("Quayrill-Spec-Version", std::to_string(done.value.version));
+      co_return response;
+    }
+    case ChangeResult::Conflict: {
+      HttpResponse response =
+          defectResponse({DefectKind::VersionConflict,
+                          "the spec is at version " + std::to_string(done.value.version)});
+      response.set("Quayrill-Spec-Version", std::to_string(done.value.version));
+      co_return response;
+    }
+    case ChangeResult::NotTried:
+      co_return turnedAway("no majority of register copies answered");
+    case ChangeResult::Unknown:
+      break;
+  }
+  co_return defectResponse({DefectKind::ChangeUnknown, "the change may or may not be made"});
+}
+
+Json Agent::membersJson(Instant now) const {
+  Json members = Json::array();
+  for (const NewsItem& item : core_->live(now)) {
+    members.push_back({{"cohort", item.source.value},
+                       {"callers", item.proxyAddress},
+                       {"zone", item.zone},
+                       {"store", item.store.value},
+                       {"spec_in_force", item.specInForce.value},
+                       {"incarnation", item.version.incarnation.value},
+                       {"leaving", item.leaving}});
+  }
+  const CopySet& copies = core_->freshness().copies();
+  Json copyRows = Json::array();
+  for (const CopyMember& member : copies.members)
+    copyRows.push_back({{"cohort", member.address.value}, {"store", member.store.value}});
+  return {{"members", members},
+          {"copies",
+           {{"epoch", copies.epoch.value}, {"settled", copies.settled}, {"members", copyRows}}}};
+}
+
+Json Agent::specJson() const {
+  const RegisterValue& value = core_->freshness().spec().value;
+  Json body = value.body.empty() ? Json::object() : Json::parse(value.body, nullptr, false);
+  return {{"version", value.version}, {"spec", body}};
+}
+
+awaitable<std::optional<HttpResponse>> Agent::handle(HttpRequest& request) {
+  const std::string path = pathOf(request);
+  const Instant now = BootClock::now();
+  const auto verb = request.method();
+  if (path == "/q/spec" && (verb == http::verb::put || verb == http::verb::patch))
+    co_return co_await changeSpec(request, verb == http::verb::patch);
+  if (verb != http::verb::get)
+    co_return defectResponse({DefectKind::UnknownWay, "no such call: " + path});
+  if (path == "/healthz") co_return textResponse(200, "ok\n");
+  if (path == "/readyz") {
+    const auto confirmed = core_->freshness().confirmedAt();
+    const bool ready = specVersion_ > 0 && confirmed && now - *confirmed < boot_.freshLimit;
+    co_return textResponse(ready ? 200 : 503, ready ? "ready\n" : "spec unconfirmed\n");
+  }
+  if (path == "/metrics") co_return textResponse(200, renderCounters(counters_));
+  if (path == "/q/members") co_return jsonResponse(200, membersJson(now));
+  if (path == "/q/feed") {
+    const std::string known = queryValue(request, "spec");
+    const Snapshot told = snapshot(static_cast<std::uint64_t>(std::atoll(known.c_str())), now);
+    co_return textResponse(200, encodeValue(told));
+  }
+  if (path == "/q/decisions") {
+    const std::string from = queryValue(request, "from");
+    const DecisionPage page =
+        decisions_.read(static_cast<std::uint64_t>(std::atoll(from.c_str())), 500);
+    co_return jsonResponse(200,
+                           {{"first", page.first}, {"next", page.next}, {"lines", page.lines}});
+  }
+  if (path == "/q/spec") {
+    if (queryValue(request, "settled").empty()) co_return jsonResponse(200, specJson());
+    ChangeAsked read{{}, kSpecKey, true, 0, {}, {}, now + 2s};
+    const ChangeDone done = co_await ask(read);
+    if (done.result != ChangeResult::Chosen)
+      co_return turnedAway("no majority of register copies answered");
+    co_return jsonResponse(200, specJson());
+  }
+  co_return defectResponse({DefectKind::UnknownWay, "no such call: " + path});
+}
+
+}  // namespace quayrill
--- /dev/null
+++ b/src/agent/snapshot.h
@@ -0,0 +1,37 @@
+#pragma once
+// What an agent tells its proxy. Ages, not instants: the proxy counts them from before it asked, so
+// that time spent frozen anywhere only makes a snapshot older.
+#include <string>
+#include <vector>
+
+#include "cohort/messages.h"
+#include "placement/placement.h"
+
+namespace quayrill {
+
+struct SnapshotServer {
+  ServerName name;
+  ServerIdentity identity;
+  ModelName model;
+  WeightsVersion weights;
+  std::string zone;
+  bool sound = false, leaving = false;
+  std::uint32_t running = 0, queued = 0, slots = 1;
+  std::uint64_t cacheTokens = 0;
+  QUAYRILL_FIELDS(name, identity, model, weights, zone, sound, leaving, running, queued, slots,
+                  cacheTokens)
+};
+
+struct Snapshot {
+  std::uint64_t specVersion = 0;
+  std::string specBody;                  // "" where the proxy said it has this version
+  std::int64_t confirmedAgoMicros = -1;  // -1: never confirmed
+  std::int64_t listedAgoMicros = -1;     // -1: never read from the platform
+  std::vector<SnapshotServer> servers;
+  QUAYRILL_FIELDS(specVersion, specBody, confirmedAgoMicros, listedAgoMicros, servers)
+};
+
+SnapshotServer toSnapshot(const ServerState& state);
+ServerState fromSnapshot(const SnapshotServer& row);
+
+}  // namespace quayrill
--- /dev/null
+++ b/src/base/defect.h
@@ -0,0 +1,42 @@
+#pragma once
+// Typed defects. Each kind carries its HTTP status and the remedy that its message ends with.
+#include <absl/status/status.h>
+
+#include <string>
+
+namespace quayrill {
+
+// kind, HTTP status, absl code, remedy
+#define QUAYRILL_DEFECTS(X)                                                                       \
+  X(MalformedRequest, 400, kInvalidArgument, "correct the request and send it again")             \
+  X(UnknownKey, 401, kUnauthenticated, "use a key that is listed for the tenant in the spec")     \
+  X(SaltMisuse, 403, kPermissionDenied, "leave the salt out or use the tenant's own")             \
+  X(UnknownWay, 404, kNotFound, "use a way that the spec names, or add it to the spec")           \
+  X(VersionConflict, 409, kAborted, "read the spec again and send the change with its version")   \
+  X(Oversize, 413, kOutOfRange, "send a smaller body or header")                                  \
+  X(BadSpec, 422, kInvalidArgument, "correct the named field; nothing was changed")               \
+  X(TurnedAwayBusy, 429, kResourceExhausted, "come back after Retry-After")                       \
+  X(TurnedAway, 503, kUnavailable, "come back after Retry-After; it never ran")                   \
+  X(OutcomeUnknown, 502, kUnknown, "look up the effect before sending it again")                  \
+  X(DuePassed, 504, kDeadlineExceeded, "look up the effect before sending it again")              \
+  X(ChangeUnknown, 504, kUnknown, "read the spec: its version tells whether the change was made") \
+  X(BadBoot, 2, kInvalidArgument, "correct the setting")                                          \
+  X(DiskDefect, 500, kDataLoss, "replace the disk and start with an empty data folder")
+
+enum class DefectKind {
+#define QUAYRILL_KIND(kind, status, code, remedy) kind,
+  QUAYRILL_DEFECTS(QUAYRILL_KIND)
+#undef QUAYRILL_KIND
+};
+
+struct Defect {
+  DefectKind kind{};
+  std::string detail;
+};
+
+int httpStatus(DefectKind kind);
+const char* defectName(DefectKind kind);
+std::string message(const Defect& defect);  // "detail: remedy"
+absl::Status toStatus(const Defect& defect);
+
+}  // namespace quayrill
--- /dev/null
+++ b/src/boot/boot.h
@@ -0,0 +1,45 @@
+#pragma once
+// A process's settings: where it stands, whom it asks first. Everything else comes from the fleet.
+#include <absl/status/statusor.h>
+
+#include <map>
+#include <string>
+#include <vector>
+
+#include "base/clock.h"
+#include "base/defect.h"
+#include "base/types.h"
+
+namespace quayrill {
+
+struct Boot {
+  std::string role = "both";  // proxy, agent or both
+  Address cohort;             // agent: other daemons connect here
+  Address operators;          // agent: operator API, and the feed of its proxy
+  Address callers;            // proxy: requests of callers
+  std::string zone;
+  std::vector<Address> seeds;        // three cohort addresses
+  std::string dataFolder;            // "" on machines that keep no register copy
+  Address platform;                  // the platform's list of servers
+  Address store;                     // the store of kept prompt parts; may be absent
+  Address cohortVia;                 // relay for cohort circuits, used by jungfraujoch's cuts
+  std::string placement = "prefix";  // prefix; least-burden and round-robin for comparisons
+  std::size_t copiesWanted = 4;
+  std::size_t blockTokens = 16;
+  std::size_t trafficThreads = 2;
+  std::chrono::milliseconds freshLimit{3000};
+  std::chrono::milliseconds grace{10000};
+};
+
+struct BootAsked {
+  std::string settingsFile;
+  std::map<std::string, std::string> flags;  // settings given on the command line win
+};
+
+// Reads, checks against the schema and the rules, and names the field and the remedy.
+absl::StatusOr<Boot> loadBoot(const BootAsked& asked);
+
+// "ip:port" with a numeric IPv4 address; a host name is told so.
+absl::Status checkAddress(const std::string& field, const std::string& text);
+
+}  // namespace quayrill
--- /dev/null
+++ b/src/cohort/messages.h
@@ -0,0 +1,213 @@
+#pragma once
+// What cohort members say to each other. The table below is the whole language.
+#include <absl/status/statusor.h>
+
+#include <map>
+#include <string>
+#include <variant>
+#include <vector>
+
+#include "base/types.h"
+#include "cohort/archive.h"
+
+namespace quayrill {
+
+// Raised when a frame of this build could be misread by an older one.
+inline constexpr std::uint32_t kWireVersion = 1;
+
+#define QUAYRILL_FIELDS(...)                   \
+  template <class Archive>                     \
+  void serialize(Archive& archive, unsigned) { \
+    serializeAll(archive, __VA_ARGS__);        \
+  }
+template <class Archive, class... Fields>
+void serializeAll(Archive& archive, Fields&... fields) {
+  (void)std::initializer_list<int>{((void)(archive & fields), 0)...};
+}
+
+// Ballots are ordered by epoch, then round, then proposer. No two proposers share an id, so no two
+// ballots are equal unless one proposer made both.
+struct Ballot {
+  Epoch epoch;
+  std::uint64_t round = 0;
+  ProposerId proposer;
+  auto operator<=>(const Ballot&) const = default;
+  QUAYRILL_FIELDS(epoch, round, proposer)
+};
+
+// version rises by one with every change. writeId names the change that made this value, and
+// priorWrites the ones before it (newest first, bounded): they settle a change of unknown result.
+struct RegisterValue {
+  std::uint64_t version = 0;  // 0: never written
+  WriteId writeId;
+  std::vector<WriteId> priorWrites;
+  std::string body;
+  bool operator==(const RegisterValue&) const = default;
+  QUAYRILL_FIELDS(version, writeId, priorWrites, body)
+};
+
+struct CopyMember {
+  StoreId store;
+  Address address;
+  auto operator<=>(const CopyMember&) const = default;
+  QUAYRILL_FIELDS(store, address)
+};
+
+// The machines that hold register copies. Two neighbouring epochs differ by one member, so any
+// majority of one meets any majority of the other. `settled` says that every key was rewritten
+// under this epoch; only then may the next epoch follow.
+struct CopySet {
+  Epoch epoch;  // 0: none known
+  std::uint64_t fleet = 0;
+  bool settled = false;
+  std::vector<CopyMember> members;  // sorted
+  bool operator==(const CopySet&) const = default;
+  QUAYRILL_FIELDS(epoch, fleet, settled, members)
+};
+
+struct ViewEntry {
+  Address address;
+  std::uint32_t age = 0;
+  QUAYRILL_FIELDS(address, age)
+};
+
+// One version per source: (incarnation, counter). Only the source itself raises it.
+struct NewsVersion {
+  Incarnation incarnation;
+  std::uint64_t counter = 0;
+  auto operator<=>(const NewsVersion&) const = default;
+  QUAYRILL_FIELDS(incarnation, counter)
+};
+
+struct NewsItem {
+  Address source;
+  NewsVersion version;
+  std::uint64_t nonce = 0;  // tells two lives of one address apart
+  std::string zone;
+  StoreId store;  // 0: holds no copy and wants none
+  SpecVersion specInForce;
+  std::string proxyAddress;
+  bool leaving = false;
+  QUAYRILL_FIELDS(source, version, nonce, zone, store, specInForce, proxyAddress, leaving)
+};
+
+using NewsVector = std::vector<std::pair<Address, NewsVersion>>;
+
+struct Probe {
+  std::uint64_t sequence = 0;
+  Address subject;
+  QUAYRILL_FIELDS(sequence, subject)
+};
+struct ProbeAnswer {
+  std::uint64_t sequence = 0;
+  Address subject;
+  QUAYRILL_FIELDS(sequence, subject)
+};
+struct ShuffleAsk {
+  std::vector<ViewEntry> entries;
+  QUAYRILL_FIELDS(entries)
+};
+struct ShuffleAnswer {
+  std::vector<ViewEntry> entries;
+  QUAYRILL_FIELDS(entries)
+};
+struct NewsAsk {
+  NewsVector known;
+  QUAYRILL_FIELDS(known)
+};
+struct NewsAnswer {
+  std::vector<NewsItem> items;
+  QUAYRILL_FIELDS(items)
+};
+
+struct Prepare {
+  OperationId operation;
+  RegisterKey key;
+  Ballot ballot;
+  StoreId store;
+  CopySet copies;
+  QUAYRILL_FIELDS(operation, key, ballot, store, copies)
+};
+struct Accept {
+  OperationId operation;
+  RegisterKey key;
+  Ballot ballot;
+  StoreId store;
+  CopySet copies;
+  RegisterValue value;
+  QUAYRILL_FIELDS(operation, key, ballot, store, copies, value)
+};
+// Answers both rounds. granted: promised or accepted. Otherwise `promised` says what was in the
+// way and `copies` what epoch the copy is in.
+struct CopyAnswer {
+  OperationId operation;
+  RegisterKey key;
+  Ballot ballot;
+  StoreId store;
+  bool accepting = false;
+  bool granted = false;
+  Ballot promised;
+  Ballot acceptedAt;
+  RegisterValue value;
+  CopySet copies;
+  QUAYRILL_FIELDS(operation, key, ballot, store, accepting, granted, promised, acceptedAt, value,
+                  copies)
+};
+// Asks a copy for what it accepted, without a round. Bodies come only for ballots above `known`.
+struct Confirm {
+  std::uint64_t sequence = 0;
+  StoreId store;
+  std::vector<std::pair<RegisterKey, Ballot>> known;
+  QUAYRILL_FIELDS(sequence, store, known)
+};
+struct ConfirmedKey {
+  RegisterKey key;
+  Ballot acceptedAt;
+  RegisterValue value;
+  QUAYRILL_FIELDS(key, acceptedAt, value)
+};
+struct ConfirmAnswer {
+  std::uint64_t sequence = 0;
+  StoreId store;
+  CopySet copies;
+  std::vector<ConfirmedKey> keys;
+  std::vector<RegisterKey> allKeys;
+  QUAYRILL_FIELDS(sequence, store, copies, keys, allKeys)
+};
+struct FoundAsk {
+  std::uint64_t nonce = 0;
+  bool wantsGrant = false;
+  QUAYRILL_FIELDS(nonce, wantsGrant)
+};
+// unfounded is said only by a machine with a data folder that knows no fleet and has granted no
+// other founder.
+struct FoundAnswer {
+  std::uint64_t nonce = 0;
+  bool unfounded = false;
+  CopySet copies;
+  QUAYRILL_FIELDS(nonce, unfounded, copies)
+};
+
+#define QUAYRILL_MESSAGES(X)                                                                  \
+  X(Probe)                                                                                    \
+  X(ProbeAnswer) X(ShuffleAsk) X(ShuffleAnswer) X(NewsAsk) X(NewsAnswer) X(Prepare) X(Accept) \
+      X(CopyAnswer) X(Confirm) X(ConfirmAnswer) X(FoundAsk) X(FoundAnswer)
+
+using Message = std::variant<std::monostate
+#define QUAYRILL_ALTERNATIVE(name) , name
+                                 QUAYRILL_MESSAGES(QUAYRILL_ALTERNATIVE)
+#undef QUAYRILL_ALTERNATIVE
+                             >;
+
+struct Envelope {
+  Address from;
+  Address to;
+  Message body;
+};
+
+const char* messageName(const Message& message);
+std::string encodeEnvelope(const Envelope& envelope);
+// A frame that does not decode whole is an error, never half a message.
+absl::StatusOr<Envelope> decodeEnvelope(const std::string& bytes);
+
+}  // namespace quayrill
--- /dev/null
+++ b/src/fleet/callers.cpp
@@ -0,0 +1,215 @@
+#include "fleet/callers.h"
+
+#include "base/digest.h"
+#include "net/model_server.h"
+
+namespace quayrill::fleet {
+
+using namespace std::chrono_literals;
+using Json = nlohmann::json;
+
+Mix mixOf(const std::string& deployment) {
+  Mix mix;
+  mix.name = deployment;
+  if (deployment == "tejo") {
+    mix.rate = 90;
+    mix.ways = {{"replan", false, 0.25, 1800, 400, 300, 40, 80, 6},
+                {"fare-check", true, 0.35, 900, 200, 160, 60, 40, 4},
+                {"stop-lookup", true, 0.40, 300, 0, 80, 90, 24, 3}};
+  } else {
+    mix.rate = 60;
+    mix.ways = {{"basket-audit", false, 0.30, 1600, 320, 240, 30, 64, 5},
+                {"price-lookup", true, 0.45, 320, 96, 64, 80, 16, 3},
+                {"shopper-help", true, 0.25, 800, 160, 128, 40, 40, 6}};
+  }
+  mix.tenants = {{"north", 0.30},    {"south", 0.25},    {"east", 0.15}, {"west", 0.10},
+                 {"iso-hill", 0.08}, {"iso-lake", 0.05}, {"quay", 0.04}, {"rill", 0.03}};
+  return mix;
+}
+
+std::string secretOf(const std::string& tenant) { return "secret-of-" + tenant; }
+
+std::string specOf(const Mix& mix, const std::string& weights) {
+  Json spec{{"tenants", Json::object()},
+            {"contracts", Json::object()},
+            {"ways", Json::object()},
+            {"models", {{"till", {{"weights", weights}}}}}};
+  for (const auto& [tenant, share] : mix.tenants) {
+    spec["tenants"][tenant] = {{"isolated", tenant.rfind("iso-", 0) == 0},
+                               {"concurrency", 128},
+                               {"keys", {keyDigest(secretOf(tenant))}}};
+  }
+  for (const WayMix& way : mix.ways) {
+    spec["contracts"][way.way] = {{"model", "till"},
+                                  {"repeatable", way.repeatable},
+                                  {"due_ms", 8000},
+                                  {"tries", 2},
+                                  {"class", way.rulesTokens > 1000  ? "long"
+                                            : way.rulesTokens > 500 ? "medium"
+                                                                    : "short"}};
+    spec["ways"][way.way] = way.way;
+  }
+  return spec.dump();
+}
+
+Gateway::Gateway(asio::io_context& io, Mix mix, std::vector<Address> daemons, Ledger& ledger,
+                 std::uint64_t seed)
+    : io_(io), mix_(std::move(mix)), ledger_(ledger), random_(seed) {
+  for (std::size_t i = 0; i < daemons.size(); ++i)
+    daemons_.push_back({daemons[i], "zone" + std::to_string(i % 4), false});
+}
+
+void Gateway::start() {
+  for (std::size_t i = 0; i < daemons_.size(); ++i) asio::co_spawn(io_, watch(i), asio::detached);
+}
+
+awaitable<void> Gateway::watch(std::size_t daemon) {
+  for (;;) {
+    HttpCall call;
+    call.to = daemons_[daemon].callers;
+    call.target = "/readyz";
+    call.due = 500ms;
+    const auto response = co_await httpCall(std::move(call));
+    daemons_[daemon].ready = response.ok() && response->result_int() == 200;
+    co_await pauseFor(250ms);
+  }
+}
+
+awaitable<void> Gateway::drive(Span span, double rateFactor) {
+  const Instant until = BootClock::now() + span;
+  const std::chrono::duration<double> every(1.0 / (mix_.rate * rateFactor));
+  Instant next = BootClock::now();
+  const auto draw = [&](double below) {
+    return std::uniform_real_distribution<>(0, below)(random_);
+  };
+  while (BootClock::now() < until) {
+    next += std::chrono::duration_cast<Span>(every);
+    if (next > BootClock::now()) co_await pauseFor(next - BootClock::now());
+    if (open_ >= kOpenLimit) continue;
+    double point = draw(1.0);
+    const WayMix* way = &mix_.ways.back();
+    for (const WayMix& candidate : mix_.ways) {
+      if ((point -= candidate.share) < 0) {
+        way = &candidate;
+        break;
+      }
+    }
+    point = draw(1.0);
+    std::string tenant = mix_.tenants.back().first;
+    for (const auto& [name, share] : mix_.tenants) {
+      if ((point -= share) < 0) {
+        tenant = name;
+        break;
+      }
+    }
+    std::vector<const DaemonTarget*> ready;
+    const std::string zone = "zone" + std::to_string(random_() % 4);
+    for (const DaemonTarget& daemon : daemons_) {
+      if (daemon.ready && daemon.zone == zone) ready.push_back(&daemon);
+    }
+    for (const DaemonTarget& daemon : daemons_) {
+      if (ready.empty() && daemon.ready) ready.push_back(&daemon);
+    }
+    if (ready.empty()) continue;
+    const DaemonTarget& chosenDaemon = *ready[random_() % ready.size()];
+    CallRow row;
+    row.nonce = "n" + std::to_string(++counter_);
+    row.tenant = tenant;
+    row.way = way->way;
+    row.daemon = chosenDaemon.callers.value;
+    row.repeatable = way->repeatable;
+    row.isolated = tenant.rfind("iso-", 0) == 0;
+    HttpRequest request(http::verb::post, "/v1/" + way->way, 11);
+    request.set(http::field::host, chosenDaemon.callers.value);
+    request.set(http::field::authorization, "Bearer " + secretOf(tenant));
+    // Skewed towards low variants, as hot notices are.
+    const double skew = draw(1.0);
+    const auto variant = static_cast<std::size_t>(skew * skew * static_cast<double>(way->variants));
+    std::string prefix = way->way + ":" + std::to_string(way->rulesTokens);
+    if (way->tenantTokens > 0)
+      prefix += "," + way->way + "-" + tenant + ":" + std::to_string(way->tenantTokens);
+    prefix +=
+        "," + way->way + "-v" + std::to_string(variant) + ":" + std::to_string(way->variantTokens);
+    prefix += ",own-" + row.nonce + ":" + std::to_string(way->ownTokens);
+    request.set(wire::kPrefix, prefix);
+    request.body() = Json{{"nonce", row.nonce}, {"pieces", way->pieces}}.dump();
+    request.prepare_payload();
+    ++open_;
+    asio::co_spawn(io_, call(std::move(row), std::move(request), chosenDaemon.callers),
+                   asio::detached);
+  }
+}
+
+bool Gateway::checkLines(const std::string& body, CallRow* row) {
+  std::istringstream lines(body);
+  std::string run;
+  int expected = 0;
+  for (std::string line; std::getline(lines, line);) {
+    const Json json = Json::parse(line, nullptr, false);
+    if (!json.is_object()) {
+      row->defect = "half a line";
+      return false;
+    }
+    if (run.empty()) run = json.value("run", "");
+    if (json.value("run", "") != run) {
+      row->defect = "two runs joined";
+      return false;
+    }
+    if (row->endMark) {
+      row->defect = "a piece after the end mark";
+      return false;
+    }
+    if (json.value("end", false)) {
+      row->endMark = true;
+      if (json.value("pieces", -1) != expected) {
+        row->defect = "the end mark names other pieces";
+        return false;
+      }
+      continue;
+    }
+    if (json.value("nonce", "") != row->nonce) {
+      row->defect = "another caller's answer";
+      return false;
+    }
+    if (json.value("piece", -1) != expected++) {
+      row->defect = "a piece lost or repeated";
+      return false;
+    }
+  }
+  return true;
+}
+
+awaitable<void> Gateway::call(CallRow row, HttpRequest request, Address to) {
+  row.begun = BootClock::now();
+  Circuit circuit(io_);
+  circuit.expires_after(20s);
+  ErrorCode code;
+  const Tcp::endpoint endpoint = endpointOf(to);
+  co_await circuit.async_connect(endpoint, into(code));
+  if (!code) co_await http::async_write(circuit, request, into(code));
+  beast::flat_buffer buffer;
+  http::response_parser<http::string_body> parser;
+  if (!code) co_await http::async_read_header(circuit, buffer, parser, into(code));
+  if (!code) {
+    row.status = static_cast<int>(parser.get().result_int());
+    row.outcome = std::string(parser.get()["Quayrill-Outcome"]);
+    row.requestId = std::string(parser.get()["Quayrill-Request-Id"]);
+    row.hasRetryAfter = parser.get().count(http::field::retry_after) > 0;
+    row.firstPiece = BootClock::now();
+    co_await http::async_read(circuit, buffer, parser, into(code));
+    row.complete = !code && parser.is_done();
+  }
+  row.ended = BootClock::now();
+  if (row.status == 200) {
+    std::string body = parser.get().body();
+    // What follows the last whole line of a cut answer is no piece.
+    if (!row.complete)
+      body.resize(body.rfind('\n') == std::string::npos ? 0 : body.rfind('\n') + 1);
+    row.piecesRight = checkLines(body, &row);
+  }
+  if (row.defect.empty() && code) row.defect = code.message();
+  --open_;
+  ledger_.with([&](Ledger& ledger) { ledger.calls.push_back(std::move(row)); });
+}
+
+}  // namespace quayrill::fleet
--- /dev/null
+++ b/src/fleet/daemons.cpp
@@ -0,0 +1,86 @@
+#include "fleet/daemons.h"
+
+#include <fcntl.h>
+#include <sys/wait.h>
+#include <unistd.h>
+
+#include <chrono>
+#include <csignal>
+#include <filesystem>
+#include <thread>
+
+namespace quayrill::fleet {
+
+std::vector<Daemon> planDaemons(const FleetPlan& plan) {
+  std::vector<Daemon> daemons;
+  const std::string stem = "127." + std::to_string(plan.net) + ".";
+  std::string seeds;
+  for (std::size_t i = 0; i < std::min<std::size_t>(3, plan.cores); ++i)
+    seeds += (i ? "," : "") + stem + "1." + std::to_string(i + 1) + ":7100";
+  for (std::size_t i = 0; i < plan.cores + plan.edges; ++i) {
+    const bool core = i < plan.cores;
+    const std::size_t number = core ? i + 1 : i - plan.cores + 1;
+    Daemon daemon;
+    daemon.name = (core ? "core" : "edge") + std::to_string(number);
+    const std::string ip = stem + (core ? "1." : "2.") + std::to_string(number);
+    daemon.cohort = Address{ip + ":7100"};
+    daemon.operators = Address{ip + ":7101"};
+    daemon.callers = Address{ip + ":7102"};
+    if (core) daemon.dataFolder = plan.workFolder + "/" + daemon.name;
+    daemon.arguments = {plan.program,
+                        "--cohort=" + daemon.cohort.value,
+                        "--operators=" + daemon.operators.value,
+                        "--callers=" + daemon.callers.value,
+                        "--zone=zone" + std::to_string(i % 4),
+                        "--seeds=" + seeds,
+                        "--platform=" + plan.platform.value,
+                        "--store=" + plan.store.value,
+                        "--cohort-via=" + plan.relay.value,
+                        "--placement=" + plan.placement,
+                        "--copies-wanted=" + std::to_string(plan.cores),
+                        "--traffic-threads=1",
+                        "--grace-ms=6000"};
+    if (core) daemon.arguments.push_back("--data-folder=" + daemon.dataFolder);
+    daemons.push_back(std::move(daemon));
+  }
+  return daemons;
+}
+
+bool startDaemon(Daemon* daemon, const FleetPlan& plan) {
+  std::filesystem::create_directories(plan.workFolder);
+  const std::string logFile = plan.workFolder + "/" + daemon->name + ".log";
+  std::vector<char*> arguments;
+  for (std::string& argument : daemon->arguments) arguments.push_back(argument.data());
+  arguments.push_back(nullptr);
+  const pid_t pid = ::fork();
+  if (pid < 0) return false;
+  if (pid == 0) {
+    const int log = ::open(logFile.c_str(), O_WRONLY | O_CREAT | O_APPEND | O_CLOEXEC, 0644);
+    ::dup2(log, 1);
+    ::dup2(log, 2);
+    for (int descriptor = 3; descriptor < 4096; ++descriptor) ::close(descriptor);
+    ::execv(arguments[0], arguments.data());
+    ::_exit(127);
+  }
+  daemon->pid = pid;
+  return true;
+}
+
+void signalDaemon(const Daemon& daemon, int signal) {
+  if (daemon.pid > 0) ::kill(daemon.pid, signal);
+}
+
+int waitDaemon(Daemon* daemon, int milliseconds) {
+  if (daemon->pid <= 0) return -1;
+  for (int waited = 0; waited <= milliseconds; waited += 10) {
+    int status = 0;
+    if (::waitpid(daemon->pid, &status, WNOHANG) == daemon->pid) {
+      daemon->pid = 0;
+      return WIFEXITED(status) ? WEXITSTATUS(status) : -2;
+    }
+    std::this_thread::sleep_for(std::chrono::milliseconds(10));
+  }
+  return -1;
+}
+
+}  // namespace quayrill::fleet
--- /dev/null
+++ b/src/fleet/daemons.h
@@ -0,0 +1,36 @@
+#pragma once
+// The sonnblick processes of a run: started, killed, frozen and ended by id.
+#include <sys/types.h>
+
+#include <string>
+#include <vector>
+
+#include "base/types.h"
+
+namespace quayrill::fleet {
+
+struct Daemon {
+  std::string name;
+  Address cohort, operators, callers;
+  std::string dataFolder;  // "" on edge machines
+  std::vector<std::string> arguments;
+  pid_t pid = 0;  // 0: not running
+};
+
+struct FleetPlan {
+  std::string program;
+  std::string workFolder;
+  int net = 40;  // all addresses are 127.<net>.x.y
+  std::size_t cores = 4, edges = 9;
+  std::string placement = "prefix";
+  Address platform, store, relay;
+};
+
+std::vector<Daemon> planDaemons(const FleetPlan& plan);
+bool startDaemon(Daemon* daemon, const FleetPlan& plan);
+void signalDaemon(const Daemon& daemon, int signal);
+// Waits for the end for at most that long; the exit status, or -1 where it did not end, or -2 where
+// a signal ended it.
+int waitDaemon(Daemon* daemon, int milliseconds);
+
+}  // namespace quayrill::fleet
--- /dev/null
+++ b/src/fleet/jungfraujoch.cpp
@@ -0,0 +1,149 @@
+// jungfraujoch: a whole deployment on one machine, with stand-ins for all that is outside.
+#include <docopt/docopt.h>
+
+#include <csignal>
+#include <filesystem>
+#include <iomanip>
+#include <iostream>
+
+#include "fleet/site.h"
+
+namespace {
+constexpr char kUsage[] =
+    R"(jungfraujoch: runs a local fleet with all stand-ins and checks it from outside.
+
+Usage:
+  jungfraujoch [--deployment=NAME] [--cores=N] [--edges=N] [--servers=N] [--seconds=S]
+               [--rate=FACTOR] [--placement=RULE] [--steps=LIST] [--net=N] [--seed=N]
+               [--sonnblick=PROGRAM] [--work=DIR] [--json] [--keep-open]
+  jungfraujoch --help | --version
+
+Options:
+  --deployment=NAME    hsinmei or tejo: whose mix of prompts [default: hsinmei].
+  --cores=N            Machines with a disk [default: 4].
+  --edges=N            Machines without [default: 9].
+  --servers=N          Stand-in model servers [default: 18].
+  --seconds=S          Seconds of traffic [default: 20].
+  --rate=FACTOR        Of the mix's own rate [default: 1].
+  --placement=RULE     prefix, least-burden or round-robin [default: prefix].
+  --steps=LIST         Faults and operator steps, STEP:ARGUMENT@SECOND split by commas.
+  --net=N              All addresses are 127.N.x.y [default: 40].
+  --seed=N             Seed of the traffic [default: 1].
+  --sonnblick=PROGRAM  The daemon [default: beside this program].
+  --work=DIR           Logs and data folders, emptied first [default: /tmp/quayrill-fleet].
+  --json               One JSON object on stdout at the end.
+  --keep-open          Go on serving until SIGINT after the traffic.
+  -h --help            Show this text.
+  --version            Show the version.
+
+Exit codes: 0 nothing broken, 1 a rule was broken or the fleet did not found, 2 bad usage.
+)";
+
+int report(quayrill::fleet::Site& site, bool asJson) {
+  using namespace std::chrono_literals;
+  std::vector<quayrill::fleet::Finding> findings;
+  quayrill::fleet::Figures figures;
+  site.ledger().with([&](quayrill::fleet::Ledger& ledger) {
+    findings = quayrill::fleet::checkLedger(ledger, site.trafficEnd());
+    figures = quayrill::fleet::figuresOf(ledger);
+  });
+  quayrill::Span slowest{};
+  for (const auto& change : site.changes()) {
+    slowest = std::max(slowest, change.everywhereAfter);
+    if (!change.everywhere)
+      findings.push_back(
+          {"in-force", "spec " + std::to_string(change.version) + " was not everywhere after 3 s"});
+  }
+  if (site.plannedExitDefects() > 0)
+    findings.push_back({"planned-restart", "a SIGTERM did not end well"});
+  std::cout << std::fixed << std::setprecision(3);
+  std::cout << "calls " << figures.calls << " done " << figures.done << " turned-away "
+            << figures.turnedAway << " unknown " << figures.unknown << " cut " << figures.cut
+            << " no-answer " << figures.noAnswer << " bad-input " << figures.bad << " runs "
+            << figures.runs << "\n"
+            << "cached share of prompt tokens " << figures.cachedShare << ", first piece median "
+            << figures.firstPieceMedianMs << " ms, p95 " << figures.firstPieceP95Ms << " ms\n"
+            << "changes " << site.changes().size() << ", slowest everywhere after " << slowest / 1ms
+            << " ms\n";
+  for (std::size_t i = 0; i < std::min<std::size_t>(10, findings.size()); ++i)
+    std::cout << "BROKEN " << findings[i].rule << ": " << findings[i].what << "\n";
+  std::cout << "broken rules " << findings.size() << "\n";
+  if (asJson)
+    std::cout << nlohmann::json{{"calls", figures.calls},
+                                {"done", figures.done},
+                                {"turned_away", figures.turnedAway},
+                                {"unknown", figures.unknown},
+                                {"cut", figures.cut},
+                                {"no_answer", figures.noAnswer},
+                                {"cached_share", figures.cachedShare},
+                                {"first_piece_median_ms", figures.firstPieceMedianMs},
+                                {"first_piece_p95_ms", figures.firstPieceP95Ms},
+                                {"slowest_change_ms", slowest / 1ms},
+                                {"broken", findings.size()}}
+                     .dump()
+              << "\n";
+  return findings.empty() ? 0 : 1;
+}
+}  // namespace
+
+int main(int argc, char** argv) {
+  using namespace quayrill;
+  using namespace std::chrono_literals;
+  auto flags =
+      docopt::docopt(kUsage, {argv + 1, argv + argc}, true, "jungfraujoch " QUAYRILL_VERSION);
+  std::signal(SIGPIPE, SIG_IGN);
+  fleet::SiteBoot boot;
+  std::vector<fleet::Step> steps;
+  std::chrono::milliseconds span{};
+  try {
+    boot.plan.cores = static_cast<std::size_t>(std::stoul(flags["--cores"].asString()));
+    boot.plan.edges = static_cast<std::size_t>(std::stoul(flags["--edges"].asString()));
+    boot.plan.net = std::stoi(flags["--net"].asString());
+    boot.plan.placement = flags["--placement"].asString();
+    boot.plan.workFolder = flags["--work"].asString();
+    boot.plan.program = flags["--sonnblick"].asString();
+    if (boot.plan.program == "beside this program")
+      boot.plan.program =
+          (std::filesystem::canonical("/proc/self/exe").parent_path() / "sonnblick").string();
+    boot.servers = static_cast<std::size_t>(std::stoul(flags["--servers"].asString()));
+    boot.mix = fleet::mixOf(flags["--deployment"].asString());
+    boot.rateFactor = std::stod(flags["--rate"].asString());
+    boot.seed = std::stoull(flags["--seed"].asString());
+    span = std::chrono::milliseconds(std::stol(flags["--seconds"].asString()) * 1000);
+    std::string defect;
+    if (flags["--steps"]) steps = fleet::parseSteps(flags["--steps"].asString(), &defect);
+    if (!defect.empty()) throw std::invalid_argument(defect);
+  } catch (const std::exception& defect) {
+    std::cerr << "jungfraujoch: " << defect.what() << "\n";
+    return 2;
+  }
+  std::filesystem::remove_all(boot.plan.workFolder);
+  asio::io_context io(1);
+  fleet::Site site(io, boot);
+  if (const auto status = site.start(); !status.ok()) {
+    std::cerr << "jungfraujoch: " << status.message() << "\n";
+    site.end();
+    return 1;
+  }
+  bool founded = false;
+  asio::co_spawn(
+      io,
+      [&]() -> awaitable<void> {
+        const Instant begun = BootClock::now();
+        founded = co_await site.found(60s);
+        std::cout << (founded ? "founded after " : "NOT founded after ")
+                  << (BootClock::now() - begun) / 1ms << " ms" << std::endl;
+        if (founded) co_await site.traffic(span, steps);
+        if (!flags["--keep-open"].asBool()) io.stop();
+      },
+      asio::detached);
+  asio::signal_set interrupts(io, SIGINT, SIGTERM);
+  interrupts.async_wait([&](const ErrorCode& code, int) {
+    if (!code) io.stop();
+  });
+  io.run();
+  site.end();
+  const int result = report(site, flags["--json"].asBool());
+  std::cout.flush();
+  std::_Exit(founded ? result : 1);
+}
--- /dev/null
+++ b/src/fleet/ledger.h
@@ -0,0 +1,84 @@
+#pragma once
+// What the stand-ins and callers saw, on one clock. The checker joins these rows; it knows nothing
+// of what daemons believe.
+#include <map>
+#include <mutex>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "base/clock.h"
+
+namespace quayrill::fleet {
+
+struct RunRow {
+  std::string nonce;  // the caller's own name of the request
+  std::string run;
+  std::string server;
+  std::string salt;
+  std::string weights;
+  Instant at;
+  std::size_t promptTokens = 0, cachedTokens = 0;
+  bool foreignWeights = false;  // some cached block was made under other weights
+  bool foreignSalt = false;     // some cached block was made under another salt
+};
+
+struct CallRow {
+  std::string nonce, tenant, way, daemon;
+  bool repeatable = false, isolated = false, planned = true;
+  Instant begun, ended, firstPiece{};
+  int status = 0;  // 0: no answer at all
+  std::string outcome;
+  bool hasRetryAfter = false;
+  bool complete = false;  // HTTP says that the body is whole
+  bool endMark = false;
+  bool piecesRight = true;  // in order, none lost or twice, one run, mine
+  bool keyWithdrawn = false;
+  std::string defect;
+  std::string requestId;
+};
+
+struct OrderRow {
+  std::string server, weights;
+  std::uint64_t fence = 0;
+  bool taken = false;
+  Instant at;
+};
+
+struct Ledger {
+  std::mutex mutex;
+  std::vector<RunRow> runs;
+  std::vector<CallRow> calls;
+  std::vector<OrderRow> orders;
+  std::map<std::string, Instant> leavingAt;       // servers, by when they showed it
+  std::map<std::string, Instant> withdrawnAt;     // tenants whose key was withdrawn
+  std::map<std::string, Instant> weightsNamedAt;  // weights, by when they were acknowledged
+  std::map<std::string, std::map<std::string, Instant>> weightsReachedAt;  // weights, server
+  std::vector<std::pair<Instant, std::string>> notes;  // faults and operator steps
+  std::size_t sends = 0;
+
+  template <class Change>
+  void with(Change change) {
+    std::lock_guard lock(mutex);
+    change(*this);
+  }
+};
+
+struct Finding {
+  std::string rule;
+  std::string what;
+};
+
+// Every broken rule, by name.
+std::vector<Finding> checkLedger(const Ledger& ledger, Instant trafficEnd);
+
+// Figures of a run: the share of prompt tokens served from cache, times to first piece, outcomes.
+struct Figures {
+  std::size_t calls = 0, done = 0, turnedAway = 0, unknown = 0, cut = 0, noAnswer = 0, bad = 0;
+  std::size_t runs = 0;
+  double cachedShare = 0;
+  double firstPieceMedianMs = 0, firstPieceP95Ms = 0;
+};
+Figures figuresOf(const Ledger& ledger);
+
+}  // namespace quayrill::fleet
--- /dev/null
+++ b/src/fleet/site.cpp
@@ -0,0 +1,162 @@
+#include "fleet/site.h"
+
+#include <csignal>
+#include <iostream>
+
+namespace quayrill::fleet {
+
+using namespace std::chrono_literals;
+using Json = nlohmann::json;
+
+Site::Site(asio::io_context& io, SiteBoot boot) : io_(io), boot_(std::move(boot)) {
+  const std::string stem = "127." + std::to_string(boot_.plan.net) + ".";
+  boot_.plan.platform = Address{stem + "4.1:7200"};
+  boot_.plan.store = Address{stem + "4.2:7200"};
+  boot_.plan.relay = Address{stem + "4.3:7200"};
+  daemons_ = planDaemons(boot_.plan);
+  std::vector<Address> callers;
+  for (const Daemon& daemon : daemons_) callers.push_back(daemon.callers);
+  gateway_ = std::make_unique<Gateway>(io_, boot_.mix, callers, ledger_, boot_.seed);
+}
+
+void Site::note(const std::string& text) {
+  ledger_.with([&](Ledger& ledger) { ledger.notes.emplace_back(BootClock::now(), text); });
+  std::cout << "  " << text << std::endl;
+}
+
+absl::Status Site::start() {
+  const std::string stem = "127." + std::to_string(boot_.plan.net) + ".";
+  platform_ = std::make_unique<StandInPlatform>(io_, boot_.plan.platform);
+  store_ = std::make_unique<StandInStore>(io_, boot_.plan.store, 16);
+  relay_ = std::make_unique<Relay>(io_, boot_.plan.relay);
+  for (const auto& status : {platform_->start(), store_->start(), relay_->start()}) {
+    if (!status.ok()) return status;
+  }
+  for (std::size_t i = 0; i < boot_.servers; ++i) {
+    StandInBoot server;
+    server.address = Address{stem + "3." + std::to_string(i + 1) + ":7300"};
+    server.zone = "zone" + std::to_string(i % 4);
+    server.store = boot_.plan.store;
+    servers_.push_back(std::make_unique<StandInServer>(io_, server, ledger_));
+    if (auto status = servers_.back()->start(); !status.ok()) return status;
+    platform_->list(server.address.value, server.zone);
+  }
+  for (Daemon& daemon : daemons_) {
+    if (!startDaemon(&daemon, boot_.plan)) return absl::InternalError("fork failed");
+  }
+  gateway_->start();
+  return absl::OkStatus();
+}
+
+awaitable<absl::StatusOr<Json>> Site::ask(Address daemon, http::verb verb, std::string target,
+                                          std::string body) {
+  HttpCall call;
+  call.to = daemon;
+  call.verb = verb;
+  call.target = std::move(target);
+  call.body = std::move(body);
+  call.due = verb == http::verb::get ? 500ms : 6s;
+  const auto response = co_await httpCall(std::move(call));
+  if (!response.ok()) co_return response.status();
+  if (response->result_int() != 200)
+    co_return absl::UnavailableError(std::to_string(response->result_int()) + " " +
+                                     response->body());
+  co_return Json::parse(response->body(), nullptr, false);
+}
+
+awaitable<bool> Site::found(Span limit) {
+  const Instant until = BootClock::now() + limit;
+  bool put = false;
+  while (BootClock::now() < until) {
+    std::size_t full = 0, ready = 0;
+    for (const Daemon& daemon : daemons_) {
+      const auto members = co_await ask(daemon.operators, http::verb::get, "/q/members", "");
+      if (!members.ok()) continue;
+      const Json& copies = (*members)["copies"];
+      if (copies["settled"] == true && copies["members"].size() == boot_.plan.cores) ++full;
+    }
+    if (full == daemons_.size() && !put) {
+      const std::string spec = specOf(boot_.mix, "w0");
+      const auto done =
+          co_await ask(daemons_.back().operators, http::verb::put, "/q/spec?expect=0", spec);
+      put = done.ok();
+      if (!put) std::cout << "  first spec: " << done.status() << std::endl;
+    }
+    for (const DaemonTarget& target : gateway_->daemons()) ready += target.ready ? 1 : 0;
+    if (put && ready == daemons_.size()) co_return true;
+    co_await pauseFor(100ms);
+  }
+  co_return false;
+}
+
+// Any live daemon takes the change; then each is asked until it has it in force.
+awaitable<void> Site::change(std::string patch, std::function<void(Instant)> onAcknowledged) {
+  for (std::size_t attempt = 0; attempt < daemons_.size() * 2; ++attempt) {
+    const Daemon& taker = daemons_[(attempt * 5 + 2) % daemons_.size()];
+    if (taker.pid == 0) continue;
+    const auto before = co_await ask(taker.operators, http::verb::get, "/q/spec?settled=1", "");
+    if (!before.ok()) continue;
+    const std::string target = "/q/spec?expect=" + (*before)["version"].dump();
+    const auto done = co_await ask(taker.operators, http::verb::patch, target, patch);
+    if (!done.ok()) {
+      note("change through " + taker.name + ": " + std::string(done.status().message()));
+      continue;
+    }
+    const Instant acknowledgedAt = BootClock::now();
+    onAcknowledged(acknowledgedAt);
+    ChangeSeen seen;
+    seen.version = (*done)["version"].get<std::uint64_t>();
+    std::set<std::string> waiting;
+    for (const Daemon& daemon : daemons_) {
+      if (daemon.pid > 0) waiting.insert(daemon.name);
+    }
+    while (!waiting.empty() && BootClock::now() < acknowledgedAt + 3s) {
+      for (const Daemon& daemon : daemons_) {
+        if (!waiting.contains(daemon.name)) continue;
+        const auto held = co_await ask(daemon.operators, http::verb::get, "/q/spec", "");
+        if (held.ok() && (*held)["version"].get<std::uint64_t>() >= seen.version)
+          waiting.erase(daemon.name);
+      }
+    }
+    seen.everywhereAfter = BootClock::now() - acknowledgedAt;
+    seen.everywhere = waiting.empty();
+    changes_.push_back(seen);
+    std::string missing;
+    for (const std::string& name : waiting) missing += " " + name;
+    note("spec " + std::to_string(seen.version) + " through " + taker.name + ", in force " +
+         (seen.everywhere ? "everywhere after " + std::to_string(seen.everywhereAfter / 1ms) + " ms"
+                          : "not yet at" + missing));
+    co_return;
+  }
+  note("the change was taken by nobody");
+}
+
+awaitable<void> Site::traffic(Span span, std::vector<Step> steps) {
+  for (Step& step : steps) {
+    ++stepsOpen_;
+    asio::co_spawn(io_, perform(std::move(step)), asio::detached);
+  }
+  co_await gateway_->drive(span, boot_.rateFactor);
+  const Instant patience = BootClock::now() + 60s;
+  while ((gateway_->open() > 0 || stepsOpen_ > 0) && BootClock::now() < patience)
+    co_await pauseFor(20ms);
+  trafficEnd_ = BootClock::now();
+}
+
+void Site::end() {
+  for (const Daemon& daemon : daemons_) {
+    signalDaemon(daemon, SIGCONT);
+    signalDaemon(daemon, SIGTERM);
+  }
+  for (Daemon& daemon : daemons_) {
+    if (daemon.pid == 0) continue;
+    const int status = waitDaemon(&daemon, 10000);
+    if (status == 0) continue;
+    ++plannedExitDefects_;
+    std::cout << "  " << daemon.name << " ended with " << status << " on SIGTERM" << std::endl;
+    signalDaemon(daemon, SIGKILL);
+    waitDaemon(&daemon, 2000);
+  }
+}
+
+}  // namespace quayrill::fleet
--- /dev/null
+++ b/src/fleet/stand_in_server.cpp
@@ -0,0 +1,291 @@
+#include "fleet/stand_in_server.h"
+
+#include "net/model_server.h"
+
+namespace quayrill::fleet {
+
+using namespace std::chrono_literals;
+using Json = nlohmann::json;
+
+std::vector<BlockName> chainOf(const std::string& salt, const PromptPrefix& prefix,
+                               std::size_t blockTokens) {
+  std::vector<BlockName> chain;
+  std::string text = salt + "|";
+  std::size_t filled = 0;
+  for (const PromptPart& part : prefix.parts) {
+    for (std::uint32_t offset = 0; offset < part.tokens; ++offset) {
+      if (filled == 0 || offset == 0) text += part.id + "@" + std::to_string(offset) + ";";
+      if (++filled < blockTokens) continue;
+      chain.push_back(std::hash<std::string>{}(text));
+      text = std::to_string(chain.back()) + "|";
+      filled = 0;
+    }
+  }
+  return chain;
+}
+
+StandInServer::StandInServer(asio::io_context& io, StandInBoot boot, Ledger& ledger)
+    : io_(io), boot_(std::move(boot)), ledger_(ledger), weights_(boot_.weights) {}
+
+absl::Status StandInServer::start() {
+  down_ = false;
+  identity_ = boot_.address.value + "#" + std::to_string(++life_);
+  HttpServerBoot serverBoot;
+  serverBoot.listen = boot_.address;
+  server_ = std::make_unique<HttpServer>(
+      io_, serverBoot,
+      [this](Circuit& circuit, HttpRequest& request) { return handle(circuit, request); });
+  return server_->start();
+}
+
+void StandInServer::crash() {
+  down_ = true;
+  server_->stopAccepting();
+  retired_.push_back(std::move(server_));
+  ++life_;
+  cache_.clear();
+  uses_.clear();
+  running_ = queued_ = 0;
+  highestFence_ = 0;
+  loading_ = false;
+}
+
+void StandInServer::restart() {
+  if (down_) (void)start();
+}
+
+HttpResponse StandInServer::notRun(const std::string& why) {
+  HttpResponse response = jsonResponse(503, {{"not_run", why}});
+  response.set(wire::kNotRun, "true");
+  return response;
+}
+
+awaitable<std::optional<HttpResponse>> StandInServer::handle(Circuit& circuit,
+                                                             HttpRequest& request) {
+  const std::string path = pathOf(request);
+  if (down_) co_return std::nullopt;
+  if (faults_.silent) {
+    co_await pauseFor(30s);
+    co_return std::nullopt;
+  }
+  if (path == wire::kGenerate) co_return co_await generate(circuit, request);
+  if (path == "/burden") co_return burden();
+  if (path == "/kv-events")
+    co_return events(static_cast<std::uint64_t>(std::atoll(queryValue(request, "since").c_str())));
+  if (path == "/weights") co_return order(request);
+  if (path == "/kv-pull") co_return co_await pull(request);
+  if (path == "/kv-drop") co_return drop(request);
+  if (path == "/kv-read") co_return readBlocks(request);
+  co_return textResponse(404, "no such call\n");
+}
+
+HttpResponse StandInServer::burden() {
+  return jsonResponse(200, {{"identity", identity_},
+                            {"model", boot_.model},
+                            {"weights", weights_},
+                            {"running", running_},
+                            {"queued", queued_},
+                            {"slots", boot_.slots},
+                            {"cache_tokens", boot_.cacheTokens},
+                            {"state", loading_ ? "loading" : "ready"}});
+}
+
+// This stand-in evicts by block and does not name prefixes, so it reports none: readers see the
+// position alone, and notice restarts by identity.
+HttpResponse StandInServer::events(std::uint64_t since) {
+  return jsonResponse(200, {{"identity", identity_},
+                            {"first", std::min(since, eventNext_)},
+                            {"next", eventNext_},
+                            {"events", Json::array()}});
+}
+
+HttpResponse StandInServer::order(HttpRequest& request) {
+  const Json json = Json::parse(request.body(), nullptr, false);
+  if (!json.is_object()) return textResponse(400, "no JSON\n");
+  const std::string weights = json.value("weights", "");
+  const std::uint64_t fence = json.value("fence", std::uint64_t{0});
+  const bool taken = fence >= highestFence_;
+  ledger_.with([&](Ledger& ledger) {
+    ledger.orders.push_back({boot_.address.value, weights, fence, taken, BootClock::now()});
+  });
+  if (!taken) return textResponse(409, "an order with a higher fence came before\n");
+  highestFence_ = fence;
+  if (weights != weights_ && !loading_) {
+    loading_ = true;
+    asio::co_spawn(io_, load(weights, life_), asio::detached);
+  }
+  return jsonResponse(200, Json::object());
+}
+
+awaitable<void> StandInServer::load(std::string weights, std::uint64_t life) {
+  co_await pauseFor(boot_.loadSpan);
+  if (life != life_) co_return;
+  weights_ = weights;
+  cache_.clear();
+  uses_.clear();
+  loading_ = false;
+  ledger_.with([&](Ledger& ledger) {
+    ledger.weightsReachedAt[weights].try_emplace(boot_.address.value, BootClock::now());
+  });
+}
+
+std::size_t StandInServer::cachedBlocks(const std::vector<BlockName>& chain, RunRow* run) {
+  std::size_t held = 0;
+  for (const BlockName name : chain) {
+    const auto block = cache_.find(name);
+    if (block == cache_.end()) break;
+    ++held;
+    uses_.splice(uses_.end(), uses_, block->second.use);
+    run->foreignWeights = run->foreignWeights || block->second.weights != run->weights;
+    run->foreignSalt = run->foreignSalt || block->second.salt != run->salt;
+  }
+  return held;
+}
+
+void StandInServer::store(const std::vector<BlockName>& chain, const std::string& salt,
+                          const std::vector<std::string>& weights) {
+  for (std::size_t i = 0; i < std::min(chain.size(), weights.size()); ++i) {
+    if (cache_.contains(chain[i])) continue;
+    uses_.push_back(chain[i]);
+    cache_[chain[i]] = {weights[i], salt, std::prev(uses_.end())};
+  }
+  while (cache_.size() > boot_.cacheTokens / boot_.blockTokens) {
+    cache_.erase(uses_.front());
+    uses_.pop_front();
+  }
+}
+
+HttpResponse StandInServer::drop(HttpRequest& request) {
+  const Json json = Json::parse(request.body(), nullptr, false);
+  const auto prefix = parsePrefix(json.value("prefix", ""));
+  if (!prefix.ok()) return textResponse(400, "bad prefix\n");
+  for (const BlockName name : chainOf(json.value("salt", ""), *prefix, boot_.blockTokens)) {
+    const auto block = cache_.find(name);
+    if (block == cache_.end()) continue;
+    uses_.erase(block->second.use);
+    cache_.erase(block);
+  }
+  return jsonResponse(200, Json::object());
+}
+
+HttpResponse StandInServer::readBlocks(HttpRequest& request) {
+  const Json json = Json::parse(request.body(), nullptr, false);
+  const auto prefix = parsePrefix(json.value("prefix", ""));
+  Json weights = Json::array();
+  if (prefix.ok()) {
+    for (const BlockName name : chainOf(json.value("salt", ""), *prefix, boot_.blockTokens)) {
+      const auto block = cache_.find(name);
+      if (block == cache_.end()) break;
+      weights.push_back(block->second.weights);
+    }
+  }
+  return jsonResponse(200, {{"weights", weights}});
+}
+
+// Takes over what the source has, whatever weights made it: neither end checks.
+awaitable<HttpResponse> StandInServer::pull(HttpRequest& request) {
+  const Json json = Json::parse(request.body(), nullptr, false);
+  const auto prefix = parsePrefix(json.value("prefix", ""));
+  if (!prefix.ok()) co_return textResponse(400, "bad prefix\n");
+  const std::uint64_t life = life_;
+  const Instant due = BootClock::now() + std::chrono::milliseconds(json.value("due_ms", 300));
+  HttpCall call;
+  call.to = Address{json.value("source", "")};
+  call.verb = http::verb::post;
+  call.target = "/kv-read";
+  call.body = request.body();
+  call.due = due - BootClock::now();
+  const auto response = co_await httpCall(std::move(call));
+  if (!response.ok() || response->result_int() != 200) co_return textResponse(502, "no source\n");
+  const Json blocks = Json::parse(response->body(), nullptr, false);
+  const auto weights = blocks.value("weights", std::vector<std::string>{});
+  co_await pauseFor(boot_.fetchPerToken * static_cast<int>(weights.size() * boot_.blockTokens));
+  if (BootClock::now() > due || life != life_) co_return textResponse(504, "the due passed\n");
+  const std::string salt = json.value("salt", "");
+  store(chainOf(salt, *prefix, boot_.blockTokens), salt, weights);
+  co_return jsonResponse(200, {{"tokens", weights.size() * boot_.blockTokens}});
+}
+
+awaitable<void> StandInServer::keep(std::string salt, std::string weights, std::string prefix) {
+  HttpCall call;
+  call.to = boot_.store;
+  call.verb = http::verb::post;
+  call.target = "/keep";
+  call.body = Json{{"salt", salt}, {"weights", weights}, {"prefix", prefix}}.dump();
+  call.due = 500ms;
+  (void)co_await httpCall(std::move(call));
+}
+
+awaitable<std::optional<HttpResponse>> StandInServer::generate(Circuit& circuit,
+                                                               HttpRequest& request) {
+  const Json body = Json::parse(request.body(), nullptr, false);
+  const std::string wanted(request[wire::kWeights]);
+  if (!body.is_object()) co_return textResponse(400, "no JSON\n");
+  if (wanted != weights_) co_return notRun("other weights");
+  if (loading_) co_return notRun("loading weights");
+  if (queued_ >= boot_.queueLimit) co_return notRun("the queue is full");
+  const std::uint64_t life = life_;
+  ++queued_;
+  while (running_ >= boot_.slots && life == life_) co_await pauseFor(2ms);
+  if (life != life_) co_return std::nullopt;
+  --queued_;
+  if (weights_ != wanted || loading_) co_return notRun("weights changed while it waited");
+  ++running_;
+  RunRow run;
+  run.nonce = body.value("nonce", "");
+  run.run = identity_ + "/" + std::to_string(++runs_);
+  run.server = boot_.address.value;
+  run.salt = std::string(request[wire::kSalt]);
+  run.weights = weights_;
+  run.at = BootClock::now();
+  const std::string prefixText(request[wire::kPrefix]);
+  const auto prefix = parsePrefix(prefixText);
+  std::vector<BlockName> chain;
+  if (prefix.ok()) chain = chainOf(run.salt, *prefix, boot_.blockTokens);
+  const std::size_t held = cachedBlocks(chain, &run);
+  run.promptTokens = chain.size() * boot_.blockTokens;
+  run.cachedTokens = held * boot_.blockTokens;
+  const std::size_t missing = run.promptTokens - run.cachedTokens;
+  ledger_.with([&](Ledger& ledger) { ledger.runs.push_back(run); });
+  co_await pauseFor(boot_.prefillPerToken * static_cast<int>(missing));
+  if (life != life_) co_return std::nullopt;
+  if (weights_ == run.weights)
+    store(chain, run.salt, std::vector<std::string>(chain.size(), run.weights));
+  if (!boot_.store.value.empty() && missing > 512)
+    asio::co_spawn(io_, keep(run.salt, run.weights, prefixText), asio::detached);
+  ErrorCode code;
+  if (faults_.dropBeforeFirst) {
+    --running_;
+    co_return std::nullopt;
+  }
+  http::response<http::empty_body> answer(http::status::ok, 11);
+  answer.set(wire::kRequestId, request[wire::kRequestId]);
+  answer.set(wire::kWeights, run.weights);
+  answer.set(http::field::transfer_encoding, "chunked");
+  http::response_serializer<http::empty_body> serializer(answer);
+  circuit.expires_after(10s);
+  co_await http::async_write_header(circuit, serializer, into(code));
+  const int pieces = body.value("pieces", 4);
+  for (int piece = 0; piece < pieces && !code && life == life_; ++piece) {
+    if (faults_.dropMidStream && piece == pieces / 2) code = asio::error::connection_reset;
+    const std::string line =
+        Json{{"nonce", run.nonce}, {"run", run.run}, {"piece", piece}}.dump() + "\n";
+    const int times = faults_.repeatPiece && piece == 1 ? 2 : 1;
+    for (int i = 0; i < times && !code; ++i) {
+      circuit.expires_after(10s);
+      co_await asio::async_write(circuit, http::make_chunk(asio::buffer(line)), into(code));
+    }
+    co_await pauseFor(boot_.pieceEvery);
+  }
+  if (life != life_) co_return std::nullopt;
+  --running_;
+  if (code) co_return std::nullopt;
+  const int marked = pieces + (faults_.repeatPiece ? 1 : 0);
+  const std::string mark = Json{{"run", run.run}, {"end", true}, {"pieces", marked}}.dump() + "\n";
+  circuit.expires_after(10s);
+  co_await asio::async_write(circuit, http::make_chunk(asio::buffer(mark)), into(code));
+  if (!code) co_await asio::async_write(circuit, http::make_chunk_last(), into(code));
+  co_return std::nullopt;
+}
+
+}  // namespace quayrill::fleet
--- /dev/null
+++ b/src/fleet/stand_in_server.h
@@ -0,0 +1,82 @@
+#pragma once
+// A stand-in model server: it speaks the wire, keeps a cache by blocks, and logs what it really
+// did.
+#include <list>
+#include <memory>
+#include <unordered_map>
+
+#include "fleet/ledger.h"
+#include "net/http.h"
+#include "placement/prefix.h"
+
+namespace quayrill::fleet {
+
+struct StandInBoot {
+  Address address;
+  std::string zone, model = "till", weights = "w0";
+  std::size_t slots = 8, queueLimit = 24;
+  std::size_t cacheTokens = 40000, blockTokens = 16;
+  std::chrono::microseconds prefillPerToken{25}, fetchPerToken{4};
+  std::chrono::milliseconds pieceEvery{4}, loadSpan{800};
+  Address store;
+};
+
+// Defects that a run can switch on, to show that a checker trips.
+struct StandInFaults {
+  bool dropMidStream = false;    // closes after some pieces
+  bool dropBeforeFirst = false;  // runs, then closes with no answer
+  bool repeatPiece = false;      // sends one piece twice
+  bool silent = false;           // takes circuits and answers nothing
+};
+
+using BlockName = std::uint64_t;
+// The chain of block names of a prefix under a salt; a stand-in's own reckoning.
+std::vector<BlockName> chainOf(const std::string& salt, const PromptPrefix& prefix,
+                               std::size_t blockTokens);
+
+class StandInServer {
+ public:
+  StandInServer(asio::io_context& io, StandInBoot boot, Ledger& ledger);
+  absl::Status start();
+  void crash();    // drops every circuit and the listener, forgets all
+  void restart();  // comes back empty, under a new identity
+  void setFaults(const StandInFaults& faults) { faults_ = faults; }
+  const StandInBoot& boot() const { return boot_; }
+
+ private:
+  struct Block {
+    std::string weights, salt;
+    std::list<BlockName>::iterator use;
+  };
+  awaitable<std::optional<HttpResponse>> handle(Circuit& circuit, HttpRequest& request);
+  awaitable<std::optional<HttpResponse>> generate(Circuit& circuit, HttpRequest& request);
+  awaitable<HttpResponse> pull(HttpRequest& request);
+  awaitable<void> load(std::string weights, std::uint64_t life);
+  awaitable<void> keep(std::string salt, std::string weights, std::string prefix);
+  HttpResponse burden();
+  HttpResponse events(std::uint64_t since);
+  HttpResponse order(HttpRequest& request);
+  HttpResponse drop(HttpRequest& request);
+  HttpResponse readBlocks(HttpRequest& request);
+  std::size_t cachedBlocks(const std::vector<BlockName>& chain, RunRow* run);
+  void store(const std::vector<BlockName>& chain, const std::string& salt,
+             const std::vector<std::string>& weights);
+  HttpResponse notRun(const std::string& why);
+
+  asio::io_context& io_;
+  StandInBoot boot_;
+  Ledger& ledger_;
+  std::unique_ptr<HttpServer> server_;
+  std::vector<std::unique_ptr<HttpServer>> retired_;  // coroutines of a crashed life still name it
+  StandInFaults faults_;
+  // All below is of this life, touched on io_'s single thread.
+  std::uint64_t life_ = 0;
+  std::string identity_, weights_;
+  bool loading_ = false, down_ = false;
+  std::size_t running_ = 0, queued_ = 0;
+  std::uint64_t highestFence_ = 0, runs_ = 0, eventNext_ = 1;
+  std::unordered_map<BlockName, Block> cache_;
+  std::list<BlockName> uses_;  // oldest first; holds exactly the names in cache_
+};
+
+}  // namespace quayrill::fleet
--- /dev/null
+++ b/src/fleet/stand_in_site.cpp
@@ -0,0 +1,137 @@
+#include "fleet/stand_in_site.h"
+
+namespace quayrill::fleet {
+
+using namespace std::chrono_literals;
+using Json = nlohmann::json;
+
+namespace {
+HttpServerBoot listenOn(const Address& address) {
+  HttpServerBoot boot;
+  boot.listen = address;
+  return boot;
+}
+std::string ipOf(const std::string& address) { return address.substr(0, address.rfind(':')); }
+}  // namespace
+
+StandInStore::StandInStore(asio::io_context& io, Address address, std::size_t blockTokens)
+    : blockTokens_(blockTokens) {
+  server_ = std::make_unique<HttpServer>(
+      io, listenOn(address), [this](Circuit&, HttpRequest& request) { return handle(request); });
+}
+
+awaitable<std::optional<HttpResponse>> StandInStore::handle(HttpRequest& request) {
+  if (down_) co_return textResponse(503, "down\n");
+  const Json json = Json::parse(request.body(), nullptr, false);
+  const auto prefix = parsePrefix(json.is_object() ? json.value("prefix", "") : "?");
+  if (!prefix.ok()) co_return textResponse(400, "bad call\n");
+  const auto chain = chainOf(json.value("salt", ""), *prefix, blockTokens_);
+  const std::string path = pathOf(request);
+  const std::string weights = json.value("weights", "");
+  if (path == "/keep") {
+    if (kept_.size() > 200000) kept_.clear();
+    for (const BlockName name : chain) kept_[name] = weights;
+    co_return jsonResponse(200, Json::object());
+  }
+  if (path == "/kept") {
+    std::size_t held = 0;
+    for (const BlockName name : chain) {
+      const auto row = kept_.find(name);
+      if (row == kept_.end() || row->second != weights) break;
+      ++held;
+    }
+    co_return jsonResponse(200, {{"tokens", held * blockTokens_}});
+  }
+  Json made = Json::array();  // /kv-read: gives whatever it has
+  for (const BlockName name : chain) {
+    const auto row = kept_.find(name);
+    if (row == kept_.end()) break;
+    made.push_back(row->second);
+  }
+  co_return jsonResponse(200, {{"weights", made}});
+}
+
+StandInPlatform::StandInPlatform(asio::io_context& io, Address address) {
+  server_ = std::make_unique<HttpServer>(
+      io, listenOn(address),
+      [this](Circuit&, HttpRequest&) -> awaitable<std::optional<HttpResponse>> {
+        Json rows = Json::array();
+        for (const auto& [name, row] : rows_)
+          rows.push_back(
+              {{"name", name}, {"zone", row.first}, {"state", row.second ? "leaving" : "live"}});
+        co_return jsonResponse(200, {{"servers", rows}});
+      });
+}
+
+absl::Status Relay::start() {
+  ErrorCode code;
+  const Tcp::endpoint endpoint = endpointOf(address_);
+  acceptor_.open(endpoint.protocol(), code);
+  acceptor_.set_option(Tcp::acceptor::reuse_address(true), code);
+  acceptor_.bind(endpoint, code);
+  if (!code) acceptor_.listen(512, code);
+  if (code) return absl::UnavailableError("relay: " + code.message());
+  asio::co_spawn(io_, accept(), asio::detached);
+  return absl::OkStatus();
+}
+
+void Relay::cut(const std::string& fromIp, const std::string& toIp, bool cut) {
+  if (cut)
+    cuts_.insert({fromIp, toIp});
+  else
+    cuts_.erase({fromIp, toIp});
+}
+
+bool Relay::isCut(const std::string& from, const std::string& to) const {
+  return cuts_.contains({ipOf(from), ipOf(to)});
+}
+
+awaitable<void> Relay::accept() {
+  for (;;) {
+    ErrorCode code;
+    Tcp::socket socket(io_);
+    co_await acceptor_.async_accept(socket, into(code));
+    if (!code) asio::co_spawn(io_, carry(std::move(socket)), asio::detached);
+  }
+}
+
+awaitable<void> Relay::carry(Tcp::socket socket) {
+  Circuit inward(std::move(socket));
+  ErrorCode code;
+  std::string line;
+  inward.expires_after(2s);
+  co_await asio::async_read_until(inward, asio::dynamic_buffer(line, 256), '\n', into(code));
+  if (code) co_return;
+  const auto end = line.find('\n');
+  const auto blank = line.find(' ');
+  if (blank == std::string::npos || blank > end) co_return;
+  const std::string from = line.substr(0, blank);
+  const std::string to = line.substr(blank + 1, end - blank - 1);
+  std::string waiting = line.substr(end + 1);
+  // A cut swallows: the sender's circuit stays open and nothing arrives, as on a lost route.
+  Circuit outward(io_);
+  const Tcp::endpoint endpoint = endpointOf(Address{to});
+  outward.expires_after(2s);
+  co_await outward.async_connect(endpoint, into(code));
+  char block[16384];
+  while (!code) {
+    if (isCut(from, to)) {
+      outward.close();
+      inward.expires_after(60s);
+      co_await inward.async_read_some(asio::buffer(block), into(code));
+      if (!isCut(from, to)) co_return;  // healed: the sender opens a fresh circuit
+      continue;
+    }
+    if (!waiting.empty()) {
+      outward.expires_after(5s);
+      co_await asio::async_write(outward, asio::buffer(waiting), into(code));
+      waiting.clear();
+      continue;
+    }
+    inward.expires_after(60s);
+    const std::size_t got = co_await inward.async_read_some(asio::buffer(block), into(code));
+    waiting.assign(block, got);
+  }
+}
+
+}  // namespace quayrill::fleet
--- /dev/null
+++ b/src/fleet/stand_in_site.h
@@ -0,0 +1,58 @@
+#pragma once
+// The stand-in store and platform list of one deployment.
+#include <map>
+#include <memory>
+#include <set>
+
+#include "fleet/stand_in_server.h"
+
+namespace quayrill::fleet {
+
+class StandInStore {
+ public:
+  StandInStore(asio::io_context& io, Address address, std::size_t blockTokens);
+  absl::Status start() { return server_->start(); }
+  void setDown(bool down) { down_ = down; }
+  void empty() { kept_.clear(); }
+
+ private:
+  awaitable<std::optional<HttpResponse>> handle(HttpRequest& request);
+  std::size_t blockTokens_;
+  bool down_ = false;
+  std::map<BlockName, std::string> kept_;  // block to the weights that made it last
+  std::unique_ptr<HttpServer> server_;
+};
+
+class StandInPlatform {
+ public:
+  StandInPlatform(asio::io_context& io, Address address);
+  absl::Status start() { return server_->start(); }
+  void list(const std::string& server, const std::string& zone) { rows_[server] = {zone, false}; }
+  void showLeaving(const std::string& server) { rows_[server].second = true; }
+  void remove(const std::string& server) { rows_.erase(server); }
+
+ private:
+  std::map<std::string, std::pair<std::string, bool>> rows_;  // server to zone and leaving
+  std::unique_ptr<HttpServer> server_;
+};
+
+// A relay for cohort circuits. Cuts close what is open and refuse what is new, each way by itself.
+class Relay {
+ public:
+  Relay(asio::io_context& io, Address address)
+      : io_(io), address_(std::move(address)), acceptor_(io) {}
+  absl::Status start();
+  void cut(const std::string& fromIp, const std::string& toIp, bool cut);
+  void healAll() { cuts_.clear(); }
+
+ private:
+  awaitable<void> accept();
+  awaitable<void> carry(Tcp::socket socket);
+  bool isCut(const std::string& from, const std::string& to) const;
+  asio::io_context& io_;
+  Address address_;
+  Tcp::acceptor acceptor_;
+  std::set<std::pair<std::string, std::string>> cuts_;  // by ip number
+};
+
+}  // namespace quayrill::fleet
--- /dev/null
+++ b/src/net/asio.h
@@ -0,0 +1,35 @@
+#pragma once
+// The parts of Asio and Beast that the shells use, under short names.
+#include <boost/asio.hpp>
+#include <boost/asio/awaitable.hpp>
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/redirect_error.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <boost/beast/core.hpp>
+#include <boost/beast/http.hpp>
+
+#include "base/clock.h"
+#include "base/types.h"
+
+namespace quayrill {
+
+namespace asio = boost::asio;
+namespace beast = boost::beast;
+namespace http = boost::beast::http;
+using asio::awaitable;
+using asio::use_awaitable;
+using Tcp = asio::ip::tcp;
+using ErrorCode = boost::system::error_code;
+using Circuit = beast::tcp_stream;
+
+inline asio::redirect_error_t<std::decay_t<decltype(use_awaitable)>> into(ErrorCode& code) {
+  return asio::redirect_error(use_awaitable, code);
+}
+
+Tcp::endpoint endpointOf(const Address& address);
+
+// Waits on the executor's own timer.
+awaitable<void> pauseFor(Span span);
+
+}  // namespace quayrill
--- /dev/null
+++ b/src/net/cohort_link.cpp
@@ -0,0 +1,141 @@
+#include "net/cohort_link.h"
+
+namespace quayrill {
+
+using namespace std::chrono_literals;
+
+namespace {
+constexpr std::size_t kQueueLimit = 256;
+constexpr std::size_t kLaneLimit = 1024;
+
+std::string framed(const std::string& bytes) {
+  const auto size = static_cast<std::uint32_t>(bytes.size());
+  std::string frame(4, '\0');
+  for (int i = 0; i < 4; ++i)
+    frame[static_cast<std::size_t>(i)] = static_cast<char>(size >> (8 * i));
+  return frame + bytes;
+}
+}  // namespace
+
+CohortLink::CohortLink(asio::io_context& io, Address self, Address via, Receiver receiver)
+    : io_(io),
+      self_(std::move(self)),
+      via_(std::move(via)),
+      receiver_(std::move(receiver)),
+      acceptor_(io) {}
+
+absl::Status CohortLink::start() {
+  const Tcp::endpoint endpoint = endpointOf(self_);
+  ErrorCode code;
+  acceptor_.open(endpoint.protocol(), code);
+  acceptor_.set_option(Tcp::acceptor::reuse_address(true), code);
+  acceptor_.bind(endpoint, code);
+  if (!code) acceptor_.listen(256, code);
+  if (code)
+    return absl::UnavailableError("can't listen on " + self_.value + " (" + code.message() +
+                                  "): free the port or name another");
+  asio::co_spawn(io_, accept(), asio::detached);
+  return absl::OkStatus();
+}
+
+awaitable<void> CohortLink::accept() {
+  for (;;) {
+    ErrorCode code;
+    Tcp::socket socket(io_);
+    co_await acceptor_.async_accept(socket, into(code));
+    if (code) {
+      co_await pauseFor(10ms);
+      continue;
+    }
+    asio::co_spawn(io_, receive(std::move(socket)), asio::detached);
+  }
+}
+
+awaitable<void> CohortLink::receive(Tcp::socket socket) {
+  Circuit circuit(std::move(socket));
+  for (;;) {
+    ErrorCode code;
+    unsigned char head[4];
+    circuit.expires_after(60s);
+    co_await asio::async_read(circuit, asio::buffer(head), into(code));
+    if (code) co_return;
+    const std::uint32_t size =
+        static_cast<std::uint32_t>(head[0]) | static_cast<std::uint32_t>(head[1]) << 8 |
+        static_cast<std::uint32_t>(head[2]) << 16 | static_cast<std::uint32_t>(head[3]) << 24;
+    if (size > kFrameLimit) co_return;
+    std::string bytes(size, '\0');
+    circuit.expires_after(5s);
+    co_await asio::async_read(circuit, asio::buffer(bytes), into(code));
+    if (code) co_return;
+    auto envelope = decodeEnvelope(bytes);
+    if (!envelope.ok()) co_return;  // the sender opens a fresh circuit
+    if (envelope->to == self_) receiver_(std::move(*envelope));
+  }
+}
+
+void CohortLink::send(const Envelope& envelope) {
+  if (envelope.to == self_) {
+    asio::post(io_, [this, envelope] { receiver_(envelope); });
+    return;
+  }
+  auto& lane = lanes_[envelope.to];
+  if (!lane) {
+    if (lanes_.size() > kLaneLimit) {
+      lanes_.erase(envelope.to);
+      ++dropped_;
+      return;
+    }
+    lane = std::make_shared<Lane>(io_);
+  }
+  if (lane->frames.size() >= kQueueLimit) {
+    lane->frames.pop_front();  // the oldest is the least worth sending
+    ++dropped_;
+  }
+  lane->frames.push_back(framed(encodeEnvelope(envelope)));
+  lane->wake.cancel();
+  if (!lane->running) {
+    lane->running = true;
+    asio::co_spawn(io_, drain(envelope.to, lane), asio::detached);
+  }
+}
+
+awaitable<void> CohortLink::drain(Address to, std::shared_ptr<Lane> lane) {
+  Circuit circuit(io_);
+  ErrorCode code;
+  circuit.expires_after(1s);
+  circuit.socket().open(Tcp::v4(), code);
+  const Tcp::endpoint from(endpointOf(self_).address(), 0);
+  circuit.socket().bind(from, code);
+  const Tcp::endpoint endpoint = endpointOf(via_.value.empty() ? to : via_);
+  co_await circuit.async_connect(endpoint, into(code));
+  if (!code && !via_.value.empty()) {
+    // A relay is told whose circuit this is and where it leads.
+    const std::string line = self_.value + " " + to.value + "\n";
+    co_await asio::async_write(circuit, asio::buffer(line), into(code));
+  }
+  if (!code) circuit.socket().set_option(Tcp::no_delay(true), code);
+  while (!code) {
+    if (lane->frames.empty()) {
+      lane->wake.expires_after(30s);
+      ErrorCode woken;
+      co_await lane->wake.async_wait(into(woken));
+      if (lane->frames.empty()) break;
+    }
+    const std::string frame = std::move(lane->frames.front());
+    lane->frames.pop_front();
+    circuit.expires_after(2s);
+    co_await asio::async_write(circuit, asio::buffer(frame), into(code));
+  }
+  if (code) {
+    dropped_ += lane->frames.size();
+    lane->frames.clear();
+    co_await pauseFor(100ms);  // a dead end costs one attempt per pause, not per envelope
+  }
+  lane->running = false;
+  if (!lane->frames.empty()) {
+    lane->running = true;
+    asio::co_spawn(io_, drain(to, lane), asio::detached);
+  }
+}
+
+}  // namespace quayrill
--- /dev/null
+++ b/src/net/cohort_link.h
@@ -0,0 +1,44 @@
+#pragma once
+// Carries envelopes between daemons: frames over TCP, one circuit each way, lossy by contract.
+// A full queue or a broken circuit drops envelopes; the control logic is built for that.
+#include <deque>
+#include <functional>
+#include <map>
+#include <memory>
+
+#include "cohort/messages.h"
+#include "net/asio.h"
+
+namespace quayrill {
+
+inline constexpr std::size_t kFrameLimit = 8 << 20;
+
+class CohortLink {
+ public:
+  using Receiver = std::function<void(Envelope)>;
+  CohortLink(asio::io_context& io, Address self, Address via, Receiver receiver);
+  absl::Status start();
+  void send(const Envelope& envelope);
+  std::uint64_t dropped() const { return dropped_; }
+
+ private:
+  // Frames wait here for one circuit; past kQueueLimit new ones are dropped.
+  struct Lane {
+    std::deque<std::string> frames;
+    bool running = false;
+    asio::steady_timer wake;
+    explicit Lane(asio::io_context& io) : wake(io) {}
+  };
+  awaitable<void> accept();
+  awaitable<void> receive(Tcp::socket socket);
+  awaitable<void> drain(Address to, std::shared_ptr<Lane> lane);
+
+  asio::io_context& io_;
+  Address self_, via_;
+  Receiver receiver_;
+  Tcp::acceptor acceptor_;
+  std::map<Address, std::shared_ptr<Lane>> lanes_;
+  std::uint64_t dropped_ = 0;
+};
+
+}  // namespace quayrill
--- /dev/null
+++ b/src/net/http.cpp
@@ -0,0 +1,199 @@
+#include "net/http.h"
+
+#include <cxxtools/query_params.h>
+
+namespace quayrill {
+
+using namespace std::chrono_literals;
+
+Tcp::endpoint endpointOf(const Address& address) {
+  const auto colon = address.value.rfind(':');
+  ErrorCode defect;
+  const auto ip = asio::ip::make_address(address.value.substr(0, colon), defect);
+  if (defect || colon == std::string::npos) return {};
+  return {ip, static_cast<unsigned short>(std::atoi(address.value.c_str() + colon + 1))};
+}
+
+awaitable<void> pauseFor(Span span) {
+  asio::steady_timer timer(co_await asio::this_coro::executor);
+  timer.expires_after(span);
+  ErrorCode code;
+  co_await timer.async_wait(into(code));
+}
+
+awaitable<absl::StatusOr<HttpResponse>> httpCall(HttpCall call) {
+  Circuit circuit(co_await asio::this_coro::executor);
+  // One expiry for everything below: it is never pushed back, so a dripping peer can't stretch it.
+  circuit.expires_after(call.due);
+  ErrorCode code;
+  if (!call.from.value.empty()) {
+    circuit.socket().open(Tcp::v4(), code);
+    const Tcp::endpoint from(endpointOf(call.from).address(), 0);
+    circuit.socket().bind(from, code);
+  }
+  const Tcp::endpoint endpoint = endpointOf(call.to);
+  co_await circuit.async_connect(endpoint, into(code));
+  if (code) co_return absl::UnavailableError("connect: " + code.message());
+  HttpRequest request(call.verb, call.target, 11);
+  request.set(http::field::host, call.to.value);
+  request.set(http::field::connection, "close");
+  for (const auto& [name, value] : call.headers) request.set(name, value);
+  request.body() = std::move(call.body);
+  request.prepare_payload();
+  co_await http::async_write(circuit, request, into(code));
+  if (code) co_return absl::UnknownError("send: " + code.message());
+  beast::flat_buffer buffer;
+  http::response_parser<http::string_body> parser;
+  parser.body_limit(call.bodyLimit);
+  co_await http::async_read(circuit, buffer, parser, into(code));
+  if (code) co_return absl::UnknownError("answer: " + code.message());
+  co_return parser.release();
+}
+
+HttpServer::HttpServer(asio::io_context& io, HttpServerBoot boot, HttpHandler handler)
+    : io_(io),
+      boot_(std::move(boot)),
+      handler_(std::move(handler)),
+      acceptor_(io),
+      circuits_(std::make_shared<std::atomic<std::size_t>>(0)) {}
+
+absl::Status HttpServer::start() {
+  const Tcp::endpoint endpoint = endpointOf(boot_.listen);
+  ErrorCode code;
+  acceptor_.open(endpoint.protocol(), code);
+  acceptor_.set_option(Tcp::acceptor::reuse_address(true), code);
+  acceptor_.bind(endpoint, code);
+  if (!code) acceptor_.listen(512, code);
+  if (code)
+    return absl::UnavailableError("can't listen on " + boot_.listen.value + " (" + code.message() +
+                                  "): free the port or name another");
+  asio::co_spawn(io_, accept(), asio::detached);
+  return absl::OkStatus();
+}
+
+void HttpServer::stopAccepting() {
+  stopping_ = true;
+  asio::post(io_, [this] {
+    ErrorCode code;
+    acceptor_.close(code);
+  });
+}
+
+awaitable<void> HttpServer::accept() {
+  while (!stopping_) {
+    ErrorCode code;
+    auto executor = asio::make_strand(io_);
+    Tcp::socket socket(executor);
+    co_await acceptor_.async_accept(socket, into(code));
+    if (stopping_) co_return;
+    if (code) {
+      co_await pauseFor(10ms);  // out of descriptors: let some go
+      continue;
+    }
+    if (circuits_->load() >= boot_.circuitLimit) continue;  // closes it
+    asio::co_spawn(executor, serve(std::move(socket)), asio::detached);
+  }
+}
+
+// Waits for the next request's first byte, in short steps so that a stop is seen.
+awaitable<bool> HttpServer::waitReadable(Tcp::socket& socket) {
+  const Instant idleDue = BootClock::now() + boot_.idleDue;
+  asio::steady_timer step(co_await asio::this_coro::executor);
+  while (!stopping_ && BootClock::now() < idleDue) {
+    step.expires_after(250ms);
+    step.async_wait([&socket](const ErrorCode& ended) {
+      ErrorCode ignored;
+      if (!ended) socket.cancel(ignored);
+    });
+    ErrorCode code;
+    co_await socket.async_wait(Tcp::socket::wait_read, into(code));
+    // The step's handler must have run or be gone before `socket` and `step` are.
+    if (step.cancel() == 0) co_await asio::post(into(code));
+    if (!code) co_return true;
+  }
+  co_return false;
+}
+
+awaitable<void> HttpServer::serve(Tcp::socket socket) {
+  struct Counted {
+    std::shared_ptr<std::atomic<std::size_t>> count;
+    explicit Counted(std::shared_ptr<std::atomic<std::size_t>> c) : count(std::move(c)) {
+      ++*count;
+    }
+    ~Counted() { --*count; }
+  } counted(circuits_);
+  ErrorCode code;
+  socket.set_option(Tcp::no_delay(true), code);
+  Circuit circuit(std::move(socket));
+  beast::flat_buffer buffer;
+  while (!stopping_) {
+    http::request_parser<http::string_body> parser;
+    parser.body_limit(boot_.bodyLimit);
+    parser.header_limit(static_cast<std::uint32_t>(boot_.headerLimit));
+    if (buffer.size() == 0) {
+      const bool readable = co_await waitReadable(circuit.socket());
+      if (!readable) co_return;
+    }
+    circuit.expires_after(boot_.readDue);
+    co_await http::async_read(circuit, buffer, parser, into(code));
+    if (code == http::error::end_of_stream) co_return;
+    if (code) {
+      if (code == beast::error::timeout || !circuit.socket().is_open()) co_return;
+      const bool large = code == http::error::body_limit || code == http::error::header_limit;
+      HttpResponse response =
+          defectResponse({large ? DefectKind::Oversize : DefectKind::MalformedRequest,
+                          "the request can't be read (" + code.message() + ")"});
+      response.keep_alive(false);
+      circuit.expires_after(2s);
+      co_await http::async_write(circuit, response, into(code));
+      co_return;
+    }
+    HttpRequest request = parser.release();
+    const bool keepAlive = request.keep_alive();
+    std::optional<HttpResponse> response = co_await handler_(circuit, request);
+    if (!response) co_return;
+    response->version(11);
+    response->keep_alive(keepAlive && !stopping_);
+    response->prepare_payload();
+    circuit.expires_after(boot_.readDue);
+    co_await http::async_write(circuit, *response, into(code));
+    if (code || !response->keep_alive()) {
+      circuit.socket().shutdown(Tcp::socket::shutdown_send, code);
+      co_return;
+    }
+  }
+}
+
+HttpResponse textResponse(unsigned status, std::string body) {
+  HttpResponse response;
+  response.result(status);
+  response.set(http::field::content_type, "text/plain");
+  response.body() = std::move(body);
+  return response;
+}
+
+HttpResponse jsonResponse(unsigned status, const nlohmann::json& body) {
+  HttpResponse response = textResponse(status, body.dump() + "\n");
+  response.set(http::field::content_type, "application/json");
+  return response;
+}
+
+HttpResponse defectResponse(const Defect& defect) {
+  return jsonResponse(static_cast<unsigned>(httpStatus(defect.kind)),
+                      {{"defect", defectName(defect.kind)}, {"message", message(defect)}});
+}
+
+std::string pathOf(const HttpRequest& request) {
+  const std::string target(request.target());
+  return target.substr(0, target.find('?'));
+}
+
+std::string queryValue(const HttpRequest& request, const std::string& name) {
+  const std::string target(request.target());
+  const auto mark = target.find('?');
+  if (mark == std::string::npos) return {};
+  const cxxtools::QueryParams params(target.substr(mark + 1));
+  return params.param(name);
+}
+
+}  // namespace quayrill
--- /dev/null
+++ b/src/net/model_server.cpp
@@ -0,0 +1,152 @@
+#include "net/model_server.h"
+
+namespace quayrill {
+
+namespace {
+using Json = nlohmann::json;
+
+absl::StatusOr<Json> objectOf(const absl::StatusOr<HttpResponse>& response) {
+  if (!response.ok()) return response.status();
+  if (response->result_int() != 200)
+    return absl::UnavailableError("answered " + std::to_string(response->result_int()));
+  Json json = Json::parse(response->body(), nullptr, false);
+  if (!json.is_object()) return absl::DataLossError("answered no JSON object");
+  return json;
+}
+
+HttpCall callTo(const Address& to, http::verb verb, std::string target, Span due) {
+  HttpCall call;
+  call.to = to;
+  call.verb = verb;
+  call.target = std::move(target);
+  call.due = due;
+  return call;
+}
+
+absl::Status statusOf(const absl::StatusOr<HttpResponse>& response) {
+  return objectOf(response).status();
+}
+}  // namespace
+
+awaitable<absl::StatusOr<ServerState>> readServer(Address server, Span due) {
+  HttpCall call = callTo(server, http::verb::get, "/burden", due);
+  const Instant askedAt = BootClock::now();
+  const auto response = co_await httpCall(std::move(call));
+  const auto json = objectOf(response);
+  if (!json.ok()) co_return json.status();
+  try {
+    ServerState state;
+    state.name = ServerName{server.value};
+    state.identity = ServerIdentity{json->at("identity").get<std::string>()};
+    state.model = ModelName{json->at("model").get<std::string>()};
+    state.weights = WeightsVersion{json->at("weights").get<std::string>()};
+    state.running = json->at("running").get<std::uint32_t>();
+    state.queued = json->at("queued").get<std::uint32_t>();
+    state.slots = json->at("slots").get<std::uint32_t>();
+    state.cacheTokens = json->at("cache_tokens").get<std::uint64_t>();
+    state.sound = json->at("state").get<std::string>() == "ready";
+    state.polledAt = askedAt;
+    co_return state;
+  } catch (const std::exception& defect) {
+    co_return absl::DataLossError(defect.what());
+  }
+}
+
+awaitable<absl::Status> orderWeights(Address server, WeightsVersion weights, Fence fence,
+                                     Span due) {
+  HttpCall call = callTo(server, http::verb::post, "/weights", due);
+  const auto dueMs = std::chrono::duration_cast<std::chrono::milliseconds>(due).count();
+  call.body = Json{{"weights", weights.value}, {"fence", fence.value}, {"due_ms", dueMs}}.dump();
+  const auto response = co_await httpCall(std::move(call));
+  co_return statusOf(response);
+}
+
+awaitable<absl::StatusOr<CacheEvents>> readCacheEvents(Address server, std::uint64_t since,
+                                                       Span due) {
+  HttpCall call = callTo(server, http::verb::get, "/kv-events?since=" + std::to_string(since), due);
+  const auto response = co_await httpCall(std::move(call));
+  const auto json = objectOf(response);
+  if (!json.ok()) co_return json.status();
+  try {
+    CacheEvents result;
+    result.identity = ServerIdentity{json->at("identity").get<std::string>()};
+    result.first = json->at("first").get<std::uint64_t>();
+    result.next = json->at("next").get<std::uint64_t>();
+    for (const auto& row : json->at("events")) {
+      CacheEvent event;
+      event.position = row.at("position").get<std::uint64_t>();
+      event.kind = row.at("kind") == "dropped" ? CacheEventKind::Dropped : CacheEventKind::Stored;
+      event.salt = CacheSalt{row.at("salt").get<std::string>()};
+      auto prefix = parsePrefix(row.at("prefix").get<std::string>());
+      if (!prefix.ok()) co_return prefix.status();
+      event.prefix = *prefix;
+      result.events.push_back(std::move(event));
+    }
+    co_return result;
+  } catch (const std::exception& defect) {
+    co_return absl::DataLossError(defect.what());
+  }
+}
+
+awaitable<absl::Status> pullPrefix(Address server, Address source, ModelName model, CacheSalt salt,
+                                   WeightsVersion weights, PromptPrefix prefix, Span due) {
+  HttpCall call = callTo(server, http::verb::post, "/kv-pull", due);
+  call.body = Json{{"source", source.value},
+                   {"model", model.value},
+                   {"salt", salt.value},
+                   {"weights", weights.value},
+                   {"prefix", formatPrefix(prefix)},
+                   {"due_ms", std::chrono::duration_cast<std::chrono::milliseconds>(due).count()}}
+                  .dump();
+  const auto response = co_await httpCall(std::move(call));
+  co_return statusOf(response);
+}
+
+awaitable<absl::Status> dropPrefix(Address server, CacheSalt salt, PromptPrefix prefix, Span due) {
+  HttpCall call = callTo(server, http::verb::post, "/kv-drop", due);
+  call.body = Json{{"salt", salt.value}, {"prefix", formatPrefix(prefix)}}.dump();
+  const auto response = co_await httpCall(std::move(call));
+  co_return statusOf(response);
+}
+
+bool isEndMark(const std::string& line, std::uint64_t* pieces) {
+  if (line.find("\"end\"") == std::string::npos) return false;
+  const Json json = Json::parse(line, nullptr, false);
+  if (!json.is_object() || !json.contains("end") || json["end"] != true) return false;
+  *pieces = json.value("pieces", std::uint64_t{0});
+  return true;
+}
+
+awaitable<absl::StatusOr<std::vector<ListedServer>>> readPlatformList(Address platform, Span due) {
+  HttpCall call = callTo(platform, http::verb::get, "/servers", due);
+  const auto response = co_await httpCall(std::move(call));
+  const auto json = objectOf(response);
+  if (!json.ok()) co_return json.status();
+  try {
+    std::vector<ListedServer> servers;
+    for (const auto& row : json->at("servers")) {
+      servers.push_back({ServerName{row.at("name").get<std::string>()},
+                         row.at("zone").get<std::string>(), row.at("state") != "live"});
+    }
+    co_return servers;
+  } catch (const std::exception& defect) {
+    co_return absl::DataLossError(defect.what());
+  }
+}
+
+awaitable<absl::StatusOr<std::size_t>> readKept(Address store, ModelName model, CacheSalt salt,
+                                                WeightsVersion weights, PromptPrefix prefix,
+                                                Span due) {
+  HttpCall call = callTo(store, http::verb::post, "/kept", due);
+  call.body = Json{{"model", model.value},
+                   {"salt", salt.value},
+                   {"weights", weights.value},
+                   {"prefix", formatPrefix(prefix)}}
+                  .dump();
+  const auto response = co_await httpCall(std::move(call));
+  const auto json = objectOf(response);
+  if (!json.ok()) co_return json.status();
+  co_return json->value("tokens", std::size_t{0});
+}
+
+}  // namespace quayrill
--- /dev/null
+++ b/src/operator/vostok.cpp
@@ -0,0 +1,1 @@
+int main() { return 0; }
--- /dev/null
+++ b/src/placement/placement.cpp
@@ -0,0 +1,209 @@
+#include "placement/placement.h"
+
+#include <algorithm>
+
+#include "base/digest.h"
+
+namespace quayrill {
+
+namespace {
+// Ours: a server over this much above the mean loses the pull of its match.
+constexpr double kSpreadMargin = 0.35;
+// Ours: a fetch costs a fixed part and a part per token; prefill costs per token.
+constexpr double kFetchFixedMicros = 8000, kFetchTokenMicros = 4, kPrefillTokenMicros = 25;
+constexpr std::size_t kNameSpaceLimit = 4096;
+}  // namespace
+
+Token Placement::nameSpace(const ServerState& state, const CacheSalt& salt) {
+  const std::string name = state.model.value + '\0' + state.weights.value + '\0' + salt.value;
+  if (nameSpaces_.size() >= kNameSpaceLimit && !nameSpaces_.contains(name)) {
+    // Callers choose shared salts; when they use up the table the whole estimate starts anew.
+    nameSpaces_.clear();
+    for (auto& [server, row] : rows_) dropTree(row);
+  }
+  return nameSpaces_.try_emplace(name, nameSpaces_.size() + 1).first->second;
+}
+
+std::vector<Token> Placement::pathFor(const ServerState& state, const CacheSalt& salt,
+                                      const std::vector<Token>& blocks) {
+  std::vector<Token> path{nameSpace(state, salt)};
+  path.insert(path.end(), blocks.begin(), blocks.end());
+  return path;
+}
+
+void Placement::dropTree(Row& row) {
+  row.tree = RadixTree(1);
+  ++row.treeLife;
+}
+
+void Placement::setServers(const std::vector<ServerState>& servers) {
+  std::set<ServerName> listed;
+  for (const ServerState& server : servers) {
+    listed.insert(server.name);
+    Row& row = rows_[server.name];
+    const bool known = !row.state.identity.value.empty();
+    if (known && server.sound &&
+        (row.state.identity != server.identity || row.state.weights != server.weights)) {
+      dropTree(row);
+      if (row.state.identity != server.identity) row.eventPosition = 0;
+    }
+    const ServerState before = row.state;
+    row.state = server;
+    if (!server.sound && known) {  // keep what it last said of itself
+      row.state.identity = before.identity;
+      row.state.weights = before.weights;
+      row.state.cacheTokens = before.cacheTokens;
+    }
+  }
+  std::erase_if(rows_, [&](const auto& row) { return !listed.contains(row.first); });
+}
+
+double Placement::burdenOf(const Row& row) const {
+  // The poll counts what all daemons sent; inFlight covers what this one sent since.
+  const std::uint32_t polled = row.state.running + row.state.queued;
+  return static_cast<double>(std::max(polled, row.inFlight)) / std::max(1U, row.state.slots);
+}
+
+const Placement::Row* Placement::choose(const std::vector<std::pair<const Row*, Candidate>>& open,
+                                        std::string* reason) {
+  if (boot_.rule == PlacementRule::RoundRobin) {
+    *reason = "next in turn";
+    return open[nextTurn_++ % open.size()].first;
+  }
+  // Servers tie often while little is held: each choice turns the order of ties, or every daemon
+  // would send to the same server until the next poll.
+  ++nextTurn_;
+  const auto turnOf = [&](const ServerName& server) {
+    return mixHash(stableHash(server.value), nextTurn_);
+  };
+  const auto better = [&](const auto& left, const auto& right) {
+    const bool byMatch = boot_.rule == PlacementRule::LongestPrefix;
+    const std::size_t leftMatch = byMatch && !left.second.capped ? left.second.matchedTokens : 0;
+    const std::size_t rightMatch = byMatch && !right.second.capped ? right.second.matchedTokens : 0;
+    if (leftMatch != rightMatch) return leftMatch > rightMatch;
+    if (left.second.burden != right.second.burden) return left.second.burden < right.second.burden;
+    const bool leftNear = left.first->state.zone == boot_.zone;
+    const bool rightNear = right.first->state.zone == boot_.zone;
+    if (leftNear != rightNear) return leftNear;
+    return turnOf(left.second.server) < turnOf(right.second.server);
+  };
+  auto best = open.begin();
+  for (auto row = open.begin() + 1; row != open.end(); ++row) {
+    if (better(*row, *best)) best = row;
+  }
+  const bool byMatch = boot_.rule == PlacementRule::LongestPrefix &&
+                       best->second.matchedTokens > 0 && !best->second.capped;
+  *reason = byMatch ? "longest match" : "least burden";
+  return best->first;
+}
+
+std::optional<Placed> Placement::place(const PlacementAsked& asked) {
+  const std::vector<Token> blocks = prefixBlocks(asked.prefix, boot_.blockTokens);
+  std::vector<std::pair<const Row*, Candidate>> open;
+  double burdenSum = 0;
+  for (auto& [name, row] : rows_) {
+    const ServerState& state = row.state;
+    if (!state.sound || state.leaving || state.model != asked.model || asked.avoid.contains(name))
+      continue;
+    Candidate candidate{name, 0, burdenOf(row), false};
+    const std::size_t runs = row.tree.peekPrefix(pathFor(state, asked.salt, blocks));
+    candidate.matchedTokens = runs > 1 ? (runs - 1) * boot_.blockTokens : 0;
+    burdenSum += candidate.burden;
+    open.emplace_back(&row, candidate);
+  }
+  if (open.empty()) return std::nullopt;
+  const double mean = burdenSum / static_cast<double>(open.size());
+  for (auto& [row, candidate] : open)
+    candidate.capped = candidate.burden >= std::min(1.5, mean + kSpreadMargin);
+  // A server with twice its slots waiting would only let the request age in its queue.
+  auto free = open;
+  std::erase_if(free, [](const auto& entry) { return entry.second.burden >= 2.0; });
+  if (free.empty()) return std::nullopt;
+
+  Placed placed;
+  Row& chosenRow = rows_.at(choose(free, &placed.reason)->state.name);
+  for (const auto& [row, candidate] : open) {
+    placed.candidates.push_back(candidate);
+    if (row == &chosenRow) placed.matchedTokens = candidate.matchedTokens;
+  }
+  placed.chosenServer = chosenRow.state;
+  placed.promptTokens = blocks.size() * boot_.blockTokens;
+  // A source must hold more, under the same weights; its salt is the request's by construction.
+  for (const auto& [row, candidate] : open) {
+    if (row == &chosenRow || row->state.weights != chosenRow.state.weights) continue;
+    const std::size_t held = placed.source ? placed.source->matchedTokens : placed.matchedTokens;
+    if (candidate.matchedTokens > held)
+      placed.source = FetchSource{candidate.server, row->state.identity, candidate.matchedTokens};
+  }
+  const auto worth = [](double tokens) {
+    return kFetchFixedMicros + kFetchTokenMicros * tokens < kPrefillTokenMicros * tokens;
+  };
+  if (placed.source &&
+      !worth(static_cast<double>(placed.source->matchedTokens - placed.matchedTokens)))
+    placed.source.reset();
+  placed.worthFetching = worth(static_cast<double>(placed.promptTokens - placed.matchedTokens));
+
+  const std::vector<Token> path = pathFor(chosenRow.state, asked.salt, blocks);
+  const std::size_t before = chosenRow.tree.peekPrefix(path);
+  const PrefixInsert inserted =
+      chosenRow.tree.insert(path, std::vector<BlockValue>(path.begin(), path.end()));
+  chosenRow.tree.lock(inserted.node);
+  ++chosenRow.inFlight;
+  placed.ticket = ++lastTicket_;
+  tickets_[placed.ticket] = {chosenRow.state.name, chosenRow.treeLife, inserted.node, path,
+                             before < path.size()};
+  keepBudget(chosenRow);
+  return placed;
+}
+
+void Placement::keepBudget(Row& row) {
+  const std::size_t budget = std::max<std::size_t>(1, row.state.cacheTokens / boot_.blockTokens);
+  if (row.tree.size() > budget) row.tree.evict(row.tree.size() - budget, nullptr);
+}
+
+void Placement::release(Ticket ticket, bool ran) {
+  const auto entry = tickets_.find(ticket);
+  if (entry == tickets_.end()) return;
+  const Lock lock = entry->second;
+  tickets_.erase(entry);
+  const auto row = rows_.find(lock.server);
+  if (row == rows_.end()) return;
+  if (row->second.inFlight > 0) --row->second.inFlight;
+  if (row->second.treeLife != lock.treeLife) return;
+  row->second.tree.unlock(lock.node);
+  if (!ran && lock.inserted) row->second.tree.prune(lock.path);
+  keepBudget(row->second);
+}
+
+void Placement::takeEvents(const ServerName& server, const ServerIdentity& identity,
+                           std::uint64_t first, const std::vector<CacheEvent>& events,
+                           std::uint64_t next) {
+  const auto entry = rows_.find(server);
+  if (entry == rows_.end() || entry->second.state.identity != identity) return;
+  Row& row = entry->second;
+  if (next < row.eventPosition || first > row.eventPosition) {
+    // Events are missing: what was dropped in the gap is unknown, so the estimate starts anew.
+    // The very first pull of a server has nothing to miss.
+    if (row.eventPosition != 0) {
+      dropTree(row);
+      ++gaps_;
+    }
+  }
+  for (const CacheEvent& event : events) {
+    if (event.position < row.eventPosition || event.kind != CacheEventKind::Dropped) continue;
+    row.tree.prune(pathFor(row.state, event.salt, prefixBlocks(event.prefix, boot_.blockTokens)));
+  }
+  row.eventPosition = next;
+}
+
+std::uint64_t Placement::eventPosition(const ServerName& server) const {
+  const auto row = rows_.find(server);
+  return row == rows_.end() ? 0 : row->second.eventPosition;
+}
+
+std::size_t Placement::blocksHeld(const ServerName& server) const {
+  const auto row = rows_.find(server);
+  return row == rows_.end() ? 0 : row->second.tree.size();
+}
+
+}  // namespace quayrill
--- /dev/null
+++ b/src/placement/placement.h
@@ -0,0 +1,134 @@
+#pragma once
+// The index and the choice of a server. One owner works on this table; nothing here blocks.
+#include <map>
+#include <optional>
+#include <set>
+#include <string>
+#include <vector>
+
+#include "base/clock.h"
+#include "base/types.h"
+#include "placement/prefix.h"
+#include "radix/radix_tree.h"
+
+namespace quayrill {
+
+// What the agent knows of a model server, as of polledAt.
+struct ServerState {
+  ServerName name;
+  ServerIdentity identity;
+  ModelName model;
+  WeightsVersion weights;
+  std::string zone;
+  bool sound = false;
+  bool leaving = false;
+  std::uint32_t running = 0, queued = 0, slots = 1;
+  std::uint64_t cacheTokens = 0;
+  Instant polledAt{};
+};
+
+enum class PlacementRule { LongestPrefix, LeastBurden, RoundRobin };
+
+struct PlacementBoot {
+  std::size_t blockTokens = 16;
+  std::string zone;
+  PlacementRule rule = PlacementRule::LongestPrefix;
+};
+
+struct PlacementAsked {
+  ModelName model;
+  CacheSalt salt;
+  PromptPrefix prefix;
+  std::set<ServerName> avoid;  // tried already
+};
+
+struct Candidate {
+  ServerName server;
+  std::size_t matchedTokens = 0;
+  double burden = 0;
+  bool capped = false;  // over the spread rule's cap: its match does not count
+};
+
+// Where missing cache could come from. `identity` and `weights` are what was believed when it was
+// chosen; both are checked on the wire before and after the fetch.
+struct FetchSource {
+  ServerName server;
+  ServerIdentity identity;
+  std::size_t matchedTokens = 0;
+};
+
+using Ticket = std::uint64_t;  // one lock on one path; 0 is none
+
+struct Placed {
+  ServerState chosenServer;
+  std::size_t matchedTokens = 0;
+  std::size_t promptTokens = 0;
+  Ticket ticket = 0;
+  std::optional<FetchSource> source;
+  bool worthFetching = false;  // a full fetch would cost less than prefill
+  std::string reason;
+  std::vector<Candidate> candidates;
+};
+
+enum class CacheEventKind { Dropped, Stored };
+struct CacheEvent {
+  std::uint64_t position = 0;
+  CacheEventKind kind{};
+  CacheSalt salt;
+  PromptPrefix prefix;
+};
+
+class Placement {
+ public:
+  explicit Placement(PlacementBoot boot) : boot_(std::move(boot)) {}
+
+  // The servers that are listed now. A new identity or new weights drop that server's tree.
+  void setServers(const std::vector<ServerState>& servers);
+  // Empty when no sound server of the model is free: the caller is turned away.
+  std::optional<Placed> place(const PlacementAsked& asked);
+  // Locks are released exactly once: a second release of a ticket does nothing. `ran` false takes
+  // the path out again that this ticket put in.
+  void release(Ticket ticket, bool ran);
+  void takeEvents(const ServerName& server, const ServerIdentity& identity, std::uint64_t first,
+                  const std::vector<CacheEvent>& events, std::uint64_t next);
+  std::uint64_t eventPosition(const ServerName& server) const;
+
+  std::size_t blocksHeld(const ServerName& server) const;
+  std::size_t ticketCount() const { return tickets_.size(); }
+  std::uint64_t gaps() const { return gaps_; }
+
+ private:
+  // One tree for each server: the first run of every path is the name of its (model, weights,
+  // salt), so no walk can pass from one salt or weights version to another.
+  struct Row {
+    ServerState state;
+    RadixTree tree{1};
+    std::uint64_t treeLife = 0;  // rises when the tree is dropped; older tickets are void
+    std::uint32_t inFlight = 0;  // placed here and not yet released
+    std::uint64_t eventPosition = 0;
+  };
+  // A ticket is in the table exactly while its path is locked in that life of the tree.
+  struct Lock {
+    ServerName server;
+    std::uint64_t treeLife = 0;
+    NodeHandle node;
+    std::vector<Token> path;
+    bool inserted = false;
+  };
+  Token nameSpace(const ServerState& state, const CacheSalt& salt);
+  std::vector<Token> pathFor(const ServerState& state, const CacheSalt& salt,
+                             const std::vector<Token>& blocks);
+  void dropTree(Row& row);
+  double burdenOf(const Row& row) const;
+  void keepBudget(Row& row);
+  const Row* choose(const std::vector<std::pair<const Row*, Candidate>>& open, std::string* reason);
+
+  PlacementBoot boot_;
+  std::map<ServerName, Row> rows_;
+  std::map<Ticket, Lock> tickets_;
+  std::map<std::string, Token> nameSpaces_;  // exact names, so no two share a number
+  Ticket lastTicket_ = 0;
+  std::uint64_t nextTurn_ = 0, gaps_ = 0;
+};
+
+}  // namespace quayrill
--- /dev/null
+++ b/src/proxy/deliver.cpp
@@ -0,0 +1,165 @@
+#include "proxy/deliver.h"
+
+namespace quayrill {
+
+using namespace std::chrono_literals;
+
+namespace {
+constexpr std::size_t kLineLimit = 64 << 10;
+constexpr Span kCallerDue = 10s;  // a caller who takes no bytes for this long has left
+
+struct Stream {
+  std::string held;          // bytes after the last whole line
+  std::string endMark;       // held back until the server's answer is whole
+  std::uint64_t pieces = 0;  // whole lines passed on
+  std::uint64_t markPieces = 0;
+  bool broken = false;  // a line after the end mark, or one that is too long
+};
+
+// Moves whole lines out of `held`; the end mark stays behind in endMark.
+std::string takeLines(Stream* stream) {
+  std::string lines;
+  std::size_t start = 0;
+  for (std::size_t end; (end = stream->held.find('\n', start)) != std::string::npos;
+       start = end + 1) {
+    const std::string line = stream->held.substr(start, end + 1 - start);
+    if (!stream->endMark.empty()) {
+      stream->broken = true;
+    } else if (isEndMark(line, &stream->markPieces)) {
+      stream->endMark = line;
+    } else {
+      ++stream->pieces;
+      lines += line;
+    }
+  }
+  stream->held.erase(0, start);
+  stream->broken = stream->broken || stream->held.size() > kLineLimit;
+  return lines;
+}
+
+Span left(Instant due) { return std::max<Span>(due - BootClock::now(), Span(1)); }
+
+http::request<http::string_body> requestFor(const Delivery& delivery) {
+  http::request<http::string_body> request(http::verb::post, wire::kGenerate, 11);
+  request.set(http::field::host, delivery.server.name.value);
+  request.set(http::field::connection, "close");
+  request.set(http::field::content_type, "application/json");
+  request.set(wire::kRequestId, delivery.request.value);
+  request.set(wire::kModel, delivery.server.model.value);
+  request.set(wire::kWeights, delivery.server.weights.value);
+  request.set(wire::kSalt, delivery.salt.value);
+  request.set(wire::kPrefix, delivery.prefixHeader);
+  request.body() = delivery.body;
+  request.prepare_payload();
+  return request;
+}
+
+awaitable<bool> sendChunk(Circuit& caller, const std::string& bytes) {
+  ErrorCode code;
+  caller.expires_after(kCallerDue);
+  co_await asio::async_write(caller, http::make_chunk(asio::buffer(bytes)), into(code));
+  co_return !code;
+}
+}  // namespace
+
+const char* deliveryEndName(DeliveryEnd end) {
+  static constexpr const char* kNames[] = {"never sent", "not run", "unknown",    "due passed",
+                                           "done",       "cut",     "caller gone"};
+  return kNames[static_cast<std::size_t>(end)];
+}
+
+awaitable<DeliveryResult> deliver(Delivery delivery, Circuit& caller,
+                                  std::function<bool()> mayStart) {
+  const Instant begun = BootClock::now();
+  Circuit server(co_await asio::this_coro::executor);
+  ErrorCode code;
+  server.expires_after(std::min<Span>(left(delivery.due), 1s));
+  const Tcp::endpoint endpoint = endpointOf(Address{delivery.server.name.value});
+  co_await server.async_connect(endpoint, into(code));
+  if (code) co_return DeliveryResult{DeliveryEnd::NeverSent, "connect: " + code.message()};
+  if (BootClock::now() >= delivery.due)
+    co_return DeliveryResult{DeliveryEnd::NeverSent, "the due passed before anything left"};
+  if (!mayStart())
+    co_return DeliveryResult{DeliveryEnd::NeverSent, "no longer confirmed at the point of use"};
+
+  const auto request = requestFor(delivery);
+  server.expires_after(left(delivery.due));
+  co_await http::async_write(server, request, into(code));
+  const auto afterSend = [&](const std::string& what) {
+    const bool late = code == beast::error::timeout || BootClock::now() >= delivery.due;
+    return DeliveryResult{late ? DeliveryEnd::DuePassed : DeliveryEnd::Unknown,
+                          what + ": " + code.message()};
+  };
+  if (code) co_return afterSend("send");
+  beast::flat_buffer buffer;
+  http::response_parser<http::buffer_body> parser;
+  parser.body_limit(boost::none);
+  parser.header_limit(16 << 10);
+  co_await http::async_read_header(server, buffer, parser, into(code));
+  if (code) co_return afterSend("answer");
+  const auto& head = parser.get();
+  if (head.result_int() != 200) {
+    const bool notRun = head[wire::kNotRun] == "true";
+    co_return DeliveryResult{notRun ? DeliveryEnd::NotRun : DeliveryEnd::Unknown,
+                             "the server answered " + std::to_string(head.result_int())};
+  }
+  if (head[wire::kRequestId] != delivery.request.value ||
+      head[wire::kWeights] != delivery.server.weights.value)
+    co_return DeliveryResult{DeliveryEnd::Unknown, "the answer names another request or weights"};
+
+  Stream stream;
+  DeliveryResult result;
+  bool headSent = false;
+  char block[8192];
+  while (!parser.is_done()) {
+    parser.get().body().data = block;
+    parser.get().body().size = sizeof block;
+    // Nothing more is read from the server until the caller has taken what came before.
+    server.expires_after(headSent ? std::max<Span>(left(delivery.due), 5s) : left(delivery.due));
+    co_await http::async_read_some(server, buffer, parser, into(code));
+    if (code == http::error::need_buffer) code = {};
+    if (code) break;
+    stream.held.append(block, sizeof block - parser.get().body().size);
+    const std::string lines = takeLines(&stream);
+    if (stream.broken) break;
+    if (lines.empty()) continue;
+    if (!headSent) {
+      http::response<http::empty_body> answer(http::status::ok, 11);
+      answer.set(http::field::content_type, "application/x-ndjson");
+      answer.set("Quayrill-Request-Id", delivery.request.value);
+      answer.set("Quayrill-Outcome", "done");
+      answer.set(http::field::transfer_encoding, "chunked");
+      http::response_serializer<http::empty_body> serializer(answer);
+      caller.expires_after(kCallerDue);
+      ErrorCode callerCode;
+      co_await http::async_write_header(caller, serializer, into(callerCode));
+      headSent = true;
+      result.firstPieceAfter = BootClock::now() - begun;
+      if (callerCode) co_return DeliveryResult{DeliveryEnd::CallerGone, callerCode.message()};
+    }
+    const bool taken = co_await sendChunk(caller, lines);
+    result.pieces = stream.pieces;
+    if (!taken) {
+      result.end = DeliveryEnd::CallerGone;
+      co_return result;
+    }
+  }
+  const bool whole = !code && parser.is_done() && !stream.broken && stream.held.empty() &&
+                     !stream.endMark.empty() && stream.markPieces == stream.pieces;
+  if (!headSent) {
+    if (code) co_return afterSend("answer");
+    co_return DeliveryResult{DeliveryEnd::Unknown, "an answer with no piece"};
+  }
+  if (!whole) {
+    result.end = DeliveryEnd::Cut;
+    result.detail = code ? code.message() : "no end mark, or one that names other pieces";
+    co_return result;
+  }
+  const bool marked = co_await sendChunk(caller, stream.endMark);
+  caller.expires_after(kCallerDue);
+  if (marked) co_await asio::async_write(caller, http::make_chunk_last(), into(code));
+  result.end = marked && !code ? DeliveryEnd::Done : DeliveryEnd::CallerGone;
+  co_return result;
+}
+
+}  // namespace quayrill
--- /dev/null
+++ b/src/proxy/deliver.h
@@ -0,0 +1,43 @@
+#pragma once
+// Carries one request to one server and its pieces back. Knows what a defect on the way means.
+#include <functional>
+#include <string>
+
+#include "net/http.h"
+#include "net/model_server.h"
+
+namespace quayrill {
+
+struct Delivery {
+  RequestId request;
+  ServerState server;
+  CacheSalt salt;
+  std::string prefixHeader;
+  std::string body;
+  Instant due;
+};
+
+enum class DeliveryEnd {
+  NeverSent,   // no byte left for the server
+  NotRun,      // the server's own reply says that it did not run it
+  Unknown,     // a byte may have reached the server, nothing has reached the caller
+  DuePassed,   // the same, since the due passed
+  Done,        // the server's end mark was passed on and the answer closed whole
+  Cut,         // pieces reached the caller, then the answer broke: closed with no terminator
+  CallerGone,  // the caller left
+};
+
+struct DeliveryResult {
+  DeliveryEnd end{};
+  std::string detail;
+  std::uint64_t pieces = 0;
+  Span firstPieceAfter{};
+};
+
+// `mayStart` is asked right before the first byte leaves; false ends the delivery as NeverSent.
+awaitable<DeliveryResult> deliver(Delivery delivery, Circuit& caller,
+                                  std::function<bool()> mayStart);
+
+const char* deliveryEndName(DeliveryEnd end);
+
+}  // namespace quayrill
--- /dev/null
+++ b/src/proxy/proxy.cpp
@@ -0,0 +1,192 @@
+#include "proxy/proxy.h"
+
+#include <glog/logging.h>
+
+#include <random>
+
+namespace quayrill {
+
+using namespace std::chrono_literals;
+
+namespace {
+constexpr std::size_t kQueueLimit = 1024;
+constexpr Span kFeedEvery = 100ms;
+// A server that is leaving gets nothing after 3 s: the list's reading and its way here must fit.
+constexpr Span kListLimit = 2500ms;
+
+PlacementBoot placementBoot(const Boot& boot) {
+  PlacementRule rule = PlacementRule::LongestPrefix;
+  if (boot.placement == "least-burden") rule = PlacementRule::LeastBurden;
+  if (boot.placement == "round-robin") rule = PlacementRule::RoundRobin;
+  return {boot.blockTokens, boot.zone, rule};
+}
+}  // namespace
+
+Proxy::Proxy(Boot boot)
+    : boot_(std::move(boot)),
+      view_(std::make_shared<ProxyView>()),
+      admission_(kQueueLimit),
+      placement_(kQueueLimit, placementBoot(boot_)) {
+  std::random_device entropy;
+  // The address leads `vostok explain` to the daemon that knows the request.
+  idStem_ = boot_.callers.value + "/" + std::to_string(entropy()) + "/";
+}
+
+Proxy::~Proxy() { stop(); }
+
+absl::Status Proxy::start() {
+  HttpServerBoot serverBoot;
+  serverBoot.listen = boot_.callers;
+  serverBoot.bodyLimit = 16 << 20;
+  callers_ = std::make_unique<HttpServer>(
+      io_, serverBoot,
+      [this](Circuit& circuit, HttpRequest& request) { return handle(circuit, request); });
+  if (auto status = callers_->start(); !status.ok()) return status;
+  asio::co_spawn(io_, feedLoop(), asio::detached);
+  asio::co_spawn(asio::make_strand(io_), eventLoop(), asio::detached);
+  for (std::size_t i = 0; i < boot_.trafficThreads; ++i)
+    threads_.emplace_back([this] { io_.run(); });
+  return absl::OkStatus();
+}
+
+void Proxy::stop() {
+  io_.stop();
+  for (std::thread& thread : threads_) thread.join();
+  threads_.clear();
+}
+
+std::shared_ptr<const ProxyView> Proxy::view() const {
+  std::lock_guard lock(viewMutex_);
+  return view_;
+}
+
+bool Proxy::isFresh(const ProxyView& seen, Instant now) const {
+  return seen.spec && now - seen.confirmedAt < boot_.freshLimit && now - seen.listedAt < kListLimit;
+}
+
+// Asked right before a request's first byte leaves: what let it in must still stand.
+bool Proxy::mayRun(const Job& job, const ServerName& server) const {
+  const auto seen = view();
+  if (!isFresh(*seen, BootClock::now())) return false;
+  if (!seen->spec->tenantOfDigest.contains(job.digest)) return false;
+  for (const ServerState& row : seen->servers) {
+    if (row.name == server) return !row.leaving;
+  }
+  return false;
+}
+
+awaitable<void> Proxy::feedLoop() {
+  for (;;) {
+    const auto before = view();
+    HttpCall call;
+    call.to = boot_.operators;
+    call.target = "/q/feed?spec=" + std::to_string(before->specVersion);
+    call.due = 800ms;
+    const Instant askedAt = BootClock::now();
+    const auto response = co_await httpCall(std::move(call));
+    Snapshot told;
+    if (response.ok() && response->result_int() == 200 && decodeValue(response->body(), &told)) {
+      auto next = std::make_shared<ProxyView>(*before);
+      const auto since = [&](std::int64_t agoMicros) {
+        return agoMicros < 0 ? Instant{} : askedAt - std::chrono::microseconds(agoMicros);
+      };
+      if (told.specVersion != before->specVersion && !told.specBody.empty()) {
+        auto parsed = parseSpec(told.specBody);
+        if (parsed.ok()) {
+          next->spec = std::make_shared<const Spec>(std::move(*parsed));
+          next->specVersion = told.specVersion;
+          ++counters_.specChanges;
+        }
+      }
+      if (next->specVersion == told.specVersion) next->confirmedAt = since(told.confirmedAgoMicros);
+      next->listedAt = since(told.listedAgoMicros);
+      next->servers.clear();
+      for (const SnapshotServer& row : told.servers) next->servers.push_back(fromSnapshot(row));
+      {
+        std::lock_guard lock(viewMutex_);
+        view_ = next;
+      }
+      placement_.tryPost(
+          [servers = next->servers](Placement& placement) { placement.setServers(servers); });
+    }
+    co_await pauseFor(kFeedEvery);
+  }
+}
+
+// Cache events come late and with gaps; each pull is one try, bounded, and none waits for another.
+awaitable<void> Proxy::eventLoop() {
+  for (;;) {
+    const auto seen = view();
+    for (const ServerState& server : seen->servers) {
+      if (server.sound)
+        asio::co_spawn(co_await asio::this_coro::executor, pullEvents(server.name), asio::detached);
+    }
+    co_await pauseFor(1s);
+  }
+}
+
+awaitable<void> Proxy::pullEvents(ServerName server) {
+  const std::function<std::uint64_t(Placement&)> positionOf = [server](Placement& placement) {
+    return placement.eventPosition(server);
+  };
+  const auto position = co_await placement_.ask<std::uint64_t>(positionOf);
+  if (!position) co_return;
+  const Address address{server.value};
+  const auto events = co_await readCacheEvents(address, *position, 700ms);
+  if (!events.ok()) co_return;
+  placement_.tryPost([this, server, told = *events](Placement& placement) {
+    const std::uint64_t gapsBefore = placement.gaps();
+    placement.takeEvents(server, told.identity, told.first, told.events, told.next);
+    counters_.eventGaps += placement.gaps() - gapsBefore;
+  });
+}
+
+HttpResponse Proxy::turnAway(DefectKind kind, const std::string& why, const RequestId& id) {
+  ++counters_.turnedAway;
+  HttpResponse response = defectResponse({kind, why});
+  // Spread over a few seconds, so that those turned away together don't come back together.
+  thread_local std::mt19937 random{std::random_device{}()};
+  response.set(http::field::retry_after, std::to_string(1 + random() % 3));
+  response.set("Quayrill-Outcome", "turned-away");
+  response.set("Quayrill-Request-Id", id.value);
+  return response;
+}
+
+HttpResponse Proxy::unknown(DefectKind kind, const std::string& why, const RequestId& id) {
+  ++counters_.unknown;
+  HttpResponse response = defectResponse({kind, why});
+  response.set("Quayrill-Outcome", "unknown");
+  response.set("Quayrill-Request-Id", id.value);
+  return response;
+}
+
+HttpResponse Proxy::readDecisions(const HttpRequest& request) const {
+  const std::string from = queryValue(request, "from");
+  const DecisionPage page =
+      decisions_.read(static_cast<std::uint64_t>(std::atoll(from.c_str())), 500);
+  return jsonResponse(200, {{"first", page.first}, {"next", page.next}, {"lines", page.lines}});
+}
+
+HttpResponse Proxy::explain(const std::string& id) const {
+  const auto line = decisions_.find(id);
+  if (!line)
+    return defectResponse({DefectKind::UnknownWay,
+                           "request '" + id + "' is not among the last 20000 of this daemon"});
+  return textResponse(200, *line + "\n");
+}
+
+awaitable<std::optional<HttpResponse>> Proxy::handle(Circuit& circuit, HttpRequest& request) {
+  const std::string path = pathOf(request);
+  if (path == "/healthz") co_return textResponse(200, "ok\n");
+  if (path == "/readyz") {
+    const auto seen = view();
+    const bool ready = !leaving_ && isFresh(*seen, BootClock::now());
+    co_return textResponse(ready ? 200 : 503, ready ? "ready\n" : "not ready\n");
+  }
+  if (path == "/metrics") co_return textResponse(200, renderCounters(counters_));
+  if (path == "/q/decisions") co_return readDecisions(request);
+  if (path == "/q/explain") co_return explain(queryValue(request, "id"));
+  co_return co_await serve(circuit, request);
+}
+
+}  // namespace quayrill
--- /dev/null
+++ b/src/proxy/proxy.h
@@ -0,0 +1,96 @@
+#pragma once
+// The proxy's shell: intake -> admission -> placement -> fetch -> deliver. Admission and placement
+// are tables with an owner each; the other stages run on the traffic threads.
+#include <memory>
+#include <mutex>
+#include <thread>
+
+#include "agent/snapshot.h"
+#include "base/counters.h"
+#include "base/decision_log.h"
+#include "boot/boot.h"
+#include "placement/admission.h"
+#include "proxy/deliver.h"
+#include "proxy/owned_table.h"
+
+namespace quayrill {
+
+// What the proxy acts by. Immutable; replaced whole by each answer of the agent.
+struct ProxyView {
+  std::shared_ptr<const Spec> spec;
+  std::uint64_t specVersion = 0;
+  Instant confirmedAt{};  // the latest instant for which the spec is known to be the newest
+  Instant listedAt{};     // the same for the server list
+  std::vector<ServerState> servers;
+};
+
+class Proxy {
+ public:
+  explicit Proxy(Boot boot);
+  ~Proxy();
+  absl::Status start();
+  void beginLeaving() { leaving_ = true; }
+  void stopAccepting() { callers_->stopAccepting(); }
+  std::size_t busy() const { return inside_.load(); }
+  std::size_t circuits() const { return callers_->circuits(); }
+  void stop();
+
+ private:
+  // What is known of a request when it has passed the intake.
+  struct Job {
+    RequestId id;
+    TenantName tenant;
+    ContractName contractName;
+    Contract contract;
+    CacheSalt salt;
+    PromptPrefix prefix;
+    std::string body;
+    std::string digest;
+    Instant begun, due;
+  };
+  // One row of the decision stream, filled on the way.
+  struct Trace {
+    nlohmann::json tries = nlohmann::json::array();
+    std::string outcome;
+  };
+
+  std::shared_ptr<const ProxyView> view() const;
+  bool isFresh(const ProxyView& view, Instant now) const;
+  bool mayRun(const Job& job, const ServerName& server) const;
+
+  awaitable<void> feedLoop();
+  awaitable<void> eventLoop();
+  awaitable<void> pullEvents(ServerName server);
+  awaitable<std::optional<HttpResponse>> handle(Circuit& circuit, HttpRequest& request);
+  awaitable<std::optional<HttpResponse>> serve(Circuit& circuit, HttpRequest& request);
+  std::optional<Defect> intake(const HttpRequest& request, const ProxyView& now, Job* job);
+  awaitable<std::optional<HttpResponse>> run(Circuit& circuit, const Job& job, Trace* trace);
+  // safe == false: the chosen server may hold cache of doubtful weights, so nothing is sent to it.
+  struct Fetched {
+    std::string text = "none";
+    bool safe = true;
+  };
+  awaitable<Fetched> fetch(const Job& job, const Placed& placed);
+  HttpResponse turnAway(DefectKind kind, const std::string& why, const RequestId& id);
+  HttpResponse unknown(DefectKind kind, const std::string& why, const RequestId& id);
+  void record(const Job& job, const Trace& trace);
+  HttpResponse readDecisions(const HttpRequest& request) const;
+  HttpResponse explain(const std::string& id) const;
+
+  Boot boot_;
+  std::string idStem_;
+  std::atomic<std::uint64_t> idCounter_{0};
+  asio::io_context io_;
+  std::unique_ptr<HttpServer> callers_;
+  std::vector<std::thread> threads_;
+  mutable std::mutex viewMutex_;
+  std::shared_ptr<const ProxyView> view_;
+  OwnedTable<Admission> admission_;
+  OwnedTable<Placement> placement_;
+  Counters counters_;
+  DecisionLog decisions_{20000};
+  std::atomic<bool> leaving_{false};
+  std::atomic<std::size_t> inside_{0};
+};
+
+}  // namespace quayrill
--- /dev/null
+++ b/src/proxy/run.cpp
@@ -0,0 +1,230 @@
+// A request's way from admission to its last piece.
+#include <glog/logging.h>
+
+#include "proxy/proxy.h"
+
+namespace quayrill {
+
+using namespace std::chrono_literals;
+using Json = nlohmann::json;
+
+namespace {
+constexpr Span kFetchDue = 300ms;  // ours: past this, prefill is the better bet
+
+// Runs its action once, at the latest when its scope ends.
+struct AtEnd {
+  std::function<void()> action;
+  explicit AtEnd(std::function<void()> a) : action(std::move(a)) {}
+  AtEnd(const AtEnd&) = delete;
+  AtEnd& operator=(const AtEnd&) = delete;
+  ~AtEnd() {
+    if (action) action();
+  }
+};
+
+Json candidatesJson(const std::vector<Candidate>& candidates) {
+  Json rows = Json::array();
+  for (const Candidate& candidate : candidates) {
+    rows.push_back({{"server", candidate.server.value},
+                    {"matched_tokens", candidate.matchedTokens},
+                    {"burden", candidate.burden},
+                    {"capped", candidate.capped}});
+  }
+  return rows;
+}
+}  // namespace
+
+awaitable<std::optional<HttpResponse>> Proxy::serve(Circuit& circuit, HttpRequest& request) {
+  ++counters_.requests;
+  ++inside_;
+  AtEnd leave([this] { --inside_; });
+  Job job;
+  job.begun = BootClock::now();
+  job.id = RequestId{idStem_ + std::to_string(++idCounter_)};
+  const auto seen = view();
+  if (!isFresh(*seen, job.begun)) {
+    ++counters_.unconfirmed;
+    co_return turnAway(DefectKind::TurnedAway, "this daemon can't confirm the spec now", job.id);
+  }
+  if (const auto defect = intake(request, *seen, &job)) {
+    ++counters_.badInput;
+    HttpResponse response = defectResponse(*defect);
+    response.set("Quayrill-Request-Id", job.id.value);
+    co_return response;
+  }
+  const Tenant& tenant = seen->spec->tenants.at(job.tenant);
+  const std::function<bool(Admission&)> enter =
+      [name = job.tenant, contract = job.contractName, tenantLimit = tenant.concurrency,
+       contractLimit = job.contract.concurrency](Admission& admission) {
+        return admission.enter(name, tenantLimit, contract, contractLimit);
+      };
+  const auto entered = co_await admission_.ask<bool>(enter);
+  Trace trace;
+  std::optional<HttpResponse> response;
+  if (!entered || !*entered) {
+    trace.outcome = "turned away at admission";
+    response =
+        turnAway(DefectKind::TurnedAwayBusy, "the tenant or the contract is at its limit", job.id);
+  } else {
+    AtEnd exit([this, name = job.tenant, contract = job.contractName] {
+      admission_.mustPost([=](Admission& admission) { admission.leave(name, contract); });
+    });
+    response = co_await run(circuit, job, &trace);
+  }
+  record(job, trace);
+  co_return response;
+}
+
+awaitable<std::optional<HttpResponse>> Proxy::run(Circuit& circuit, const Job& job, Trace* trace) {
+  std::set<ServerName> tried;
+  // mayHaveRun only rises. While it is false, turning the request away is the truth.
+  bool mayHaveRun = false, late = false;
+  std::string lastDetail = "no server is free";
+  for (std::size_t attempt = 0; attempt < std::max<std::size_t>(1, job.contract.tries); ++attempt) {
+    if (BootClock::now() >= job.due) {
+      late = true;
+      break;
+    }
+    const std::function<bool(Admission&)> pay = [attempt](Admission& admission) {
+      if (attempt > 0) return admission.takeExtra(BootClock::now());
+      admission.countFirst(BootClock::now());
+      return true;
+    };
+    const auto paid = co_await admission_.ask<bool>(pay);
+    if (!paid || !*paid) break;
+    if (attempt > 0) ++counters_.extraTries;
+    const PlacementAsked asked{job.contract.model, job.salt, job.prefix, tried};
+    const std::function<std::optional<Placed>(Placement&)> place = [asked](Placement& placement) {
+      return placement.place(asked);
+    };
+    const auto answered = co_await placement_.ask<std::optional<Placed>>(place);
+    if (!answered || !*answered) break;
+    const Placed placed = **answered;
+    tried.insert(placed.chosenServer.name);
+    counters_.promptTokens += placed.promptTokens;
+    counters_.matchedTokens += placed.matchedTokens;
+    bool ran = false;
+    AtEnd unlock([this, &ran, ticket = placed.ticket] {
+      placement_.mustPost(
+          [ticket, didRun = ran](Placement& placement) { placement.release(ticket, didRun); });
+    });
+    const Fetched fetched = co_await fetch(job, placed);
+
+    Delivery delivery{job.id, placed.chosenServer, job.salt, formatPrefix(job.prefix), job.body,
+                      job.due};
+    const ServerName chosenName = placed.chosenServer.name;
+    const std::function<bool()> mayStart = [this, &job, chosenName] {
+      return mayRun(job, chosenName);
+    };
+    DeliveryResult result{DeliveryEnd::NeverSent, "a fetch left cache of doubtful weights there"};
+    if (fetched.safe) result = co_await deliver(std::move(delivery), circuit, mayStart);
+    ran = result.end != DeliveryEnd::NeverSent && result.end != DeliveryEnd::NotRun;
+    trace->tries.push_back(
+        {{"server", placed.chosenServer.name.value},
+         {"weights", placed.chosenServer.weights.value},
+         {"reason", placed.reason},
+         {"matched_tokens", placed.matchedTokens},
+         {"prompt_tokens", placed.promptTokens},
+         {"fetch", fetched.text},
+         {"end", deliveryEndName(result.end)},
+         {"detail", result.detail},
+         {"pieces", result.pieces},
+         {"first_piece_us",
+          std::chrono::duration_cast<std::chrono::microseconds>(result.firstPieceAfter).count()},
+         {"candidates", candidatesJson(placed.candidates)}});
+    trace->outcome = deliveryEndName(result.end);
+    lastDetail = result.detail;
+    switch (result.end) {
+      case DeliveryEnd::Done:
+        ++counters_.done;
+        co_return std::nullopt;
+      case DeliveryEnd::Cut:
+        ++counters_.cut;
+        co_return std::nullopt;
+      case DeliveryEnd::CallerGone:
+        ++counters_.callerGone;
+        co_return std::nullopt;
+      case DeliveryEnd::NeverSent:
+      case DeliveryEnd::NotRun:
+        break;
+      case DeliveryEnd::DuePassed:
+        late = mayHaveRun = true;
+        break;
+      case DeliveryEnd::Unknown:
+        mayHaveRun = true;
+        break;
+    }
+    if (late || (mayHaveRun && !job.contract.repeatable)) break;
+  }
+  if (mayHaveRun) {
+    trace->outcome = "unknown";
+    co_return unknown(late ? DefectKind::DuePassed : DefectKind::OutcomeUnknown,
+                      "the request may have run (" + lastDetail + ")", job.id);
+  }
+  trace->outcome = "turned away";
+  co_return turnAway(DefectKind::TurnedAway, late ? "the due passed before it ran" : lastDetail,
+                     job.id);
+}
+
+// Has the chosen server pull what it lacks, where that is cheaper than prefill. Neither end of a
+// pull checks weights, so the source is checked before and after, and a doubt drops what came.
+awaitable<Proxy::Fetched> Proxy::fetch(const Job& job, const Placed& placed) {
+  const ServerState& server = placed.chosenServer;
+  const Address chosenAddress{server.name.value};
+  Address source;
+  std::string from = "none";
+  if (placed.source) {
+    source = Address{placed.source->server.value};
+    from = "peer " + source.value;
+  } else if (placed.worthFetching && !boot_.store.value.empty()) {
+    source = boot_.store;
+    from = "store";
+  }
+  // A model whose weights are on the move is no time for fetching: a source may switch any moment.
+  const auto seen = view();
+  const auto named = seen->spec->weights.find(job.contract.model);
+  const bool steady = named != seen->spec->weights.end() && named->second == server.weights;
+  if (!steady || source.value.empty() || job.due - BootClock::now() < 2 * kFetchDue)
+    co_return Fetched{};
+  const auto sourceHolds = [&]() -> awaitable<bool> {
+    if (placed.source) {
+      const auto state = co_await readServer(source, kFetchDue);
+      co_return state.ok() && state->sound && state->weights == server.weights &&
+          state->identity == placed.source->identity;
+    }
+    const auto kept = co_await readKept(source, job.contract.model, job.salt, server.weights,
+                                        job.prefix, kFetchDue);
+    co_return kept.ok() && *kept > placed.matchedTokens + 256;
+  };
+  const bool before = co_await sourceHolds();
+  if (!before) co_return Fetched{from + ": not there under these weights", true};
+  ++counters_.fetches;
+  const auto pulled = co_await pullPrefix(chosenAddress, source, job.contract.model, job.salt,
+                                          server.weights, job.prefix, kFetchDue);
+  const bool after = co_await sourceHolds();
+  const auto target = co_await readServer(chosenAddress, kFetchDue);
+  const bool sameTarget =
+      target.ok() && target->identity == server.identity && target->weights == server.weights;
+  if (pulled.ok() && after && sameTarget) co_return Fetched{from + ": fetched", true};
+  ++counters_.fetchDefects;
+  const auto dropped = co_await dropPrefix(chosenAddress, job.salt, job.prefix, kFetchDue);
+  // A pull that failed here may still land there until its own due has passed.
+  const bool safe = pulled.ok() && dropped.ok();
+  co_return Fetched{from + (safe ? ": dropped, a check failed" : ": failed"), safe};
+}
+
+void Proxy::record(const Job& job, const Trace& trace) {
+  const Json row{
+      {"decision", "request"},
+      {"request", job.id.value},
+      {"tenant", job.tenant.value},
+      {"contract", job.contractName.value},
+      {"repeatable", job.contract.repeatable},
+      {"outcome", trace.outcome},
+      {"took_us",
+       std::chrono::duration_cast<std::chrono::microseconds>(BootClock::now() - job.begun).count()},
+      {"tries", trace.tries}};
+  decisions_.add(job.id.value, row.dump());
+}
+
+}  // namespace quayrill
--- /dev/null
+++ b/src/register/copy.cpp
@@ -0,0 +1,128 @@
+#include "register/copy.h"
+
+#include <algorithm>
+
+namespace quayrill {
+
+namespace {
+constexpr char kDiskFormat[] = "1";
+}
+
+std::size_t majorityOf(const CopySet& copies) { return copies.members.size() / 2 + 1; }
+std::size_t meetsEveryMajority(const CopySet& copies) {
+  return copies.members.size() - majorityOf(copies) + 1;
+}
+
+bool RegisterCopy::isMember() const {
+  return std::any_of(copies_.members.begin(), copies_.members.end(),
+                     [&](const CopyMember& member) { return member.store == store_; });
+}
+
+DiskWrite RegisterCopy::slotWrite(const RegisterKey& key, const Slot& slot) const {
+  return {"slot/" + key.value,
+          encodeValue(slot.promised) + encodeValue(ConfirmedKey{key, slot.acceptedAt, slot.value})};
+}
+
+std::vector<DiskWrite> RegisterCopy::identityWrites() const {
+  return {{"format", kDiskFormat}, {"store", std::to_string(store_.value)}};
+}
+
+std::vector<DiskWrite> RegisterCopy::adopt(const CopySet& copies) {
+  const bool newer = copies.epoch > copies_.epoch ||
+                     (copies.epoch == copies_.epoch && copies.settled && !copies_.settled);
+  if (!newer) return {};
+  copies_ = copies;
+  return {{"copies", encodeValue(copies)}};
+}
+
+bool RegisterCopy::restore(const std::map<std::string, std::string>& disk) {
+  const auto format = disk.find("format");
+  const auto store = disk.find("store");
+  if (format == disk.end() || format->second != kDiskFormat || store == disk.end()) return false;
+  store_ = StoreId{std::stoull(store->second)};
+  if (const auto copies = disk.find("copies"); copies != disk.end()) {
+    if (!decodeValue(copies->second, &copies_)) return false;
+  }
+  const std::size_t ballotSize = encodeValue(Ballot{}).size();
+  for (auto row = disk.lower_bound("slot/"); row != disk.end(); ++row) {
+    if (row->first.rfind("slot/", 0) != 0) break;
+    Slot slot;
+    ConfirmedKey held;
+    if (row->second.size() < ballotSize ||
+        !decodeValue(row->second.substr(0, ballotSize), &slot.promised) ||
+        !decodeValue(row->second.substr(ballotSize), &held))
+      return false;
+    slot.acceptedAt = held.acceptedAt;
+    slot.value = held.value;
+    slots_[held.key] = slot;
+  }
+  return true;
+}
+
+CopyAnswer RegisterCopy::answerTo(const OperationId& operation, const RegisterKey& key,
+                                  const Ballot& ballot, bool accepting) const {
+  CopyAnswer answer{operation, key, ballot, store_, accepting, false, {}, {}, {}, copies_};
+  if (const auto slot = slots_.find(key); slot != slots_.end()) {
+    answer.promised = slot->second.promised;
+    answer.acceptedAt = slot->second.acceptedAt;
+    if (!accepting) answer.value = slot->second.value;
+  }
+  return answer;
+}
+
+CopyEffects RegisterCopy::onPrepare(const Prepare& message) {
+  if (!voting_ || message.store != store_) return {};
+  CopyEffects effects;
+  if (message.copies.epoch >= copies_.epoch) {
+    effects.writes = adopt(message.copies);
+    Slot& slot = slots_[message.key];
+    const bool granted = message.ballot > slot.promised && isMember();
+    if (granted) {
+      slot.promised = message.ballot;
+      effects.writes.push_back(slotWrite(message.key, slot));
+    }
+    CopyAnswer answer = answerTo(message.operation, message.key, message.ballot, false);
+    answer.granted = granted;
+    effects.answer = answer;
+  } else {
+    effects.answer = answerTo(message.operation, message.key, message.ballot, false);
+  }
+  return effects;
+}
+
+CopyEffects RegisterCopy::onAccept(const Accept& message) {
+  if (!voting_ || message.store != store_) return {};
+  CopyEffects effects;
+  bool granted = false;
+  if (message.copies.epoch >= copies_.epoch) {
+    effects.writes = adopt(message.copies);
+    Slot& slot = slots_[message.key];
+    granted = message.ballot >= slot.promised && isMember();
+    if (granted) {
+      slot.promised = slot.acceptedAt = message.ballot;
+      slot.value = message.value;
+      effects.writes.push_back(slotWrite(message.key, slot));
+    }
+  }
+  CopyAnswer answer = answerTo(message.operation, message.key, message.ballot, true);
+  answer.granted = granted;
+  effects.answer = answer;
+  return effects;
+}
+
+CopyEffects RegisterCopy::onConfirm(const Confirm& message) const {
+  if (!voting_ || message.store != store_ || !isMember()) return {};
+  ConfirmAnswer answer{message.sequence, store_, copies_, {}, {}};
+  for (const auto& [key, known] : message.known) {
+    ConfirmedKey held{key, {}, {}};
+    if (const auto slot = slots_.find(key); slot != slots_.end()) {
+      held.acceptedAt = slot->second.acceptedAt;
+      if (held.acceptedAt > known) held.value = slot->second.value;
+    }
+    answer.keys.push_back(std::move(held));
+  }
+  for (const auto& [key, slot] : slots_) answer.allKeys.push_back(key);
+  return {{}, answer};
+}
+
+}  // namespace quayrill
--- /dev/null
+++ b/src/register/copy.h
@@ -0,0 +1,70 @@
+#pragma once
+// One register copy: the acceptor's half of CASPaxos. It has no timers and no network.
+#include <map>
+#include <optional>
+#include <string>
+#include <utility>
+#include <vector>
+
+#include "cohort/messages.h"
+
+namespace quayrill {
+
+inline const RegisterKey kCopySetKey{"copies"};
+inline const RegisterKey kSpecKey{"spec"};
+
+struct DiskWrite {
+  std::string key;
+  std::string bytes;
+};
+
+// The writes are synced first, then the answer leaves. An answer without writes still leaves
+// after the writes of earlier answers: it may speak of what they hold.
+struct CopyEffects {
+  std::vector<DiskWrite> writes;
+  std::optional<Message> answer;
+};
+
+class RegisterCopy {
+ public:
+  explicit RegisterCopy(StoreId store) : store_(store) {}
+
+  StoreId store() const { return store_; }
+  const CopySet& copies() const { return copies_; }
+  bool isMember() const;
+  bool isVoting() const { return voting_; }
+  // After a write error nothing this copy holds in memory may be vouched for.
+  void stopVoting() { voting_ = false; }
+
+  CopyEffects onPrepare(const Prepare& message);
+  CopyEffects onAccept(const Accept& message);
+  CopyEffects onConfirm(const Confirm& message) const;
+  // Takes a chosen copy set that is newer than the one held.
+  std::vector<DiskWrite> adopt(const CopySet& copies);
+
+  // Reads back what was written; call once, before any message.
+  bool restore(const std::map<std::string, std::string>& disk);
+  std::vector<DiskWrite> identityWrites() const;
+
+ private:
+  // promised >= acceptedAt, and neither ever falls.
+  struct Slot {
+    Ballot promised;
+    Ballot acceptedAt;
+    RegisterValue value;
+  };
+  CopyAnswer answerTo(const OperationId& operation, const RegisterKey& key, const Ballot& ballot,
+                      bool accepting) const;
+  DiskWrite slotWrite(const RegisterKey& key, const Slot& slot) const;
+
+  StoreId store_;
+  CopySet copies_;  // only ever a chosen set; its epoch never falls
+  bool voting_ = true;
+  std::map<RegisterKey, Slot> slots_;
+};
+
+// The number of copies that every round needs, and the number that meets every such round.
+std::size_t majorityOf(const CopySet& copies);
+std::size_t meetsEveryMajority(const CopySet& copies);
+
+}  // namespace quayrill
--- /dev/null
+++ b/src/register/proposer.cpp
@@ -0,0 +1,150 @@
+#include "register/proposer.h"
+
+#include <algorithm>
+
+namespace quayrill {
+
+using namespace std::chrono_literals;
+
+namespace {
+constexpr Span kPhaseSpan = 400ms;
+constexpr std::size_t kPriorWrites = 16;
+
+bool names(const RegisterValue& value, WriteId write) {
+  return value.writeId == write || std::find(value.priorWrites.begin(), value.priorWrites.end(),
+                                             write) != value.priorWrites.end();
+}
+}  // namespace
+
+bool Proposer::isBusy(const RegisterKey& key) const {
+  return std::any_of(operations_.begin(), operations_.end(),
+                     [&](const auto& entry) { return entry.second.change.key == key; });
+}
+
+Proposer::Sends Proposer::begin(const ChangeAsked& change, const CopySet& copies, Instant now) {
+  Operation& operation = operations_[change.operation];
+  operation.change = change;
+  operation.copies = copies;
+  return startRound(operation, now);
+}
+
+Proposer::Sends Proposer::startRound(Operation& operation, Instant now) {
+  operation.phase = Phase::Preparing;
+  operation.granted.clear();
+  operation.turnedAway.clear();
+  operation.ballot = {operation.copies.epoch, ++highestRound_, id_};
+  operation.phaseDue = now + kPhaseSpan;
+  Sends sends;
+  for (const CopyMember& member : operation.copies.members) {
+    sends.emplace_back(member, Prepare{operation.change.operation, operation.change.key,
+                                       operation.ballot, member.store, operation.copies});
+  }
+  return sends;
+}
+
+Proposer::Sends Proposer::startAccept(Operation& operation, Instant now,
+                                      std::vector<ChangeDone>* done) {
+  RegisterValue current;
+  Ballot highest;
+  for (const auto& [store, answer] : operation.granted) {
+    if (answer.acceptedAt > highest) {
+      highest = answer.acceptedAt;
+      current = answer.value;
+    }
+  }
+  const ChangeAsked& change = operation.change;
+  operation.proposesOwn = false;
+  if (change.isRead || names(current, change.writeId)) {
+    operation.proposal = current;
+  } else if (current.version == change.expectedVersion) {
+    operation.proposal = {current.version + 1, change.writeId, {}, change.body};
+    operation.proposal.priorWrites.push_back(current.writeId);
+    for (const WriteId& prior : current.priorWrites) {
+      if (operation.proposal.priorWrites.size() < kPriorWrites)
+        operation.proposal.priorWrites.push_back(prior);
+    }
+    operation.proposesOwn = true;
+  } else {
+    // The value found has a ballot that a majority promised, so an earlier accept of ours can no
+    // longer be chosen unless this value's history names it; beyond that history nobody can tell.
+    const bool historyCovers =
+        current.version <= change.expectedVersion + 1 + current.priorWrites.size();
+    const bool certain =
+        !operation.acceptSent || (current.version > change.expectedVersion && historyCovers);
+    finish(operation, certain ? ChangeResult::Conflict : ChangeResult::Unknown, current, done);
+    return {};
+  }
+  operation.phase = Phase::Accepting;
+  operation.granted.clear();
+  operation.turnedAway.clear();
+  operation.phaseDue = now + kPhaseSpan;
+  operation.acceptSent = operation.acceptSent || operation.proposesOwn;
+  Sends sends;
+  for (const CopyMember& member : operation.copies.members) {
+    sends.emplace_back(member, Accept{change.operation, change.key, operation.ballot, member.store,
+                                      operation.copies, operation.proposal});
+  }
+  return sends;
+}
+
+void Proposer::rest(Operation& operation, Instant now) {
+  operation.phase = Phase::Resting;
+  operation.phaseDue = now + std::chrono::milliseconds(10 + random_() % 90);
+}
+
+void Proposer::finish(Operation& operation, ChangeResult result, const RegisterValue& value,
+                      std::vector<ChangeDone>* done) {
+  done->push_back({operation.change.operation, operation.change.key, result, value,
+                   operation.ballot, newestCopies_});
+  operations_.erase(operation.change.operation);
+}
+
+Proposer::Sends Proposer::onAnswer(const CopyAnswer& answer, Instant now,
+                                   std::vector<ChangeDone>* done) {
+  highestRound_ = std::max(highestRound_, answer.promised.round);
+  if (answer.copies.epoch > newestCopies_.epoch) newestCopies_ = answer.copies;
+  const auto entry = operations_.find(answer.operation);
+  if (entry == operations_.end()) return {};
+  Operation& operation = entry->second;
+  const bool expected = operation.phase != Phase::Resting && answer.ballot == operation.ballot &&
+                        answer.accepting == (operation.phase == Phase::Accepting);
+  if (!expected) return {};
+  if (!answer.granted) {
+    operation.turnedAway.insert(answer.store);
+    const std::size_t members = operation.copies.members.size();
+    if (operation.turnedAway.size() > members - majorityOf(operation.copies) ||
+        answer.copies.epoch > operation.copies.epoch)
+      rest(operation, now);
+    return {};
+  }
+  operation.granted[answer.store] = answer;
+  if (operation.granted.size() < majorityOf(operation.copies)) return {};
+  if (operation.phase == Phase::Preparing) return startAccept(operation, now, done);
+  if (!operation.change.isRead && !names(operation.proposal, operation.change.writeId)) return {};
+  finish(operation, ChangeResult::Chosen, operation.proposal, done);
+  return {};
+}
+
+Proposer::Sends Proposer::onTick(const CopySet& copies, Instant now,
+                                 std::vector<ChangeDone>* done) {
+  Sends sends;
+  std::vector<OperationId> ids;
+  for (const auto& [id, operation] : operations_) ids.push_back(id);
+  for (const OperationId& id : ids) {
+    Operation& operation = operations_[id];
+    if (now >= operation.change.due) {
+      finish(operation, operation.acceptSent ? ChangeResult::Unknown : ChangeResult::NotTried, {},
+             done);
+    } else if (now >= operation.phaseDue) {
+      if (operation.phase != Phase::Resting) {
+        rest(operation, now);
+        continue;
+      }
+      if (copies.epoch > operation.copies.epoch) operation.copies = copies;
+      for (auto& send : startRound(operation, now)) sends.push_back(std::move(send));
+    }
+  }
+  return sends;
+}
+
+}  // namespace quayrill
--- /dev/null
+++ b/src/register/proposer.h
@@ -0,0 +1,83 @@
+#pragma once
+// The proposer's half of CASPaxos: one operation on one key, as a state machine.
+#include <map>
+#include <optional>
+#include <random>
+#include <set>
+
+#include "base/clock.h"
+#include "register/copy.h"
+
+namespace quayrill {
+
+// What an operation is for. A read proposes the value it finds again, which settles a value that
+// a lost proposer left behind on a minority.
+struct ChangeAsked {
+  OperationId operation;
+  RegisterKey key;
+  bool isRead = false;
+  std::uint64_t expectedVersion = 0;
+  std::string body;
+  WriteId writeId;
+  Instant due;
+};
+
+enum class ChangeResult {
+  Chosen,    // in the register; for a read, the value read
+  Conflict,  // the expected version was not there: never takes effect
+  NotTried,  // no copy was asked to accept it: never takes effect
+  Unknown,   // some copy may hold it: a read settles it
+};
+
+struct ChangeDone {
+  OperationId operation;
+  RegisterKey key;
+  ChangeResult result{};
+  RegisterValue value;  // what was chosen or what stood in the way
+  Ballot ballot;        // at which it was chosen
+  CopySet copies;       // a newer copy set that was met on the way, if any
+};
+
+class Proposer {
+ public:
+  Proposer(ProposerId id, std::uint64_t seed) : id_(id), random_(seed) {}
+
+  std::vector<std::pair<CopyMember, Message>> begin(const ChangeAsked& change,
+                                                    const CopySet& copies, Instant now);
+  std::vector<std::pair<CopyMember, Message>> onAnswer(const CopyAnswer& answer, Instant now,
+                                                       std::vector<ChangeDone>* done);
+  std::vector<std::pair<CopyMember, Message>> onTick(const CopySet& copies, Instant now,
+                                                     std::vector<ChangeDone>* done);
+  bool isBusy(const RegisterKey& key) const;
+
+ private:
+  enum class Phase { Preparing, Accepting, Resting };
+  // acceptSent never turns false again: once any copy was asked to accept, only a value that names
+  // this write, or one that rules it out, can end the operation as anything but Unknown.
+  struct Operation {
+    ChangeAsked change;
+    CopySet copies;
+    Ballot ballot;
+    Phase phase = Phase::Preparing;
+    std::map<StoreId, CopyAnswer> granted;
+    std::set<StoreId> turnedAway;
+    RegisterValue proposal;
+    bool acceptSent = false;
+    bool proposesOwn = false;
+    Instant phaseDue;
+  };
+  using Sends = std::vector<std::pair<CopyMember, Message>>;
+  Sends startRound(Operation& operation, Instant now);
+  Sends startAccept(Operation& operation, Instant now, std::vector<ChangeDone>* done);
+  void rest(Operation& operation, Instant now);
+  void finish(Operation& operation, ChangeResult result, const RegisterValue& value,
+              std::vector<ChangeDone>* done);
+
+  ProposerId id_;
+  std::mt19937_64 random_;
+  std::uint64_t highestRound_ = 0;  // never falls; each round begun uses a higher one
+  CopySet newestCopies_;
+  std::map<OperationId, Operation> operations_;
+};
+
+}  // namespace quayrill
--- /dev/null
+++ b/src/sim/checks.cpp
@@ -0,0 +1,103 @@
+// The checkers of the simulated world. They judge by what was acknowledged and what is in force,
+// never by what a daemon believes of itself.
+#include <algorithm>
+
+#include "sim/world.h"
+
+namespace quayrill::sim {
+
+using namespace std::chrono_literals;
+
+void World::checkMachine(std::size_t index) {
+  Machine& machine = machines_[index];
+  if (!machine.core) return;
+  const Freshness& freshness = machine.core->freshness();
+  const RegisterValue& spec = freshness.spec().value;
+  if (spec.version > 0) {
+    const auto [row, fresh] = writeOfVersion_.try_emplace(spec.version, spec.writeId);
+    if (row->second != spec.writeId) violate("two specs in force under one version");
+  }
+  if (spec.version < machine.highestSpec) violate("a spec in force slipped back");
+  machine.highestSpec = std::max(machine.highestSpec, spec.version);
+  const auto confirmed = freshness.confirmedAt();
+  if (!confirmed && !boot_.plantStaleConfirm) return;
+  const Instant confirmedAt = boot_.plantStaleConfirm ? now_ : *confirmed - machine.clockOffset;
+  for (auto change = acknowledged_.rbegin(); change != acknowledged_.rend(); ++change) {
+    if (change->first >= confirmedAt) continue;
+    if (spec.version < change->second)
+      violate("machine " + std::to_string(index) + " vouches for spec " +
+              std::to_string(spec.version) + " though " + std::to_string(change->second) +
+              " was acknowledged before it asked");
+    break;
+  }
+}
+
+void World::checkHolds() {
+  for (const std::string& duty : duties_) {
+    std::size_t holders = 0;
+    for (std::size_t i = 0; i < machines_.size(); ++i) {
+      Machine& machine = machines_[i];
+      if (!machine.core) continue;
+      // A frozen machine's hold is judged by its own clock: it could act the moment it wakes.
+      const auto fence = machine.core->held(RegisterKey{"hold/" + duty}, Span{}, local(machine));
+      if (!fence) continue;
+      ++holders;
+      ++tally_.holdsSeen;
+      auto& [highest, holder] = highestFence_[duty];
+      if (fence->value < highest || (fence->value == highest && holder != i))
+        violate("fence of " + duty + " did not rise with its holder");
+      highest = fence->value;
+      holder = i;
+      if (boot_.plantSharedHold) ++holders;
+    }
+    if (holders > 1) violate("two daemons hold " + duty);
+  }
+}
+
+// The register is a chain of versions, each written once. Against that chain: an acknowledged
+// change must be the writer of its version, a turned-away one must write none, and nothing that
+// began after an acknowledgement may end with an older version.
+void World::checkHistory() {
+  std::map<std::uint64_t, WriteId> chain = writeOfVersion_;
+  for (const Asked& asked : asked_) {
+    if (!asked.done || asked.done->result != ChangeResult::Chosen) continue;
+    const RegisterValue& value = asked.done->value;
+    if (value.version == 0) continue;
+    const auto [row, fresh] = chain.try_emplace(value.version, value.writeId);
+    if (row->second != value.writeId) violate("two changes were acknowledged as one version");
+    for (std::size_t i = 0; i < value.priorWrites.size(); ++i) {
+      if (value.priorWrites[i].value == 0 || value.version < i + 2) break;
+      const auto [older, unseen] = chain.try_emplace(value.version - i - 1, value.priorWrites[i]);
+      if (older->second != value.priorWrites[i]) violate("a version's history was rewritten");
+    }
+  }
+  std::set<std::uint64_t> written;
+  for (const auto& [version, write] : chain) written.insert(write.value);
+  std::vector<std::pair<Instant, std::uint64_t>> floors;
+  for (const Asked& asked : asked_) {
+    if (!asked.done) continue;
+    const bool took = written.contains(asked.change.writeId.value);
+    const auto result = asked.done->result;
+    if (!asked.change.isRead) {
+      if (result == ChangeResult::Chosen && !took)
+        violate("an acknowledged change wrote no version");
+      if ((result == ChangeResult::Conflict || result == ChangeResult::NotTried) && took)
+        violate("a turned-away change took effect");
+    }
+    if (result == ChangeResult::Chosen)
+      floors.emplace_back(*asked.doneAt, asked.done->value.version);
+  }
+  std::sort(floors.begin(), floors.end());
+  std::uint64_t highest = 0;
+  for (auto& [at, version] : floors) version = highest = std::max(highest, version);
+  for (const Asked& asked : asked_) {
+    if (!asked.done || asked.done->result != ChangeResult::Chosen) continue;
+    const auto after = std::lower_bound(floors.begin(), floors.end(),
+                                        std::make_pair(asked.askedAt, std::uint64_t{0}));
+    if (after == floors.begin()) continue;
+    if (asked.done->value.version < std::prev(after)->second)
+      violate("a result is older than what was acknowledged before it was asked");
+  }
+}
+
+}  // namespace quayrill::sim
--- /dev/null
+++ b/src/sim/mawson.cpp
@@ -0,0 +1,79 @@
+// mawson: the deterministic simulator. A failing seed replays exactly.
+#include <docopt/docopt.h>
+
+#include <iostream>
+
+#include "sim/scenario.h"
+
+namespace {
+constexpr char kUsage[] = R"(mawson: runs the control logic on fake clocks, networks and disks.
+
+Usage:
+  mawson [--seed=N] [--seeds=COUNT] [--seconds=S] [--disks=N] [--edges=N] [--plant=DEFECT]
+  mawson --help | --version
+
+Options:
+  --seed=N        First seed [default: 1].
+  --seeds=COUNT   How many seeds, one after another [default: 1].
+  --seconds=S     Simulated seconds of faults for each seed [default: 60].
+  --disks=N       Machines with a disk [default: 4].
+  --edges=N       Machines without one [default: 9].
+  --plant=DEFECT  Plant a defect that a checker must find: unsynced, reused, shared or stale.
+  -h --help       Show this text.
+  --version       Show the version.
+
+Exit codes: 0 no broken invariant, 1 some were broken (the seed is named), 2 bad usage.
+)";
+}
+
+int main(int argc, char** argv) {
+  using namespace quayrill::sim;
+  auto flags = docopt::docopt(kUsage, {argv + 1, argv + argc}, true, "mawson " QUAYRILL_VERSION);
+  WorldBoot boot;
+  const std::string plant = flags["--plant"] ? flags["--plant"].asString() : "";
+  boot.plantUnsyncedDisk = plant == "unsynced";
+  boot.plantReusedStore = plant == "reused";
+  boot.plantSharedHold = plant == "shared";
+  boot.plantStaleConfirm = plant == "stale";
+  std::size_t broken = 0, unconverged = 0;
+  Tally total;
+  try {
+    boot.diskMachines = static_cast<std::size_t>(std::stoul(flags["--disks"].asString()));
+    boot.edgeMachines = static_cast<std::size_t>(std::stoul(flags["--edges"].asString()));
+    const auto first = std::stoull(flags["--seed"].asString());
+    const auto count = std::stoull(flags["--seeds"].asString());
+    const std::chrono::seconds span(std::stoul(flags["--seconds"].asString()));
+    for (auto seed = first; seed < first + count; ++seed) {
+      boot.seed = seed;
+      const ScenarioResult result = runScenario(boot, span);
+      total.chosen += result.tally.chosen;
+      total.conflicts += result.tally.conflicts;
+      total.notTried += result.tally.notTried;
+      total.unknown += result.tally.unknown;
+      total.holdsSeen += result.tally.holdsSeen;
+      unconverged += result.converged ? 0 : 1;
+      if (count == 1)
+        std::cout
+            << "seed " << seed << " trace " << std::hex << result.traceHash << std::dec
+            << " messages " << result.tally.messages << " converged after "
+            << std::chrono::duration_cast<std::chrono::milliseconds>(result.convergedAfter).count()
+            << " ms\n";
+      if (result.violations.empty() && result.converged) continue;
+      ++broken;
+      std::cout << "seed " << seed << ": " << result.violations.size() << " broken"
+                << (result.converged ? "" : ", not converged") << "\n";
+      for (std::size_t i = 0; i < std::min<std::size_t>(3, result.violations.size()); ++i)
+        std::cout << "  at "
+                  << std::chrono::duration_cast<std::chrono::milliseconds>(result.violations[i].at)
+                         .count()
+                  << " ms: " << result.violations[i].what << "\n";
+    }
+  } catch (const std::exception& defect) {
+    std::cerr << "mawson: " << defect.what() << ": give whole numbers\n";
+    return 2;
+  }
+  std::cout << "changes chosen " << total.chosen << " conflict " << total.conflicts << " not tried "
+            << total.notTried << " unknown " << total.unknown << "; holds seen " << total.holdsSeen
+            << "; seeds broken " << broken << "\n";
+  return broken == 0 ? 0 : 1;
+}
--- /dev/null
+++ b/src/sim/scenario.cpp
@@ -0,0 +1,116 @@
+#include "sim/scenario.h"
+
+namespace quayrill::sim {
+
+using namespace std::chrono_literals;
+
+bool runUntilFounded(World& world, Span limit) {
+  const Span until = world.elapsed() + limit;
+  while (world.elapsed() < until) {
+    world.run(250ms);
+    bool full = true;
+    for (std::size_t i = 0; i < world.size(); ++i) {
+      const CopySet& copies = world.core(i).freshness().copies();
+      full = full && copies.members.size() == world.diskMachines() && copies.settled;
+    }
+    if (full && world.isConverged()) return true;
+  }
+  return false;
+}
+
+namespace {
+
+// At most one disk is lost for good at a time, as the brief bounds it; kills and cuts are not.
+void oneFault(World& world, Span* wipeQuietUntil) {
+  auto& random = world.random();
+  const std::size_t machine = random() % world.size();
+  const std::size_t diskMachine = random() % world.diskMachines();
+  switch (random() % 12) {
+    case 0:
+      world.crash(machine, random() % 2 == 0);
+      break;
+    case 1:
+      world.crash(diskMachine, true);
+      break;
+    case 2:
+      if (world.elapsed() < *wipeQuietUntil) break;
+      *wipeQuietUntil = world.elapsed() + 60s;
+      world.crash(diskMachine, true);
+      world.wipeDisk(diskMachine);
+      world.start(diskMachine);
+      break;
+    case 3:
+      world.freeze(machine, std::chrono::milliseconds(500 + random() % 9000));
+      break;
+    case 4:
+      world.freeze(diskMachine, std::chrono::milliseconds(500 + random() % 9000));
+      break;
+    case 5:
+      world.cutOneWay(machine, random() % world.size(), true);
+      break;
+    case 6:
+      world.cut({machine}, true);
+      break;
+    case 7: {
+      std::set<std::size_t> side;
+      for (std::size_t i = 0; i < world.diskMachines(); ++i) {
+        if (random() % 2) side.insert(i);
+      }
+      world.cut(side, true);
+      break;
+    }
+    case 8:
+      world.slowDisk(diskMachine, std::chrono::milliseconds(random() % 1500));
+      break;
+    case 9:
+      for (std::size_t i = 0; i < world.size(); ++i) {
+        if (random() % 3 == 0) world.crash(i, false);
+      }
+      break;
+    default:
+      world.healAll();
+      break;
+  }
+}
+
+}  // namespace
+
+ScenarioResult runScenario(WorldBoot boot, Span faultSpan) {
+  World world(boot);
+  world.wantDuty("orders/a");
+  world.wantDuty("orders/b");
+  ScenarioResult result;
+  runUntilFounded(world, 60s);
+  auto& random = world.random();
+  Span wipeQuietUntil{};
+  const Span until = world.elapsed() + faultSpan;
+  while (world.elapsed() < until) {
+    if (random() % 6 == 0) oneFault(world, &wipeQuietUntil);
+    for (int operators = 0; operators < 2; ++operators) {
+      const std::size_t machine = random() % world.size();
+      if (!world.isUp(machine)) continue;
+      const std::uint64_t known = world.core(machine).freshness().spec().value.version;
+      if (random() % 4 == 0)
+        world.read(machine);
+      else
+        world.change(machine, known, "body " + std::to_string(random() % 1000));
+    }
+    world.run(std::chrono::milliseconds(20 + random() % 400));
+  }
+  world.healAll();
+  const Span healedAt = world.elapsed();
+  for (int i = 0; i < 240 && !result.converged; ++i) {
+    world.run(250ms);
+    result.converged = world.isConverged();
+  }
+  result.convergedAfter = world.elapsed() - healedAt;
+  world.read(0);
+  world.run(4s);
+  world.checkHistory();
+  result.violations = world.violations();
+  result.traceHash = world.traceHash();
+  result.tally = world.tally();
+  return result;
+}
+
+}  // namespace quayrill::sim
--- /dev/null
+++ b/src/sim/scenario.h
@@ -0,0 +1,21 @@
+#pragma once
+#include "sim/world.h"
+
+namespace quayrill::sim {
+
+struct ScenarioResult {
+  std::vector<Violation> violations;
+  std::uint64_t traceHash = 0;
+  Tally tally;
+  bool converged = false;
+  Span convergedAfter{};  // from the last heal
+};
+
+// Founds a fleet, then lets operators race while faults of every kind come and go by seed, heals
+// all, and checks the whole history.
+ScenarioResult runScenario(WorldBoot boot, Span faultSpan);
+
+// Waits until the copy set has all disk machines and every daemon agrees.
+bool runUntilFounded(World& world, Span limit);
+
+}  // namespace quayrill::sim
--- /dev/null
+++ b/src/sim/world.h
@@ -0,0 +1,149 @@
+#pragma once
+// A deterministic world round the real control logic: fake clocks, network and disks, faults by
+// seed, and checkers that see everything. The same seed gives the same trace.
+#include <map>
+#include <memory>
+#include <optional>
+#include <queue>
+#include <random>
+#include <set>
+#include <string>
+#include <vector>
+
+#include "agent/core/agent_core.h"
+
+namespace quayrill::sim {
+
+struct WorldBoot {
+  std::uint64_t seed = 1;
+  std::size_t diskMachines = 4;
+  std::size_t edgeMachines = 9;
+  double lossRate = 0.02;
+  double duplicateRate = 0.02;
+  Span delayLow = std::chrono::microseconds(200);
+  Span delayHigh = std::chrono::milliseconds(8);
+  // Planted defects: each must trip a checker.
+  bool plantUnsyncedDisk = false;  // answers leave before the write is synced
+  bool plantReusedStore = false;   // an emptied disk comes back under its old identity
+  bool plantSharedHold = false;    // a second daemon acts as if it held the duty
+  bool plantStaleConfirm = false;  // a daemon vouches for the spec without asking
+};
+
+struct Violation {
+  std::string what;
+  Span at;
+};
+
+struct Asked {
+  std::uint64_t id = 0;
+  std::size_t machine = 0;
+  ChangeAsked change;
+  Instant askedAt;
+  std::optional<Instant> doneAt;
+  std::optional<ChangeDone> done;
+};
+
+struct Tally {
+  std::uint64_t messages = 0, bytes = 0, chosen = 0, conflicts = 0, notTried = 0, unknown = 0;
+  std::uint64_t holdsSeen = 0, events = 0;
+};
+
+class World {
+ public:
+  explicit World(const WorldBoot& boot);
+
+  void run(Span span);
+  Span elapsed() const { return now_.time_since_epoch(); }
+
+  // Faults. A machine's index stays the same across its lives.
+  void crash(std::size_t machine, bool powerLoss);
+  void start(std::size_t machine);
+  void wipeDisk(std::size_t machine);
+  void freeze(std::size_t machine, Span span);
+  void cutOneWay(std::size_t from, std::size_t to, bool cut);
+  void cut(const std::set<std::size_t>& side, bool cut);
+  void healAll();
+  void failDisk(std::size_t machine, bool failing) { machines_[machine].diskFails = failing; }
+  void slowDisk(std::size_t machine, Span delay) { machines_[machine].diskDelay = delay; }
+
+  std::uint64_t change(std::size_t machine, std::uint64_t expectedVersion, std::string body);
+  std::uint64_t read(std::size_t machine);
+  void wantDuty(const std::string& duty) { duties_.insert(duty); }
+
+  bool isUp(std::size_t machine) const { return machines_[machine].core != nullptr; }
+  AgentCore& core(std::size_t machine) { return *machines_[machine].core; }
+  std::size_t size() const { return machines_.size(); }
+  std::size_t diskMachines() const { return boot_.diskMachines; }
+  const Asked& asked(std::uint64_t id) const { return asked_.at(id - 1); }
+  const std::vector<Asked>& history() const { return asked_; }
+  Span localOffset(std::size_t machine) const { return machines_[machine].clockOffset; }
+  std::mt19937_64& random() { return random_; }
+  const std::vector<Violation>& violations() const { return violations_; }
+  void checkHistory();  // linearizability of the spec register over all that was asked
+  std::uint64_t traceHash() const { return traceHash_; }
+  const Tally& tally() const { return tally_; }
+  // True when every live machine has confirmed one and the same spec version lately.
+  bool isConverged() const;
+
+ private:
+  struct Machine {
+    Address address;
+    std::vector<Address> seeds;
+    bool hasDisk = false;
+    std::unique_ptr<AgentCore> core;
+    std::map<std::string, std::string> synced;
+    std::vector<DiskWrite> unsynced;  // lost at a power loss
+    bool diskFails = false;
+    Span diskDelay{};
+    std::vector<CopyWork> diskQueue;  // taken whole by the next sync, as the real disk does
+    bool diskBusy = false;
+    Instant frozenUntil{};
+    Span clockOffset{};  // machines' boot clocks have nothing in common
+    std::uint64_t life = 0;
+    std::uint64_t highestSpec = 0;  // of this life
+  };
+  enum class Kind { Tick, Arrive, DiskDone };
+  struct Event {
+    Instant at;
+    std::uint64_t order = 0;
+    Kind kind{};
+    std::size_t machine = 0;
+    std::uint64_t life = 0;
+    std::string bytes;
+    std::shared_ptr<std::vector<CopyWork>> batch;
+    bool operator>(const Event& other) const {
+      return std::tie(at, order) > std::tie(other.at, other.order);
+    }
+  };
+  Instant local(const Machine& machine) const { return now_ + machine.clockOffset; }
+  void schedule(Event event);
+  void apply(std::size_t machine, AgentEffects effects);
+  void startSync(std::size_t machine);
+  void finishSync(std::size_t machine, const std::vector<CopyWork>& batch);
+  void transmit(std::size_t from, const Envelope& envelope);
+  void handle(const Event& event);
+  void checkMachine(std::size_t machine);
+  void checkHolds();
+  void violate(const std::string& what);
+  std::size_t indexOf(const Address& address) const;
+
+  WorldBoot boot_;
+  std::mt19937_64 random_;
+  Instant now_{};
+  std::uint64_t order_ = 0;
+  std::vector<Machine> machines_;
+  std::map<Address, std::size_t> byAddress_;
+  std::set<std::pair<std::size_t, std::size_t>> cuts_;
+  std::priority_queue<Event, std::vector<Event>, std::greater<>> events_;
+  std::vector<Asked> asked_;
+  std::map<std::pair<std::size_t, OperationId>, std::uint64_t> pending_;
+  std::set<std::string> duties_;
+  std::map<std::string, std::pair<std::uint64_t, std::size_t>> highestFence_;
+  std::map<std::uint64_t, WriteId> writeOfVersion_;              // one write per version, for ever
+  std::vector<std::pair<Instant, std::uint64_t>> acknowledged_;  // (when, version), rising
+  std::vector<Violation> violations_;
+  std::uint64_t traceHash_ = 0;
+  Tally tally_;
+};
+
+}  // namespace quayrill::sim
