--- /dev/null
+++ b/src/sonnblick.cpp
@@ -0,0 +1,135 @@
+// sonnblick: the one daemon. Every machine runs it; all are equal.
+#include <docopt/docopt.h>
+#include <glog/logging.h>
+
+#include <csignal>
+#include <iostream>
+#include <thread>
+
+#include "agent/agent.h"
+#include "boot/boot.h"
+#include "proxy/proxy.h"
+
+namespace {
+constexpr char kUsage[] = R"(sonnblick: one daemon of a quayrill fleet.
+
+Usage:
+  sonnblick [--settings=FILE] [--role=ROLE] [--cohort=ADDR] [--operators=ADDR] [--callers=ADDR]
+            [--zone=ZONE] [--seeds=LIST] [--data-folder=DIR] [--platform=ADDR] [--store=ADDR]
+            [--cohort-via=ADDR] [--placement=RULE] [--copies-wanted=N] [--block-tokens=N]
+            [--traffic-threads=N] [--fresh-limit-ms=MS] [--grace-ms=MS] [--check]
+  sonnblick --help | --version
+
+Options:
+  --settings=FILE      JSON settings; flags win over it. Names are those below with '_' for '-'.
+  --role=ROLE          proxy, agent (a pair on loopback) or both in one process.
+  --cohort=ADDR        ip:port where other daemons connect.
+  --operators=ADDR     ip:port of the operator API; a proxy asks its agent here.
+  --callers=ADDR       ip:port where callers' requests arrive.
+  --zone=ZONE          The zone of this machine.
+  --seeds=LIST         Three cohort addresses, split by commas, the same on every machine.
+  --data-folder=DIR    Keep a register copy in DIR.
+  --platform=ADDR      ip:port of the platform's list of servers.
+  --store=ADDR         ip:port of the store of kept prompt parts.
+  --cohort-via=ADDR    Send cohort circuits through this relay.
+  --placement=RULE     prefix, least-burden or round-robin (the last two for comparison).
+  --copies-wanted=N    Register copies to keep.
+  --block-tokens=N     Tokens of one cache block.
+  --traffic-threads=N  Threads for traffic.
+  --fresh-limit-ms=MS  Turn requests away when the spec is unconfirmed for this long.
+  --grace-ms=MS        How long SIGTERM lets streams finish.
+  --check              Check the settings and exit.
+  -h --help            Show this text.
+  --version            Show the version.
+
+Exit codes: 0 ended as asked, 1 a defect while running, 2 bad settings.
+)";
+
+std::string settingName(const std::string& flag) {
+  std::string name = flag.substr(2);
+  std::replace(name.begin(), name.end(), '-', '_');
+  return name;
+}
+}  // namespace
+
+int main(int argc, char** argv) {
+  using namespace std::chrono_literals;
+  const std::string program = "sonnblick " QUAYRILL_VERSION;
+  std::map<std::string, docopt::value> flags;
+  try {
+    flags = docopt::docopt_parse(kUsage, {argv + 1, argv + argc}, true, true);
+  } catch (const docopt::DocoptExitHelp&) {
+    std::cout << kUsage;
+    return 0;
+  } catch (const docopt::DocoptExitVersion&) {
+    std::cout << program << "\n";
+    return 0;
+  } catch (const std::exception& defect) {
+    std::cerr << "sonnblick: " << defect.what() << ": see --help\n";
+    return 2;
+  }
+  quayrill::BootAsked asked;
+  for (const auto& [flag, value] : flags) {
+    if (!value || !value.isString()) continue;
+    if (flag == "--settings")
+      asked.settingsFile = value.asString();
+    else
+      asked.flags[settingName(flag)] = value.asString();
+  }
+  const auto boot = quayrill::loadBoot(asked);
+  if (!boot.ok()) {
+    std::cerr << "sonnblick: " << boot.status().message() << "\n";
+    return 2;
+  }
+  if (flags["--check"].asBool()) return 0;
+
+  FLAGS_logtostderr = true;
+  google::InitGoogleLogging(argv[0]);
+  sigset_t endings;
+  sigemptyset(&endings);
+  sigaddset(&endings, SIGTERM);
+  sigaddset(&endings, SIGINT);
+  pthread_sigmask(SIG_BLOCK, &endings, nullptr);  // before any thread starts
+  std::signal(SIGPIPE, SIG_IGN);
+
+  std::unique_ptr<quayrill::Agent> agent;
+  std::unique_ptr<quayrill::Proxy> proxy;
+  std::thread control;
+  if (boot->role != "proxy") {
+    agent = std::make_unique<quayrill::Agent>(*boot);
+    if (auto status = agent->start(); !status.ok()) {
+      std::cerr << "sonnblick: " << status.message() << "\n";
+      return 1;
+    }
+    control = std::thread([&] { agent->run(); });
+  }
+  if (boot->role != "agent") {
+    proxy = std::make_unique<quayrill::Proxy>(*boot);
+    if (auto status = proxy->start(); !status.ok()) {
+      std::cerr << "sonnblick: " << status.message() << "\n";
+      std::_Exit(1);
+    }
+  }
+  LOG(INFO) << program << " serves as " << boot->role;
+  int signal = 0;
+  sigwait(&endings, &signal);
+  LOG(INFO) << "leaving: not ready, finishing what was accepted";
+  if (agent) agent->beginLeaving();
+  if (proxy) {
+    proxy->beginLeaving();
+    // The platform needs to see it before circuits stop: accept what still comes, then only finish.
+    const auto graceEnd = quayrill::BootClock::now() + boot->grace;
+    std::this_thread::sleep_for(std::min<std::chrono::milliseconds>(boot->grace / 2, 2000ms));
+    proxy->stopAccepting();
+    while (proxy->circuits() > 0 && quayrill::BootClock::now() < graceEnd)
+      std::this_thread::sleep_for(20ms);
+    proxy->stop();
+  }
+  if (agent) {
+    agent->stop();
+    control.join();
+  }
+  LOG(INFO) << "ended";
+  google::FlushLogFiles(google::INFO);
+  std::_Exit(0);  // what still runs holds nothing that must be written
+}
--- /dev/null
+++ b/tests/main.cpp
@@ -0,0 +1,2 @@
+#define CATCH_CONFIG_MAIN
+#include <catch2/catch.hpp>
--- /dev/null
+++ b/tests/placement_tests.cpp
@@ -0,0 +1,195 @@
+#include <catch2/catch.hpp>
+#include <random>
+
+#include "placement/placement.h"
+#include "placement/try_budget.h"
+
+using namespace quayrill;
+using namespace std::chrono_literals;
+
+namespace {
+ServerState server(const std::string& name, const std::string& weights = "w0") {
+  ServerState state;
+  state.name = ServerName{name};
+  state.identity = ServerIdentity{name + "#1"};
+  state.model = ModelName{"till"};
+  state.weights = WeightsVersion{weights};
+  state.sound = true;
+  state.slots = 8;
+  state.cacheTokens = 16000;
+  return state;
+}
+PlacementAsked asking(const std::string& prefix, const std::string& salt = "") {
+  return {ModelName{"till"}, CacheSalt{salt}, *parsePrefix(prefix), {}};
+}
+}  // namespace
+
+TEST_CASE("prefix: strict parsing with bounds") {
+  CHECK(parsePrefix("a:1,b-2.x_Y:300")->parts.size() == 2);
+  CHECK(parsePrefix("")->parts.empty());
+  for (const char* bad : {"a", "a:", ":5", "a:0", "a:01", "a:-1", "a:1,", ",a:1", "a:1,,b:2",
+                          "a b:1", "a:1 ", "a:262145", "a:99999999999", "a:1;b:2", "a:+1"})
+    CHECK_FALSE(parsePrefix(bad).ok());
+  CHECK_FALSE(parsePrefix(std::string(65, 'x') + ":1").ok());
+  std::string many = "p:1";
+  for (int i = 0; i < 64; ++i) many += ",p:1";
+  CHECK_FALSE(parsePrefix(many).ok());
+  CHECK_FALSE(parsePrefix("a:262144,b:262144,c:262144,d:262144,e:1").ok());
+}
+
+TEST_CASE("prefix: seeded noise never breaks the parser and what parses comes back the same") {
+  std::mt19937_64 random(11);
+  const std::string letters = "ab:,019.-_ \n\x01\xff";
+  std::size_t parsed = 0;
+  for (int i = 0; i < 20000; ++i) {
+    std::string text;
+    for (std::size_t n = random() % 12; n > 0; --n) text += letters[random() % letters.size()];
+    const auto prefix = parsePrefix(text);
+    if (!prefix.ok()) continue;
+    ++parsed;
+    CHECK(formatPrefix(*prefix) == text);
+  }
+  CHECK(parsed > 100);
+}
+
+TEST_CASE("prefix: a part that is no multiple of the block shares its whole blocks only") {
+  const auto blocks = [](const std::string& text) { return prefixBlocks(*parsePrefix(text), 16); };
+  const auto left = blocks("rules:40,mine:24");
+  const auto right = blocks("rules:40,yours:24");
+  REQUIRE(left.size() == 4);
+  CHECK(left[0] == right[0]);
+  CHECK(left[1] == right[1]);
+  CHECK(left[2] != right[2]);  // 8 tokens of the rules and 8 of another part
+  CHECK(left[3] != right[3]);
+  CHECK(blocks("rules:15").empty());
+}
+
+TEST_CASE("placement: the longest match wins, and only under the same salt and weights") {
+  Placement placement({16, "zone0", PlacementRule::LongestPrefix});
+  placement.setServers({server("a"), server("b"), server("c")});
+  const auto first = placement.place(asking("rules:320,own1:32"));
+  REQUIRE(first);
+  placement.release(first->ticket, true);
+  const auto second = placement.place(asking("rules:320,own2:32"));
+  CHECK(second->chosenServer.name == first->chosenServer.name);
+  CHECK(second->matchedTokens == 320);
+  CHECK(second->reason == "longest match");
+  CHECK(placement.place(asking("rules:320,own3:32", "tenant:x"))->matchedTokens == 0);
+  std::vector<ServerState> moved;
+  for (const char* name : {"a", "b", "c"}) moved.push_back(server(name, "w1"));
+  placement.setServers(moved);
+  CHECK(placement.place(asking("rules:320,own4:32"))->matchedTokens == 0);
+}
+
+TEST_CASE("placement: a hot prefix spreads when its server is over the cap") {
+  Placement placement({16, "zone0", PlacementRule::LongestPrefix});
+  placement.setServers({server("a"), server("b"), server("c")});
+  std::map<std::string, int> placed;
+  for (int i = 0; i < 24; ++i)
+    ++placed[placement.place(asking("hot:320,own" + std::to_string(i) + ":32"))
+                 ->chosenServer.name.value];
+  CHECK(placed.size() == 3);
+  for (const auto& [name, count] : placed) CHECK(count <= 14);
+}
+
+TEST_CASE("placement: no sound server that is staying means no place") {
+  Placement placement({16, "zone0", PlacementRule::LongestPrefix});
+  ServerState leaving = server("a"), unsound = server("b"), full = server("c");
+  leaving.leaving = true;
+  unsound.sound = false;
+  full.queued = 16;
+  placement.setServers({leaving, unsound, full});
+  CHECK_FALSE(placement.place(asking("rules:32")));
+}
+
+TEST_CASE("placement: locks are released exactly once, on every way out") {
+  Placement placement({16, "zone0", PlacementRule::LongestPrefix});
+  ServerState small = server("a");
+  small.cacheTokens = 16 * 8;
+  placement.setServers({small});
+  const auto streaming = placement.place(asking("long:128"));
+  const auto other = placement.place(asking("other:128"));
+  CHECK(placement.ticketCount() == 2);
+  CHECK(placement.blocksHeld(ServerName{"a"}) > 8);  // both pinned, over budget
+  placement.release(other->ticket, true);
+  placement.release(other->ticket, true);
+  placement.release(other->ticket, false);
+  // Still streaming: pinned whatever was released twice beside it.
+  CHECK(placement.place(asking("long:128"))->matchedTokens == 128);
+  placement.release(streaming->ticket, true);
+  CHECK(placement.ticketCount() == 1);
+}
+
+TEST_CASE("placement: what did not run leaves no trace, a dropped tree voids its locks") {
+  Placement placement({16, "zone0", PlacementRule::LongestPrefix});
+  placement.setServers({server("a")});
+  const auto turnedAway = placement.place(asking("rules:64"));
+  placement.release(turnedAway->ticket, false);
+  CHECK(placement.place(asking("rules:64"))->matchedTokens == 0);
+  const auto before = placement.place(asking("notice:64"));
+  ServerState restarted = server("a");
+  restarted.identity = ServerIdentity{"a#2"};
+  placement.setServers({restarted});
+  placement.release(before->ticket, true);  // of the tree's former life
+  CHECK(placement.place(asking("notice:64"))->matchedTokens == 0);
+}
+
+TEST_CASE("placement: cache events prune, and a gap in them drops the estimate") {
+  Placement placement({16, "zone0", PlacementRule::LongestPrefix});
+  placement.setServers({server("a")});
+  const ServerName name{"a"};
+  const ServerIdentity identity{"a#1"};
+  placement.takeEvents(name, identity, 0, {}, 5);
+  for (const char* prefix : {"x:64", "y:64"})
+    placement.release(placement.place(asking(prefix))->ticket, true);
+  placement.takeEvents(name, identity, 5,
+                       {{5, CacheEventKind::Dropped, CacheSalt{}, *parsePrefix("x:64")}}, 6);
+  const auto afterDrop = placement.place(asking("x:64"));
+  CHECK(afterDrop->matchedTokens == 0);
+  placement.release(afterDrop->ticket, true);
+  CHECK(placement.gaps() == 0);
+  placement.takeEvents(name, ServerIdentity{"a#0"}, 9, {}, 12);  // of a former life: ignored
+  CHECK(placement.eventPosition(name) == 6);
+  placement.takeEvents(name, identity, 9, {}, 12);
+  CHECK(placement.gaps() == 1);
+  CHECK(placement.place(asking("y:64"))->matchedTokens == 0);
+}
+
+TEST_CASE("placement: a peer that holds more is named as a source only where fetching pays") {
+  Placement placement({16, "zone0", PlacementRule::LongestPrefix});
+  ServerState warm = server("a"), cold = server("b");
+  placement.setServers({warm});
+  placement.release(placement.place(asking("rules:1600,n:64"))->ticket, true);
+  warm.running = 12;  // over the cap, so the match does not pull
+  placement.setServers({warm, cold});
+  const auto placed = placement.place(asking("rules:1600,m:64"));
+  CHECK(placed->chosenServer.name.value == "b");
+  REQUIRE(placed->source);
+  CHECK(placed->source->server.value == "a");
+  CHECK(placed->source->matchedTokens == 1600);
+  cold.weights = WeightsVersion{"w1"};
+  placement.setServers({warm, cold});
+  CHECK_FALSE(placement.place(asking("rules:1600,m:64"))->source);
+}
+
+TEST_CASE("extra tries: no trailing window of ten seconds sees more than a fifth") {
+  TryBudget budget;
+  std::mt19937_64 random(5);
+  Instant now{1s};
+  CHECK_FALSE(budget.takeExtra(now));  // empty at start
+  std::vector<std::pair<Instant, bool>> sends;
+  for (int i = 0; i < 20000; ++i) {
+    now += std::chrono::milliseconds(random() % (i % 4000 < 2000 ? 20 : 400));
+    budget.countFirst(now);
+    sends.emplace_back(now, false);
+    if (random() % 2 && budget.takeExtra(now)) sends.emplace_back(now, true);
+  }
+  std::size_t from = 0, extras = 0, taken = 0;
+  for (std::size_t to = 0; to < sends.size(); ++to) {
+    extras += sends[to].second ? 1 : 0;
+    taken += sends[to].second ? 1 : 0;
+    for (; sends[to].first - sends[from].first >= 10s; ++from) extras -= sends[from].second ? 1 : 0;
+    REQUIRE(extras * 5 <= to + 1 - from - extras);
+  }
+  CHECK(taken > 500);
+}
