Break placement ties by the prefix's name instead of a turning order

Cause sought: the matched share is only a little above round-robin's. Thought: daemons don't see each other's traffic, so the same prefix gathers on different servers. Ties are now broken by one name fleet-wide, in steps of burden.

Kept, since it needs no more state and makes placement repeatable; the cause is looked for in what the index believes is held.

--- a/src/placement/placement.cpp
+++ b/src/placement/placement.cpp
@@ -1,6 +1,8 @@
 #include "placement/placement.h"
 
 #include <algorithm>
+#include <cmath>
+#include <tuple>
 
 #include "base/digest.h"
 
@@ -12,6 +14,18 @@
 // Ours: a fetch costs a fixed part and a part per token; prefill costs per token.
 constexpr double kFetchFixedMicros = 8000, kFetchTokenMicros = 4, kPrefillTokenMicros = 25;
 constexpr std::size_t kNameSpaceLimit = 4096;
+// Ours: burdens within one step tie.
+constexpr double kBurdenStep = 0.25;
+
+// Daemons don't see each other's traffic. Where the match leaves a tie they all break it by the
+// same name, so that one prefix gathers on one server fleet-wide. The last part is a prompt's own.
+std::uint64_t tieNameOf(const PromptPrefix& prefix) {
+  std::uint64_t name = 1;
+  const std::size_t shared =
+      prefix.parts.size() > 1 ? prefix.parts.size() - 1 : prefix.parts.size();
+  for (std::size_t i = 0; i < shared; ++i) name = mixHash(name, stableHash(prefix.parts[i].id));
+  return name;
+}
 }  // namespace
 
 Token Placement::nameSpace(const ServerState& state, const CacheSalt& salt) {
@@ -65,35 +79,26 @@
 }
 
 const Placement::Row* Placement::choose(const std::vector<std::pair<const Row*, Candidate>>& open,
-                                        std::string* reason) {
+                                        std::uint64_t tieName, std::string* reason) {
   if (boot_.rule == PlacementRule::RoundRobin) {
     *reason = "next in turn";
     return open[nextTurn_++ % open.size()].first;
   }
-  // Servers tie often while little is held: each choice turns the order of ties, or every daemon
-  // would send to the same server until the next poll.
-  ++nextTurn_;
-  const auto turnOf = [&](const ServerName& server) {
-    return mixHash(stableHash(server.value), nextTurn_);
-  };
-  const auto better = [&](const auto& left, const auto& right) {
-    const bool byMatch = boot_.rule == PlacementRule::LongestPrefix;
-    const std::size_t leftMatch = byMatch && !left.second.capped ? left.second.matchedTokens : 0;
-    const std::size_t rightMatch = byMatch && !right.second.capped ? right.second.matchedTokens : 0;
-    if (leftMatch != rightMatch) return leftMatch > rightMatch;
-    if (left.second.burden != right.second.burden) return left.second.burden < right.second.burden;
-    const bool leftNear = left.first->state.zone == boot_.zone;
-    const bool rightNear = right.first->state.zone == boot_.zone;
-    if (leftNear != rightNear) return leftNear;
-    return turnOf(left.second.server) < turnOf(right.second.server);
+  const bool byMatch = boot_.rule == PlacementRule::LongestPrefix;
+  if (!byMatch) tieName = ++nextTurn_;
+  const auto rank = [&](const Candidate& candidate) {
+    const std::size_t match = byMatch && !candidate.capped ? candidate.matchedTokens : 0;
+    const double burden = byMatch ? std::floor(candidate.burden / kBurdenStep) : candidate.burden;
+    const std::uint64_t tie = mixHash(stableHash(candidate.server.value), tieName);
+    return std::make_tuple(match, -burden, tie);
   };
-  auto best = open.begin();
-  for (auto row = open.begin() + 1; row != open.end(); ++row) {
-    if (better(*row, *best)) best = row;
-  }
-  const bool byMatch = boot_.rule == PlacementRule::LongestPrefix &&
-                       best->second.matchedTokens > 0 && !best->second.capped;
-  *reason = byMatch ? "longest match" : "least burden";
+  const auto best = std::max_element(
+      open.begin(), open.end(),
+      [&](const auto& left, const auto& right) { return rank(left.second) < rank(right.second); });
+  const Candidate& chosen = best->second;
+  *reason = byMatch && chosen.matchedTokens > 0 && !chosen.capped ? "longest match"
+            : byMatch                                             ? "least burden, tie by prefix"
+                                                                  : "least burden";
   return best->first;
 }
 
@@ -121,7 +126,7 @@
   if (free.empty()) return std::nullopt;
 
   Placed placed;
-  Row& chosenRow = rows_.at(choose(free, &placed.reason)->state.name);
+  Row& chosenRow = rows_.at(choose(free, tieNameOf(asked.prefix), &placed.reason)->state.name);
   for (const auto& [row, candidate] : open) {
     placed.candidates.push_back(candidate);
     if (row == &chosenRow) placed.matchedTokens = candidate.matchedTokens;
--- a/src/placement/placement.h
+++ b/src/placement/placement.h
@@ -121,7 +121,8 @@
   void dropTree(Row& row);
   double burdenOf(const Row& row) const;
   void keepBudget(Row& row);
-  const Row* choose(const std::vector<std::pair<const Row*, Candidate>>& open, std::string* reason);
+  const Row* choose(const std::vector<std::pair<const Row*, Candidate>>& open,
+                    std::uint64_t tieName, std::string* reason);
 
   PlacementBoot boot_;
   std::map<ServerName, Row> rows_;
