Stand-in servers report what they evict; blocks are named by part id and place alone

Cause sought: a matched share only a little above round-robin's. The stand-ins reported no evictions, so the index believed in cache that was long gone, and they evicted a chain from its head. They now report each evicted block and evict from a chain's end. So that an event can name a prefix that ends inside a part, a block's name no longer mixes in the part's whole count.

--- a/src/fleet/jungfraujoch.cpp
+++ b/src/fleet/jungfraujoch.cpp
@@ -14,7 +14,7 @@
 
 Usage:
   jungfraujoch [--deployment=NAME] [--cores=N] [--edges=N] [--servers=N] [--seconds=S]
-               [--rate=FACTOR] [--placement=RULE] [--fetch=ON] [--steps=LIST] [--net=N] [--seed=N]
+               [--rate=FACTOR] [--placement=RULE] [--fetch=ON] [--steps=LIST] [--net=N] [--seed=N] [--cache-tokens=N]
                [--sonnblick=PROGRAM] [--work=DIR] [--json] [--keep-open]
   jungfraujoch --help | --version
 
@@ -29,6 +29,7 @@
   --fetch=ON           on or off [default: on].
   --steps=LIST         Faults and operator steps, STEP:ARGUMENT@SECOND split by commas.
   --net=N              All addresses are 127.N.x.y [default: 40].
+  --cache-tokens=N     Cache of each model server [default: 16000].
   --seed=N             Seed of the traffic [default: 1].
   --sonnblick=PROGRAM  The daemon [default: beside this program].
   --work=DIR           Logs and data folders, emptied first [default: /tmp/quayrill-fleet].
@@ -131,6 +132,7 @@
       boot.plan.program =
           (std::filesystem::canonical("/proc/self/exe").parent_path() / "sonnblick").string();
     boot.servers = static_cast<std::size_t>(std::stoul(flags["--servers"].asString()));
+    boot.cacheTokens = std::stoul(flags["--cache-tokens"].asString());
     boot.mix = fleet::mixOf(flags["--deployment"].asString());
     boot.rateFactor = std::stod(flags["--rate"].asString());
     boot.seed = std::stoull(flags["--seed"].asString());
--- a/src/fleet/site.cpp
+++ b/src/fleet/site.cpp
@@ -41,6 +41,7 @@
     server.address = Address{stem + "3." + std::to_string(i + 1) + ":7300"};
     server.zone = "zone" + std::to_string(i % 4);
     server.store = boot_.plan.store;
+    server.cacheTokens = boot_.cacheTokens;
     servers_.push_back(std::make_unique<StandInServer>(io_, server, ledger_));
     if (auto status = servers_.back()->start(); !status.ok()) return status;
     platform_->list(server.address.value, server.zone);
--- a/src/fleet/site.h
+++ b/src/fleet/site.h
@@ -21,6 +21,7 @@
   FleetPlan plan;
   Mix mix;
   std::size_t servers = 18;
+  std::size_t cacheTokens = 16000;  // of each model server
   double rateFactor = 1.0;
   std::uint64_t seed = 1;
 };
--- a/src/fleet/stand_in_server.cpp
+++ b/src/fleet/stand_in_server.cpp
@@ -45,6 +45,8 @@
   ++life_;
   cache_.clear();
   uses_.clear();
+  dropped_.clear();
+  eventNext_ = 1;
   running_ = queued_ = 0;
   highestFence_ = 0;
   loading_ = false;
@@ -90,13 +92,15 @@
                             {"state", loading_ ? "loading" : "ready"}});
 }
 
-// This stand-in evicts by block and does not name prefixes, so it reports none: readers see the
-// position alone, and notice restarts by identity.
 HttpResponse StandInServer::events(std::uint64_t since) {
+  const std::uint64_t oldest = eventNext_ - dropped_.size();
+  const std::uint64_t first = std::min(std::max(since, oldest), eventNext_);
+  Json rows = Json::array();
+  for (std::uint64_t at = first; at < eventNext_; ++at) rows.push_back(dropped_[at - oldest]);
   return jsonResponse(200, {{"identity", identity_},
-                            {"first", std::min(since, eventNext_)},
+                            {"first", first},
                             {"next", eventNext_},
-                            {"events", Json::array()}});
+                            {"events", std::move(rows)}});
 }
 
 HttpResponse StandInServer::order(HttpRequest& request) {
@@ -135,24 +139,41 @@
     const auto block = cache_.find(name);
     if (block == cache_.end()) break;
     ++held;
-    uses_.splice(uses_.end(), uses_, block->second.use);
     run->foreignWeights = run->foreignWeights || block->second.weights != run->weights;
     run->foreignSalt = run->foreignSalt || block->second.salt != run->salt;
   }
+  // Last block first, so that a chain is evicted from its end.
+  for (std::size_t i = held; i-- > 0;) uses_.splice(uses_.end(), uses_, cache_.at(chain[i]).use);
   return held;
 }
 
 void StandInServer::store(const std::vector<BlockName>& chain, const std::string& salt,
-                          const std::vector<std::string>& weights) {
-  for (std::size_t i = 0; i < std::min(chain.size(), weights.size()); ++i) {
+                          const std::vector<std::string>& weights, const PromptPrefix& prefix) {
+  const auto shared = std::make_shared<const PromptPrefix>(prefix);
+  for (std::size_t i = std::min(chain.size(), weights.size()); i-- > 0;) {
     if (cache_.contains(chain[i])) continue;
     uses_.push_back(chain[i]);
-    cache_[chain[i]] = {weights[i], salt, std::prev(uses_.end())};
+    cache_[chain[i]] = {weights[i], salt, shared, i, std::prev(uses_.end())};
   }
-  while (cache_.size() > boot_.cacheTokens / boot_.blockTokens) {
-    cache_.erase(uses_.front());
-    uses_.pop_front();
+  while (cache_.size() > boot_.cacheTokens / boot_.blockTokens) evictOldest();
+}
+
+void StandInServer::evictOldest() {
+  const Block& block = cache_.at(uses_.front());
+  PromptPrefix upTo;
+  std::size_t left = (block.index + 1) * boot_.blockTokens;
+  for (const PromptPart& part : block.prefix->parts) {
+    const auto take = static_cast<std::uint32_t>(std::min<std::size_t>(left, part.tokens));
+    if (take > 0) upTo.parts.push_back({part.id, take});
+    left -= take;
   }
+  dropped_.push_back({{"position", eventNext_++},
+                      {"kind", "dropped"},
+                      {"salt", block.salt},
+                      {"prefix", formatPrefix(upTo)}});
+  if (dropped_.size() > kEventLimit) dropped_.pop_front();
+  cache_.erase(uses_.front());
+  uses_.pop_front();
 }
 
 HttpResponse StandInServer::drop(HttpRequest& request) {
@@ -204,7 +225,7 @@
   co_await pauseFor(boot_.fetchPerToken * static_cast<int>(weights.size() * boot_.blockTokens));
   if (BootClock::now() > due || life != life_) co_return textResponse(504, "the due passed\n");
   const std::string salt = json.value("salt", "");
-  store(chainOf(salt, *prefix, boot_.blockTokens), salt, weights);
+  store(chainOf(salt, *prefix, boot_.blockTokens), salt, weights, *prefix);
   co_return jsonResponse(200, {{"tokens", weights.size() * boot_.blockTokens}});
 }
 
@@ -252,7 +273,8 @@
   co_await pauseFor(boot_.prefillPerToken * static_cast<int>(missing));
   if (life != life_) co_return std::nullopt;
   if (weights_ == run.weights)
-    store(chain, run.salt, std::vector<std::string>(chain.size(), run.weights));
+    store(chain, run.salt, std::vector<std::string>(chain.size(), run.weights),
+          prefix.ok() ? *prefix : PromptPrefix{});
   if (!boot_.store.value.empty() && missing > 512)
     asio::co_spawn(io_, keep(run.salt, run.weights, prefixText), asio::detached);
   ErrorCode code;
--- a/src/fleet/stand_in_server.h
+++ b/src/fleet/stand_in_server.h
@@ -1,6 +1,7 @@
 #pragma once
 // A stand-in model server: it speaks the wire, keeps a cache by blocks, and logs what it really
 // did.
+#include <deque>
 #include <list>
 #include <memory>
 #include <unordered_map>
@@ -47,6 +48,8 @@
  private:
   struct Block {
     std::string weights, salt;
+    std::shared_ptr<const PromptPrefix> prefix;  // it ends block number `index` of this prefix
+    std::size_t index = 0;
     std::list<BlockName>::iterator use;
   };
   awaitable<std::optional<HttpResponse>> handle(Circuit& circuit, HttpRequest& request);
@@ -61,7 +64,8 @@
   HttpResponse readBlocks(HttpRequest& request);
   std::size_t cachedBlocks(const std::vector<BlockName>& chain, RunRow* run);
   void store(const std::vector<BlockName>& chain, const std::string& salt,
-             const std::vector<std::string>& weights);
+             const std::vector<std::string>& weights, const PromptPrefix& prefix);
+  void evictOldest();
   HttpResponse notRun(const std::string& why);
 
   asio::io_context& io_;
@@ -77,7 +81,9 @@
   std::size_t running_ = 0, queued_ = 0;
   std::uint64_t highestFence_ = 0, runs_ = 0, eventNext_ = 1;
   std::unordered_map<BlockName, Block> cache_;
-  std::list<BlockName> uses_;  // oldest first; holds exactly the names in cache_
+  std::list<BlockName> uses_;           // oldest first; holds exactly the names in cache_
+  std::deque<nlohmann::json> dropped_;  // events from eventNext_ - size() on, at most kEventLimit
+  static constexpr std::size_t kEventLimit = 4000;
 };
 
 }  // namespace quayrill::fleet
--- a/src/placement/prefix.cpp
+++ b/src/placement/prefix.cpp
@@ -58,7 +58,8 @@
   std::uint64_t name = 0;
   std::size_t filled = 0;
   for (const PromptPart& part : prefix.parts) {
-    const std::uint64_t partName = mixHash(stableHash(part.id), part.tokens);
+    // The id alone: a prefix that ends inside a part names the same blocks up to there.
+    const std::uint64_t partName = stableHash(part.id);
     for (std::size_t offset = 0; offset < part.tokens;) {
       const std::size_t take = std::min<std::size_t>(blockTokens - filled, part.tokens - offset);
       name = mixHash(mixHash(mixHash(name, partName), offset), take);
