Pairs of agent and proxy, scripted tests of the agent's parts, cost of the control plane by size

Pairs were never run as two processes; a fleet run does it now, with a kill and a planned restart. An agent told to end now stays while its proxy finishes: without its word the proxy would turn requests away after 2 s.

--- a/src/fleet/daemons.cpp
+++ b/src/fleet/daemons.cpp
@@ -41,47 +41,66 @@
                         "--copies-wanted=" + std::to_string(plan.cores),
                         "--traffic-threads=1",
                         "--grace-ms=6000"};
+    daemon.pair = plan.pair;
     if (core) daemon.arguments.push_back("--data-folder=" + daemon.dataFolder);
     daemons.push_back(std::move(daemon));
   }
   return daemons;
 }
 
-bool startDaemon(Daemon* daemon, const FleetPlan& plan) {
-  std::filesystem::create_directories(plan.workFolder);
-  const std::string logFile = plan.workFolder + "/" + daemon->name + ".log";
+namespace {
+pid_t startProcess(std::vector<std::string> texts, const std::string& logFile) {
   std::vector<char*> arguments;
-  for (std::string& argument : daemon->arguments) arguments.push_back(argument.data());
+  for (std::string& text : texts) arguments.push_back(text.data());
   arguments.push_back(nullptr);
   const pid_t pid = ::fork();
-  if (pid < 0) return false;
-  if (pid == 0) {
-    const int log = ::open(logFile.c_str(), O_WRONLY | O_CREAT | O_APPEND | O_CLOEXEC, 0644);
-    ::dup2(log, 1);
-    ::dup2(log, 2);
-    for (int descriptor = 3; descriptor < 4096; ++descriptor) ::close(descriptor);
-    ::execv(arguments[0], arguments.data());
-    ::_exit(127);
-  }
-  daemon->pid = pid;
-  return true;
+  if (pid != 0) return pid;
+  const int log = ::open(logFile.c_str(), O_WRONLY | O_CREAT | O_APPEND | O_CLOEXEC, 0644);
+  ::dup2(log, 1);
+  ::dup2(log, 2);
+  for (int descriptor = 3; descriptor < 4096; ++descriptor) ::close(descriptor);
+  ::execv(arguments[0], arguments.data());
+  ::_exit(127);
 }
 
-void signalDaemon(const Daemon& daemon, int signal) {
-  if (daemon.pid > 0) ::kill(daemon.pid, signal);
-}
-
-int waitDaemon(Daemon* daemon, int milliseconds) {
-  if (daemon->pid <= 0) return -1;
+int waitProcess(pid_t* pid, int milliseconds) {
   for (int waited = 0; waited <= milliseconds; waited += 10) {
     int status = 0;
-    if (::waitpid(daemon->pid, &status, WNOHANG) == daemon->pid) {
-      daemon->pid = 0;
+    if (::waitpid(*pid, &status, WNOHANG) == *pid) {
+      *pid = 0;
       return WIFEXITED(status) ? WEXITSTATUS(status) : -2;
     }
-    std::this_thread::sleep_for(std::chrono::milliseconds(10));
+    if (waited < milliseconds) std::this_thread::sleep_for(std::chrono::milliseconds(10));
   }
   return -1;
 }
+}  // namespace
+
+bool startDaemon(Daemon* daemon, const FleetPlan& plan) {
+  std::filesystem::create_directories(plan.workFolder);
+  const std::string logFile = plan.workFolder + "/" + daemon->name + ".log";
+  std::vector<std::string> arguments = daemon->arguments;
+  if (daemon->pair) arguments.push_back("--role=agent");
+  daemon->pid = startProcess(arguments, logFile);
+  if (!daemon->pair) return daemon->pid > 0;
+  arguments.back() = "--role=proxy";
+  daemon->proxyPid = startProcess(arguments, logFile);
+  return daemon->pid > 0 && daemon->proxyPid > 0;
+}
+
+void signalDaemon(const Daemon& daemon, int signal) {
+  for (const pid_t pid : {daemon.pid, daemon.proxyPid}) {
+    if (pid > 0) ::kill(pid, signal);
+  }
+}
+
+int waitDaemon(Daemon* daemon, int milliseconds) {
+  int worst = daemon->pid > 0 ? waitProcess(&daemon->pid, milliseconds) : 0;
+  if (daemon->proxyPid > 0) {
+    const int status = waitProcess(&daemon->proxyPid, milliseconds);
+    if (status != 0) worst = status;
+  }
+  return worst;
+}
 
 }  // namespace quayrill::fleet
--- a/src/fleet/daemons.h
+++ b/src/fleet/daemons.h
@@ -14,7 +14,9 @@
   Address cohort, operators, callers;
   std::string dataFolder;  // "" on edge machines
   std::vector<std::string> arguments;
-  pid_t pid = 0;  // 0: not running
+  bool pair = false;   // agent and proxy as two processes
+  pid_t pid = 0;       // 0: not running
+  pid_t proxyPid = 0;  // of a pair's proxy
 };
 
 struct FleetPlan {
@@ -22,6 +24,7 @@
   std::string workFolder;
   int net = 40;  // all addresses are 127.<net>.x.y
   std::size_t cores = 4, edges = 9;
+  bool pair = false;
   std::string placement = "prefix", fetch = "on";
   Address platform, store, relay;
 };
--- a/src/fleet/jungfraujoch.cpp
+++ b/src/fleet/jungfraujoch.cpp
@@ -15,7 +15,7 @@
 Usage:
   jungfraujoch [--deployment=NAME] [--cores=N] [--edges=N] [--servers=N] [--seconds=S]
                [--rate=FACTOR] [--placement=RULE] [--fetch=ON] [--steps=LIST] [--net=N] [--seed=N] [--cache-tokens=N]
-               [--sonnblick=PROGRAM] [--work=DIR] [--json] [--keep-open]
+               [--sonnblick=PROGRAM] [--work=DIR] [--pair] [--json] [--keep-open]
   jungfraujoch --help | --version
 
 Options:
@@ -33,6 +33,7 @@
   --seed=N             Seed of the traffic [default: 1].
   --sonnblick=PROGRAM  The daemon [default: beside this program].
   --work=DIR           Logs and data folders, emptied first [default: /tmp/quayrill-fleet].
+  --pair               Agent and proxy of each machine as two processes.
   --json               One JSON object on stdout at the end.
   --keep-open          Go on serving until SIGINT after the traffic.
   -h --help            Show this text.
@@ -123,6 +124,7 @@
   try {
     boot.plan.cores = static_cast<std::size_t>(std::stoul(flags["--cores"].asString()));
     boot.plan.edges = static_cast<std::size_t>(std::stoul(flags["--edges"].asString()));
+    boot.plan.pair = flags["--pair"].asBool();
     boot.plan.net = std::stoi(flags["--net"].asString());
     boot.plan.placement = flags["--placement"].asString();
     boot.plan.fetch = flags["--fetch"].asString();
--- a/src/sim/mawson.cpp
+++ b/src/sim/mawson.cpp
@@ -10,6 +10,7 @@
 
 Usage:
   mawson [--seed=N] [--seeds=COUNT] [--seconds=S] [--disks=N] [--edges=N] [--plant=DEFECT]
+  mawson --steady [--seed=N] [--seconds=S] [--disks=N] [--edges=N]
   mawson --help | --version
 
 Options:
@@ -18,6 +19,7 @@
   --seconds=S     Simulated seconds of faults for each seed [default: 60].
   --disks=N       Machines with a disk [default: 4].
   --edges=N       Machines without one [default: 9].
+  --steady        No faults: the cost of the control plane at this size.
   --plant=DEFECT  Plant a defect that a checker must find: unsynced, reused, shared or stale.
   -h --help       Show this text.
   --version       Show the version.
@@ -43,6 +45,18 @@
     const auto first = std::stoull(flags["--seed"].asString());
     const auto count = std::stoull(flags["--seeds"].asString());
     const std::chrono::seconds span(std::stoul(flags["--seconds"].asString()));
+    if (flags["--steady"].asBool()) {
+      boot.seed = first;
+      const SteadyResult steady = runSteady(boot, span);
+      using Millis = std::chrono::duration<double, std::milli>;
+      std::cout << "machines " << boot.diskMachines + boot.edgeMachines << " founded "
+                << steady.founded << " messages/machine/s " << steady.messagesPerMachineSecond
+                << " bytes/machine/s " << steady.bytesPerMachineSecond << " messages/s at a copy "
+                << steady.copyMessagesPerSecond << " change everywhere after ms "
+                << Millis(steady.changeEverywhereAfter).count() << " converged after cut ms "
+                << Millis(steady.convergedAfterCut).count() << "\n";
+      return steady.founded ? 0 : 1;
+    }
     for (auto seed = first; seed < first + count; ++seed) {
       boot.seed = seed;
       const ScenarioResult result = runScenario(boot, span);
--- a/src/sim/scenario.h
+++ b/src/sim/scenario.h
@@ -15,6 +15,16 @@
 // all, and checks the whole history.
 ScenarioResult runScenario(WorldBoot boot, Span faultSpan);
 
+struct SteadyResult {
+  bool founded = false;
+  double messagesPerMachineSecond = 0, bytesPerMachineSecond = 0;
+  double copyMessagesPerSecond = 0;  // to the busiest copy
+  Span changeEverywhereAfter{};      // slowest of several changes
+  Span convergedAfterCut{};          // half of the machines cut off for 20 s, then healed
+};
+// No faults: what the control plane costs at this size.
+SteadyResult runSteady(const WorldBoot& boot, Span span);
+
 // Waits until the copy set has all disk machines and every daemon agrees.
 bool runUntilFounded(World& world, Span limit);
 
--- a/src/sim/world.cpp
+++ b/src/sim/world.cpp
@@ -263,6 +263,7 @@
       break;
     }
     case Kind::Arrive: {
+      ++machine.arrivals;
       const auto envelope = decodeEnvelope(event.bytes);
       if (!envelope.ok()) return violate("a message did not decode");
       machine.core->onMessage(*envelope, local(machine), &effects);
@@ -306,4 +307,19 @@
   return version.has_value();
 }
 
+bool World::isInForce(std::uint64_t version) const {
+  return std::all_of(machines_.begin(), machines_.end(), [&](const Machine& machine) {
+    return !machine.core || machine.core->freshness().spec().value.version >= version;
+  });
+}
+
+bool World::knowsAll() const {
+  const auto up = static_cast<std::size_t>(
+      std::count_if(machines_.begin(), machines_.end(),
+                    [](const Machine& machine) { return machine.core != nullptr; }));
+  return std::all_of(machines_.begin(), machines_.end(), [&](const Machine& machine) {
+    return !machine.core || machine.core->live(local(machine)).size() >= up;
+  });
+}
+
 }  // namespace quayrill::sim
--- a/src/sim/world.h
+++ b/src/sim/world.h
@@ -88,6 +88,9 @@
   const Tally& tally() const { return tally_; }
   // True when every live machine has confirmed one and the same spec version lately.
   bool isConverged() const;
+  bool isInForce(std::uint64_t version) const;  // at every live machine
+  bool knowsAll() const;                        // every live machine lists all live machines
+  std::uint64_t arrivals(std::size_t machine) const { return machines_[machine].arrivals; }
 
  private:
   struct Machine {
@@ -105,6 +108,7 @@
     Span clockOffset{};  // machines' boot clocks have nothing in common
     std::uint64_t life = 0;
     std::uint64_t highestSpec = 0;  // of this life
+    std::uint64_t arrivals = 0;
   };
   enum class Kind { Tick, Arrive, DiskDone };
   struct Event {
--- a/src/sonnblick.cpp
+++ b/src/sonnblick.cpp
@@ -126,6 +126,9 @@
       std::this_thread::sleep_for(20ms);
     proxy->stop();
   }
+  // A proxy beside this agent finishes on its word that the spec still stands.
+  if (boot->role == "agent")
+    std::this_thread::sleep_for(std::min<std::chrono::milliseconds>(boot->grace, 3000ms));
   if (agent) {
     agent->stop();
     control.join();
--- /dev/null
+++ b/tests/agent_tests.cpp
@@ -0,0 +1,227 @@
+// The agent's parts against scripted cohort members, on a fake clock.
+#include <catch2/catch.hpp>
+
+#include "agent/core/duties.h"
+#include "agent/core/holds.h"
+#include "agent/core/membership.h"
+#include "agent/core/news.h"
+#include "base/decision_log.h"
+
+using namespace quayrill;
+using namespace std::chrono_literals;
+
+namespace {
+const Address kSelf{"10.0.0.1:7"};
+Address member(int number) { return Address{"10.0.0." + std::to_string(number) + ":7"}; }
+
+template <class Body>
+std::vector<Envelope> only(const std::vector<Envelope>& sends) {
+  std::vector<Envelope> found;
+  for (const Envelope& envelope : sends) {
+    if (std::holds_alternative<Body>(envelope.body)) found.push_back(envelope);
+  }
+  return found;
+}
+NewsItem newsOf(const Address& source, std::uint64_t incarnation, std::uint64_t counter,
+                std::uint64_t nonce = 7) {
+  NewsItem item;
+  item.source = source;
+  item.version = {Incarnation{incarnation}, counter};
+  item.nonce = nonce;
+  return item;
+}
+}  // namespace
+
+TEST_CASE("membership: a silent member is probed through others before it is dropped") {
+  Membership membership(kSelf, {member(2), member(3), member(4)}, 1);
+  Instant now{1s};
+  std::vector<Envelope> sends;
+  membership.onTick(now, &sends);
+  const auto probes = only<Probe>(sends);
+  REQUIRE(probes.size() == 1);
+  const Address subject = probes[0].to;
+  sends.clear();
+  membership.onTick(now + 350ms, &sends);
+  std::size_t indirect = 0;
+  for (const Envelope& probe : only<Probe>(sends))
+    indirect += probe.to != subject && std::get<Probe>(probe.body).subject == subject ? 1 : 0;
+  CHECK(indirect >= 1);
+  membership.onTick(now + 950ms, &sends);
+  const auto view = membership.view();
+  CHECK(std::find(view.begin(), view.end(), subject) == view.end());
+}
+
+TEST_CASE("membership: an answer through another member keeps the subject in view") {
+  Membership membership(kSelf, {member(2), member(3)}, 1);
+  Instant now{1s};
+  std::vector<Envelope> sends;
+  membership.onTick(now, &sends);
+  const auto probe = only<Probe>(sends).at(0);
+  const auto sequence = std::get<Probe>(probe.body).sequence;
+  membership.onMessage({member(9), kSelf, ProbeAnswer{sequence, probe.to}}, now + 500ms, &sends);
+  membership.onTick(now + 950ms, &sends);
+  const auto view = membership.view();
+  CHECK(std::find(view.begin(), view.end(), probe.to) != view.end());
+}
+
+TEST_CASE("membership: asked to probe for another, it carries question and answer") {
+  Membership membership(kSelf, {member(2)}, 1);
+  std::vector<Envelope> sends;
+  membership.onMessage({member(5), kSelf, Probe{77, member(6)}}, Instant{1s}, &sends);
+  const auto asked = only<Probe>(sends);
+  REQUIRE(asked.size() == 1);
+  CHECK(asked[0].to == member(6));
+  sends.clear();
+  const auto sequence = std::get<Probe>(asked[0].body).sequence;
+  membership.onMessage({member(6), kSelf, ProbeAnswer{sequence, member(6)}}, Instant{1s}, &sends);
+  const auto answered = only<ProbeAnswer>(sends);
+  REQUIRE(answered.size() == 1);
+  CHECK(answered[0].to == member(5));
+  CHECK(std::get<ProbeAnswer>(answered[0].body).sequence == 77);
+}
+
+TEST_CASE("membership: the view stays small whatever is shuffled into it") {
+  Membership membership(kSelf, {member(2)}, 1);
+  std::vector<Envelope> sends;
+  for (int round = 0; round < 50; ++round) {
+    ShuffleAsk ask;
+    for (int i = 0; i < 10; ++i) ask.entries.push_back({member(10 + (round * 10 + i) % 200), 0});
+    ask.entries.push_back({kSelf, 0});
+    membership.onMessage({member(3), kSelf, ask}, Instant{1s}, &sends);
+  }
+  const auto view = membership.view();
+  CHECK(view.size() <= 8);
+  CHECK(std::find(view.begin(), view.end(), kSelf) == view.end());
+}
+
+TEST_CASE("news: a source is live while its version rises, and an echo revives nobody") {
+  News news(kSelf, 1);
+  Instant now{1s};
+  news.take({{newsOf(member(2), 1, 5)}}, now);
+  CHECK(news.isLive(member(2), now + 5s));
+  news.take({{newsOf(member(2), 1, 5)}}, now + 5s);  // another member's echo
+  CHECK_FALSE(news.isLive(member(2), now + 7s));
+  news.take({{newsOf(member(2), 1, 4)}}, now + 7s);
+  CHECK_FALSE(news.isLive(member(2), now + 7s));
+  news.take({{newsOf(member(2), 1, 6)}}, now + 8s);
+  CHECK(news.isLive(member(2), now + 8s));
+}
+
+TEST_CASE("news: only what is lacked is pulled") {
+  News news(kSelf, 1);
+  news.take({{newsOf(member(2), 1, 5), newsOf(member(3), 2, 1)}}, Instant{1s});
+  NewsAsk ask;
+  ask.known = {{member(2), {Incarnation{1}, 5}}, {member(3), {Incarnation{1}, 99}}};
+  const auto answer = news.answer(ask);
+  std::set<Address> sources;
+  for (const NewsItem& item : answer.items) sources.insert(item.source);
+  CHECK(sources == std::set<Address>{kSelf, member(3)});
+}
+
+TEST_CASE("news: a restarted daemon outlives the version of its former life") {
+  News news(kSelf, 2);
+  news.beat(Instant{1s});
+  news.take({{newsOf(kSelf, 3, 400, /*nonce of the former life*/ 1)}}, Instant{1s});
+  const auto own = news.item(kSelf);
+  CHECK(own->version > NewsVersion{Incarnation{3}, 400});
+  CHECK(own->nonce == 2);
+}
+
+TEST_CASE("duties: each falls to one live daemon, and few move when one leaves") {
+  std::vector<Address> live;
+  for (int i = 1; i <= 13; ++i) live.push_back(member(i));
+  std::map<Address, int> owned;
+  int moved = 0;
+  for (int i = 0; i < 600; ++i) {
+    const std::string duty = "orders/" + std::to_string(i);
+    const Address owner = rendezvousOwner(duty, live);
+    ++owned[owner];
+    std::vector<Address> fewer(live.begin(), live.end() - 1);
+    const Address after = rendezvousOwner(duty, fewer);
+    if (owner != live.back()) CHECK(after == owner);
+    moved += after != owner ? 1 : 0;
+  }
+  CHECK(owned.size() == 13);
+  CHECK(moved == owned[live.back()]);
+}
+
+namespace {
+// The register's side of a hold, played by the test.
+struct HoldScript {
+  RegisterKey duty{"hold/x"};
+  RegisterValue value;
+  ChangeDone answer(const ChangeAsked& asked) {
+    if (asked.isRead) return {{}, duty, ChangeResult::Chosen, value, {}, {}};
+    if (asked.expectedVersion != value.version)
+      return {{}, duty, ChangeResult::Conflict, value, {}, {}};
+    value = {value.version + 1, {}, {}, asked.body};
+    return {{}, duty, ChangeResult::Chosen, value, {}, {}};
+  }
+};
+}  // namespace
+
+TEST_CASE("holds: a rival waits out the whole term from when it saw the value") {
+  HoldScript script;
+  Holds first(member(1), 11), second(member(2), 22);
+  Instant now{100s};
+  const auto step = [&](Holds& holds) {
+    if (const auto asked = holds.pursue(script.duty, now)) holds.onDone(script.answer(*asked), now);
+  };
+  step(first);
+  step(first);
+  REQUIRE(first.held(script.duty, 0s, now) == Fence{1});
+  const Instant taken = now;
+  Instant overlapUntil{};
+  for (; now < taken + 10s; now += 50ms) {
+    step(second);
+    const bool both = first.held(script.duty, 0s, now) && second.held(script.duty, 0s, now);
+    if (both) overlapUntil = now;
+    if (second.held(script.duty, 0s, now)) break;
+  }
+  CHECK(overlapUntil == Instant{});
+  CHECK(second.held(script.duty, 0s, now) == Fence{2});
+  CHECK(now - taken >= 4s);
+  CHECK_FALSE(first.held(script.duty, 0s, now));
+  step(first);  // its renewal meets the new holder
+  CHECK_FALSE(first.held(script.duty, 0s, now));
+}
+
+TEST_CASE("holds: a released duty is free at once, a renewal of unknown result is no longer held") {
+  HoldScript script;
+  Holds first(member(1), 11), second(member(2), 22);
+  Instant now{100s};
+  const auto step = [&](Holds& holds) {
+    if (const auto asked = holds.pursue(script.duty, now)) holds.onDone(script.answer(*asked), now);
+  };
+  step(first);
+  step(first);
+  CHECK(first.held(script.duty, 3s, now));
+  CHECK_FALSE(first.held(script.duty, 4s, now));
+  const auto released = first.release(script.duty, now);
+  REQUIRE(released);
+  CHECK_FALSE(first.held(script.duty, 0s, now));  // from the moment it asks to let go
+  first.onDone(script.answer(*released), now);
+  step(second);
+  step(second);
+  CHECK(second.held(script.duty, 0s, now) == Fence{2});
+  now += 2s;
+  const auto renewal = second.pursue(script.duty, now);
+  REQUIRE(renewal);
+  second.onDone({{}, script.duty, ChangeResult::Unknown, {}, {}, {}}, now);
+  CHECK(second.held(script.duty, 0s, now));  // the old term still runs
+  now += 2s;
+  CHECK_FALSE(second.held(script.duty, 0s, now));
+}
+
+TEST_CASE("decisions: read by position, with the gap shown to a reader that is too slow") {
+  DecisionLog log(100);
+  for (int i = 1; i <= 250; ++i) log.add("r" + std::to_string(i), std::to_string(i));
+  const DecisionPage page = log.read(10, 40);
+  CHECK(page.first == 151);
+  CHECK(page.next == 191);
+  CHECK(page.lines.front() == "151");
+  CHECK(log.read(page.next, 500).next == 251);
+  CHECK(log.read(251, 10).lines.empty());
+  CHECK(log.find("r250") == "250");
+  CHECK_FALSE(log.find("r3"));
+}
