--- a/src/fleet/callers.cpp
+++ b/src/fleet/callers.cpp
@@ -187,6 +187,7 @@
   const Tcp::endpoint endpoint = endpointOf(to);
   co_await circuit.async_connect(endpoint, into(code));
   if (!code) co_await http::async_write(circuit, request, into(code));
+  row.accepted = !code;
   beast::flat_buffer buffer;
   http::response_parser<http::string_body> parser;
   if (!code) co_await http::async_read_header(circuit, buffer, parser, into(code));
--- a/src/fleet/checker.cpp
+++ b/src/fleet/checker.cpp
@@ -94,16 +94,14 @@
   }
 }
 
-// A send beyond a request's first is seen by the servers as another run of the same nonce, or as a
-// turned-away arrival; both are counted by the stand-ins as arrivals.
+// Every arrival of a nonce beyond its first is an extra try.
 void checkTries(const Ledger& ledger, std::vector<Finding>* findings) {
   std::set<std::string> seen;
   std::vector<std::pair<Instant, bool>> sends;
-  std::vector<const RunRow*> ordered;
-  for (const RunRow& run : ledger.runs) ordered.push_back(&run);
+  std::vector<ArrivalRow> ordered = ledger.arrivals;
   std::sort(ordered.begin(), ordered.end(),
-            [](const RunRow* a, const RunRow* b) { return a->at < b->at; });
-  for (const RunRow* run : ordered) sends.emplace_back(run->at, !seen.insert(run->nonce).second);
+            [](const ArrivalRow& a, const ArrivalRow& b) { return a.at < b.at; });
+  for (const ArrivalRow& row : ordered) sends.emplace_back(row.at, !seen.insert(row.nonce).second);
   std::size_t from = 0, extras = 0;
   for (std::size_t to = 0; to < sends.size(); ++to) {
     if (sends[to].second) ++extras;
@@ -113,12 +111,42 @@
     }
     const std::size_t firsts = to + 1 - from - extras;
     if (extras > 0 && extras * 5 > firsts) {
-      findings->push_back({"extra-tries", std::to_string(extras) + " extra runs beside " +
+      findings->push_back({"extra-tries", std::to_string(extras) + " extra tries beside " +
                                               std::to_string(firsts) + " first ones in 10 s"});
       return;
     }
   }
 }
+
+// What a daemon had accepted when it was warned, or took until it stopped listening, must end well.
+void checkPlanned(const Ledger& ledger, std::vector<Finding>* findings) {
+  for (const PlannedRow& planned : ledger.planned) {
+    for (const CallRow& call : ledger.calls) {
+      if (call.daemon != planned.daemon || !call.accepted) continue;
+      if (call.begun > planned.ended || call.ended < planned.begun) continue;
+      if (call.status == 0 || (call.status == 200 && !call.complete))
+        findings->push_back({"planned-restart", call.nonce + " was dropped by " + call.daemon});
+    }
+  }
+}
+
+double longestSilence(const Ledger& ledger) {
+  std::vector<Instant> ends;
+  for (const CallRow& call : ledger.calls) {
+    if (call.status == 200 && call.complete) ends.push_back(call.ended);
+  }
+  std::sort(ends.begin(), ends.end());
+  Span longest{};
+  for (std::size_t i = 1; i < ends.size(); ++i) longest = std::max(longest, ends[i] - ends[i - 1]);
+  return std::chrono::duration<double, std::milli>(longest).count();
+}
+
+void checkRecovery(const Ledger& ledger, std::vector<Finding>* findings) {
+  const double silence = longestSilence(ledger);
+  if (silence > 12000)
+    findings->push_back({"recovery", "no answer finished for " +
+                                         std::to_string(static_cast<long>(silence)) + " ms"});
+}
 }  // namespace
 
 std::vector<Finding> checkLedger(const Ledger& ledger, Instant trafficEnd) {
@@ -128,6 +156,8 @@
   checkBounds(ledger, trafficEnd, &findings);
   checkOrders(ledger, &findings);
   checkTries(ledger, &findings);
+  checkPlanned(ledger, &findings);
+  checkRecovery(ledger, &findings);
   return findings;
 }
 
@@ -158,6 +188,7 @@
     cached += run.cachedTokens;
   }
   figures.runs = ledger.runs.size();
+  figures.longestSilenceMs = longestSilence(ledger);
   figures.cachedShare = prompt ? static_cast<double>(cached) / static_cast<double>(prompt) : 0;
   std::sort(firsts.begin(), firsts.end());
   if (!firsts.empty()) {
--- a/src/fleet/jungfraujoch.cpp
+++ b/src/fleet/jungfraujoch.cpp
@@ -66,6 +66,7 @@
             << figures.runs << "\n"
             << "cached share of prompt tokens " << figures.cachedShare << ", first piece median "
             << figures.firstPieceMedianMs << " ms, p95 " << figures.firstPieceP95Ms << " ms\n"
+            << "longest time with no answer finished " << figures.longestSilenceMs << " ms\n"
             << "changes " << site.changes().size() << ", slowest everywhere after " << slowest / 1ms
             << " ms\n";
   for (std::size_t i = 0; i < std::min<std::size_t>(10, findings.size()); ++i)
@@ -104,6 +105,7 @@
                                 {"cached_share", figures.cachedShare},
                                 {"first_piece_median_ms", figures.firstPieceMedianMs},
                                 {"first_piece_p95_ms", figures.firstPieceP95Ms},
+                                {"longest_silence_ms", figures.longestSilenceMs},
                                 {"slowest_change_ms", slowest / 1ms},
                                 {"broken", findings.size()}}
                      .dump()
--- a/src/fleet/ledger.h
+++ b/src/fleet/ledger.h
@@ -26,19 +26,31 @@
 
 struct CallRow {
   std::string nonce, tenant, way, daemon;
-  bool repeatable = false, isolated = false, planned = true;
+  bool repeatable = false, isolated = false;
   Instant begun, ended, firstPiece{};
   int status = 0;  // 0: no answer at all
   std::string outcome;
   bool hasRetryAfter = false;
   bool complete = false;  // HTTP says that the body is whole
   bool endMark = false;
+  bool accepted = false;    // the daemon took the circuit and the whole request
   bool piecesRight = true;  // in order, none lost or twice, one run, mine
-  bool keyWithdrawn = false;
   std::string defect;
   std::string requestId;
 };
 
+// A request that reached a server, whether or not it then ran.
+struct ArrivalRow {
+  std::string nonce;
+  Instant at;
+};
+
+// From the warning of a planned restart until the daemon serves again.
+struct PlannedRow {
+  std::string daemon;
+  Instant begun, ended;
+};
+
 struct OrderRow {
   std::string server, weights;
   std::uint64_t fence = 0;
@@ -51,6 +63,8 @@
   std::vector<RunRow> runs;
   std::vector<CallRow> calls;
   std::vector<OrderRow> orders;
+  std::vector<ArrivalRow> arrivals;
+  std::vector<PlannedRow> planned;
   std::map<std::string, Instant> leavingAt;       // servers, by when they showed it
   std::map<std::string, Instant> withdrawnAt;     // tenants whose key was withdrawn
   std::map<std::string, Instant> weightsNamedAt;  // weights, by when they were acknowledged
@@ -78,6 +92,7 @@
   std::size_t calls = 0, done = 0, turnedAway = 0, unknown = 0, cut = 0, noAnswer = 0, bad = 0;
   std::size_t runs = 0;
   double cachedShare = 0;
+  double longestSilenceMs = 0;  // between one finished answer and the next
   double firstPieceMedianMs = 0, firstPieceP95Ms = 0;
 };
 Figures figuresOf(const Ledger& ledger);
--- a/src/fleet/stand_in_server.cpp
+++ b/src/fleet/stand_in_server.cpp
@@ -244,6 +244,9 @@
   const Json body = Json::parse(request.body(), nullptr, false);
   const std::string wanted(request[wire::kWeights]);
   if (!body.is_object()) co_return textResponse(400, "no JSON\n");
+  ledger_.with([&](Ledger& ledger) {
+    ledger.arrivals.push_back({body.value("nonce", ""), BootClock::now()});
+  });
   if (wanted != weights_) co_return notRun("other weights");
   if (loading_) co_return notRun("loading weights");
   if (queued_ >= boot_.queueLimit) co_return notRun("the queue is full");
--- a/src/fleet/steps.cpp
+++ b/src/fleet/steps.cpp
@@ -84,6 +84,7 @@
     co_await pauseFor(what == "wipe" ? 1s : 3s);
     startDaemon(&daemon, boot_.plan);
   } else if (what == "restart") {
+    const Instant begun = BootClock::now();
     signalDaemon(daemon, SIGTERM);
     int status = -1;
     for (int i = 0; i < 1000 && status == -1; ++i) {
@@ -91,6 +92,9 @@
       co_await pauseFor(10ms);
     }
     if (status != 0) ++plannedExitDefects_;
+    ledger_.with([&](Ledger& ledger) {
+      ledger.planned.push_back({daemon.callers.value, begun, BootClock::now()});
+    });
     startDaemon(&daemon, boot_.plan);
   } else if (what == "freeze") {
     signalDaemon(daemon, SIGSTOP);
