Proxy test: wait for the decision's row, which follows the last piece

Cause: the sanitized run asked for a decision between the last piece and the writing of its row and got 404 (1 of 5 runs). Ruled out: a lost row; it is there a moment later. The test waits for it.

--- a/tests/proxy_tests.cpp
+++ b/tests/proxy_tests.cpp
@@ -290,6 +290,8 @@
   const HttpResponse done = stage.post("again", "{}", {{"Quayrill-Prompt-Prefix", "rules:64"}});
   HttpCall asked;
   asked.target = "/q/explain?id=" + std::string(done["Quayrill-Request-Id"]);
+  // The row is written when the request has left, which may be just after its last piece.
+  eventually([&] { return stage.call(asked).result_int() == 200; });
   const Json row = Json::parse(stage.call(asked).body());
   CHECK(row["outcome"] == "done");
   CHECK(row["tries"].size() == 1);
