One piece of code for twins: asking in the simulator, keeping the copy set in the agent

World::change and World::read were the same but for what they ask; three places in the agent wrote the copy set down for its own copy, one of them after comparing whole sets, which the copy's own check does already. An unused constant of the settings' check is gone.

--- a/src/agent/core/agent_core.cpp
+++ b/src/agent/core/agent_core.cpp
@@ -49,8 +49,12 @@
 
 void AgentCore::adopt(const CopySet& copies, AgentEffects* effects) {
   if (copies.epoch.value == 0) return;
-  if (!freshness_.adopt(copies) || !copy_) return;
-  if (auto writes = copy_->adopt(copies); !writes.empty())
+  if (freshness_.adopt(copies)) keepCopySet(effects);
+}
+
+void AgentCore::keepCopySet(AgentEffects* effects) {
+  if (!copy_) return;
+  if (auto writes = copy_->adopt(freshness_.copies()); !writes.empty())
     hand({std::move(writes), std::nullopt}, effects);
 }
 
@@ -77,12 +81,8 @@
     sendAll(proposer_.onAnswer(*copyAnswer, now, &done), effects);
     adopt(copyAnswer->copies, effects);
   } else if (const auto* confirmed = std::get_if<ConfirmAnswer>(&envelope.body)) {
-    const CopySet before = freshness_.copies();
     freshness_.onAnswer(*confirmed, now);
-    if (!(before == freshness_.copies()) && copy_) {
-      if (auto writes = copy_->adopt(freshness_.copies()); !writes.empty())
-        hand({std::move(writes), std::nullopt}, effects);
-    }
+    keepCopySet(effects);
   } else if (std::holds_alternative<Prepare>(envelope.body) ||
              std::holds_alternative<Accept>(envelope.body) ||
              std::holds_alternative<Confirm>(envelope.body)) {
@@ -174,10 +174,7 @@
     if (purpose == purposes_.end()) continue;
     if (ended.result == ChangeResult::Chosen) {
       freshness_.learnChosen(ended.key, {ended.ballot, ended.value});
-      if (ended.key == kCopySetKey && copy_) {
-        if (auto writes = copy_->adopt(freshness_.copies()); !writes.empty())
-          hand({std::move(writes), std::nullopt}, effects);
-      }
+      keepCopySet(effects);
     }
     if (purpose->second == Purpose::Outside) effects->done.push_back(ended);
     if (purpose->second == Purpose::Hold) holds_.onDone(ended, now);
--- a/src/agent/core/agent_core.h
+++ b/src/agent/core/agent_core.h
@@ -76,6 +76,8 @@
   void begin(ChangeAsked change, Purpose purpose, Instant now, AgentEffects* effects);
   void finish(const std::vector<ChangeDone>& done, Instant now, AgentEffects* effects);
   void adopt(const CopySet& copies, AgentEffects* effects);
+  // Writes the copy set in use down where this machine holds a copy and has an older one.
+  void keepCopySet(AgentEffects* effects);
   void hand(CopyWork work, AgentEffects* effects);
   void sendAll(std::vector<std::pair<CopyMember, Message>> sends, AgentEffects* effects);
   std::optional<CopySet> nextCopySet(Instant now) const;
--- a/src/boot/boot.cpp
+++ b/src/boot/boot.cpp
@@ -71,7 +71,6 @@
 
 absl::Status checkAddresses(const Boot& boot) {
   const bool agent = boot.role != "proxy";
-  const bool proxy = boot.role != "agent";
   struct Row {
     const char* field;
     const Address& address;
@@ -94,7 +93,6 @@
     if (!fresh)
       return bad(row.field, "same ip and port as '" + other->second + "': give each its own port");
   }
-  (void)proxy;
   return absl::OkStatus();
 }
 
--- a/src/sim/world.cpp
+++ b/src/sim/world.cpp
@@ -221,28 +221,18 @@
 }
 
 std::uint64_t World::change(std::size_t index, std::uint64_t expectedVersion, std::string body) {
-  if (!machines_[index].core || now_ < machines_[index].frozenUntil) return 0;
-  Machine& machine = machines_[index];
-  ChangeAsked change{{},
-                     kSpecKey,
-                     false,
-                     expectedVersion,
-                     std::move(body),
-                     WriteId{random_() | 1},
-                     local(machine) + 3s};
-  asked_.push_back({asked_.size() + 1, index, change, now_, {}, {}});
-  const std::uint64_t id = asked_.size();
-  AgentEffects effects;
-  const OperationId operation = machine.core->askChange(change, local(machine), &effects);
-  pending_[{index, operation}] = id;
-  apply(index, std::move(effects));
-  return id;
+  return ask(index, {{}, kSpecKey, false, expectedVersion, std::move(body), {}, {}});
 }
 
 std::uint64_t World::read(std::size_t index) {
-  if (!machines_[index].core || now_ < machines_[index].frozenUntil) return 0;
+  return ask(index, {{}, kSpecKey, true, 0, {}, {}, {}});
+}
+
+std::uint64_t World::ask(std::size_t index, ChangeAsked change) {
   Machine& machine = machines_[index];
-  ChangeAsked change{{}, kSpecKey, true, 0, {}, WriteId{random_() | 1}, local(machine) + 3s};
+  if (!machine.core || now_ < machine.frozenUntil) return 0;
+  change.writeId = WriteId{random_() | 1};
+  change.due = local(machine) + 3s;
   asked_.push_back({asked_.size() + 1, index, change, now_, {}, {}});
   const std::uint64_t id = asked_.size();
   AgentEffects effects;
--- a/src/sim/world.h
+++ b/src/sim/world.h
@@ -132,6 +132,7 @@
   }
   void schedule(Event event);
   void apply(std::size_t machine, AgentEffects effects);
+  std::uint64_t ask(std::size_t machine, ChangeAsked change);
   void startSync(std::size_t machine);
   void finishSync(std::size_t machine, const std::vector<CopyWork>& batch);
   void transmit(std::size_t from, const Envelope& envelope);
