Void tickets of servers that left the list; count burden since the poll; SQL queries

Ruled out: prune under a lock, and a double release (tickets go once). No two trees share a life now; the test failed first with 'unlock without a lock'.

Cause of small tenants turned away beside a flood: the poll of a server's burden is up to half a second old, and each daemon filled the rest of it alone, until the servers' own queues were full and turned everybody away alike. What was sent and ended since the poll is now added, for fullness as this daemon's part of all.

--- a/src/agent/agent.cpp
+++ b/src/agent/agent.cpp
@@ -258,7 +258,7 @@
     state.zone = row.listed.zone;
     state.leaving = row.listed.leaving;
     state.sound = state.sound && now - row.soundAt < kSoundSpan;
-    snapshot.servers.push_back(toSnapshot(state));
+    snapshot.servers.push_back(toSnapshot(state, now));
   }
   return snapshot;
 }
--- a/src/agent/agent.h
+++ b/src/agent/agent.h
@@ -55,6 +55,7 @@
   awaitable<ChangeDone> ask(ChangeAsked change);
   Snapshot snapshot(std::uint64_t knownSpec, Instant now) const;
   nlohmann::json membersJson(Instant now) const;
+  nlohmann::json serversJson(Instant now) const;
   nlohmann::json specJson() const;
 
   Boot boot_;
--- a/src/agent/operators.cpp
+++ b/src/agent/operators.cpp
@@ -154,6 +154,28 @@
             {"members", copyRows}}}};
 }
 
+Json Agent::serversJson(Instant now) const {
+  Json rows = Json::array();
+  const Snapshot told = snapshot(specVersion_, now);
+  for (const SnapshotServer& row : told.servers) {
+    const RegisterKey duty{"hold/orders/" + row.name.value};
+    const auto fence = core_->held(duty, Span{}, now);
+    rows.push_back({{"name", row.name.value},
+                    {"zone", row.zone},
+                    {"model", row.model.value},
+                    {"weights", row.weights.value},
+                    {"sound", row.sound},
+                    {"leaving", row.leaving},
+                    {"running", row.running},
+                    {"queued", row.queued},
+                    {"slots", row.slots},
+                    {"cache_tokens", row.cacheTokens},
+                    {"identity", row.identity.value},
+                    {"hold_fence", fence ? Json(fence->value) : Json()}});
+  }
+  return {{"servers", rows}, {"listed_ago_us", told.listedAgoMicros}};
+}
+
 Json Agent::specJson() const {
   const RegisterValue& value = core_->freshness().spec().value;
   Json body = value.body.empty() ? Json::object() : Json::parse(value.body, nullptr, false);
@@ -179,6 +201,7 @@
   }
   if (path == "/metrics") co_return textResponse(200, renderCounters(counters_));
   if (path == "/q/members") co_return jsonResponse(200, membersJson(now));
+  if (path == "/q/servers") co_return jsonResponse(200, serversJson(now));
   if (path == "/q/feed") {
     const std::string known = queryValue(request, "spec");
     const Snapshot told = snapshot(static_cast<std::uint64_t>(std::atoll(known.c_str())), now);
--- a/src/agent/snapshot.h
+++ b/src/agent/snapshot.h
@@ -18,8 +18,9 @@
   bool sound = false, leaving = false;
   std::uint32_t running = 0, queued = 0, slots = 1;
   std::uint64_t cacheTokens = 0;
+  std::int64_t polledAgoMicros = 0;  // running and queued are of then
   QUAYRILL_FIELDS(name, identity, model, weights, zone, sound, leaving, running, queued, slots,
-                  cacheTokens)
+                  cacheTokens, polledAgoMicros)
 };
 
 struct Snapshot {
@@ -31,7 +32,7 @@
   QUAYRILL_FIELDS(specVersion, specBody, confirmedAgoMicros, listedAgoMicros, servers)
 };
 
-SnapshotServer toSnapshot(const ServerState& state);
-ServerState fromSnapshot(const SnapshotServer& row);
+SnapshotServer toSnapshot(const ServerState& state, Instant now);
+ServerState fromSnapshot(const SnapshotServer& row, Instant askedAt);
 
 }  // namespace quayrill
--- a/src/fleet/callers.cpp
+++ b/src/fleet/callers.cpp
@@ -83,10 +83,10 @@
   }
 }
 
-awaitable<void> Gateway::drive(Span span, double rateFactor) {
+awaitable<void> Gateway::drive(Span span, double rateFactor, std::string onlyTenant) {
   const Instant until = BootClock::now() + span;
   ledger_.with([&](Ledger& ledger) {
-    ledger.trafficBegin = BootClock::now();
+    if (ledger.trafficBegin == Instant{}) ledger.trafficBegin = BootClock::now();
     for (const DaemonTarget& daemon : daemons_) ledger.daemons.insert(daemon.callers.value);
   });
   const std::chrono::duration<double> every(1.0 / (mix_.rate * rateFactor));
@@ -114,6 +114,7 @@
         break;
       }
     }
+    if (!onlyTenant.empty()) tenant = onlyTenant;
     std::vector<const DaemonTarget*> ready;
     const std::string zone = "zone" + std::to_string(random_() % 4);
     for (const DaemonTarget& daemon : daemons_) {
--- a/src/fleet/callers.h
+++ b/src/fleet/callers.h
@@ -39,8 +39,8 @@
   Gateway(asio::io_context& io, Mix mix, std::vector<Address> daemons, Ledger& ledger,
           std::uint64_t seed);
   void start();
-  // Sends at the mix's rate until then.
-  awaitable<void> drive(Span span, double rateFactor);
+  // Sends at the mix's rate until then, for all tenants or for one.
+  awaitable<void> drive(Span span, double rateFactor, std::string onlyTenant = "");
   std::size_t open() const { return open_; }
   std::vector<DaemonTarget>& daemons() { return daemons_; }
 
@@ -56,7 +56,7 @@
   std::mt19937_64 random_;
   std::uint64_t counter_ = 0;
   std::size_t open_ = 0;
-  static constexpr std::size_t kOpenLimit = 400;
+  static constexpr std::size_t kOpenLimit = 2000;
 };
 
 }  // namespace quayrill::fleet
--- a/src/fleet/chaos.cpp
+++ b/src/fleet/chaos.cpp
@@ -9,7 +9,8 @@
 // Never drawn: planted defects, and what leaves the fleet with fewer servers for good too often.
 bool isDrawable(const std::string& what) {
   return what != "repeat-piece" && what != "vanish-server" && what != "leave-server" &&
-         what != "withdraw" && what != "ways" && what != "wipe-cores" && what != "refound";
+         what != "withdraw" && what != "ways" && what != "flood" && what != "wipe-cores" &&
+         what != "refound";
 }
 }  // namespace
 
--- a/src/fleet/checker.cpp
+++ b/src/fleet/checker.cpp
@@ -161,6 +161,7 @@
   for (const PlannedRow& planned : ledger.planned) {
     for (const CallRow& call : ledger.calls) {
       if (call.daemon != planned.daemon || !call.accepted) continue;
+      if (ledger.brokenByServer.contains(call.nonce)) continue;  // no daemon could have kept it
       if (call.begun > planned.ended || call.ended < planned.begun) continue;
       if (call.status == 0 || (call.status == 200 && !call.complete))
         findings->push_back({"planned-restart", call.nonce + " was dropped by " + call.daemon});
--- a/src/fleet/jungfraujoch.cpp
+++ b/src/fleet/jungfraujoch.cpp
@@ -15,7 +15,7 @@
 Usage:
   jungfraujoch [--deployment=NAME] [--cores=N] [--edges=N] [--servers=N] [--seconds=S]
                [--rate=FACTOR] [--placement=RULE] [--fetch=ON] [--steps=LIST] [--net=N] [--seed=N] [--cache-tokens=N]
-               [--chaos=SEED] [--clocks=KIND] [--sonnblick=PROGRAM] [--work=DIR] [--pair] [--json] [--keep-open]
+               [--chaos=SEED] [--clocks=KIND] [--sonnblick=PROGRAM] [--work=DIR] [--pair] [--tenants] [--json] [--keep-open]
   jungfraujoch --help | --version
 
 Options:
@@ -35,6 +35,7 @@
   --seed=N             Seed of the traffic [default: 1].
   --sonnblick=PROGRAM  The daemon [default: beside this program].
   --work=DIR           Logs and data folders, emptied first [default: /tmp/quayrill-fleet].
+  --tenants            Show how each tenant fared.
   --pair               Agent and proxy of each machine as two processes.
   --json               One JSON object on stdout at the end.
   --keep-open          Go on serving until SIGINT after the traffic.
@@ -194,6 +195,7 @@
   });
   io.run();
   site.end();
+  if (flags["--tenants"].asBool()) site.showTenants();
   const int result = report(site, flags["--json"].asBool());
   std::cout.flush();
   std::_Exit(founded ? result : 1);
--- a/src/fleet/ledger.h
+++ b/src/fleet/ledger.h
@@ -88,6 +88,7 @@
   std::vector<OrderRow> orders;
   std::vector<ArrivalRow> arrivals;
   std::vector<PlannedRow> planned;
+  std::set<std::string> brokenByServer;  // nonces of runs that a server broke off
   std::vector<HinderedRow> hindered;
   std::vector<OperatorRow> operators;
   std::vector<ServedRow> served;
--- a/src/fleet/site.h
+++ b/src/fleet/site.h
@@ -37,6 +37,7 @@
   Ledger& ledger() { return ledger_; }
   const std::vector<ChangeSeen>& changes() const { return changes_; }
   void showPrices();
+  void showTenants();
   Instant trafficEnd() const { return trafficEnd_; }
   int plannedExitDefects() const { return plannedExitDefects_; }
 
--- a/src/fleet/site_operators.cpp
+++ b/src/fleet/site_operators.cpp
@@ -1,4 +1,5 @@
 // What operators do in a run, alone and against each other.
+#include <algorithm>
 #include <iostream>
 
 #include "fleet/site.h"
@@ -86,6 +87,11 @@
     co_await race(std::strtoul(argument.c_str(), nullptr, 10));
     co_return;
   }
+  if (what == "flood") {
+    note("flood of " + argument);
+    co_await gateway_->drive(10s, 2 * boot_.rateFactor, argument);
+    co_return;
+  }
   Json patch;
   std::function<void(Instant)> onAcknowledged = [](Instant) {};
   if (what == "weights") {
@@ -177,6 +183,32 @@
   }
 }
 
+// How each tenant fared, for runs in which one asks for too much.
+void Site::showTenants() {
+  ledger_.with([&](Ledger& ledger) {
+    struct Row {
+      std::size_t calls = 0, done = 0;
+      std::vector<Span> firstPieces;
+    };
+    std::map<std::string, Row> rows;
+    for (const CallRow& call : ledger.calls) {
+      Row& row = rows[call.tenant];
+      ++row.calls;
+      if (call.status != 200 || !call.complete) continue;
+      ++row.done;
+      row.firstPieces.push_back(call.firstPiece - call.begun);
+    }
+    for (auto& [tenant, row] : rows) {
+      std::sort(row.firstPieces.begin(), row.firstPieces.end());
+      std::cout << "tenant " << tenant << ": " << row.done << " of " << row.calls << " done";
+      if (!row.firstPieces.empty())
+        std::cout << ", first piece p95 "
+                  << row.firstPieces[row.firstPieces.size() * 95 / 100] / 1ms << " ms";
+      std::cout << "\n";
+    }
+  });
+}
+
 // For each fault and change: what became of the calls begun in the eight seconds after it.
 void Site::showPrices() {
   ledger_.with([&](Ledger& ledger) {
--- a/src/fleet/stand_in_server.cpp
+++ b/src/fleet/stand_in_server.cpp
@@ -310,8 +310,12 @@
   if (!boot_.store.value.empty() && missing > 512)
     asio::co_spawn(io_, keep(run.salt, run.weights, prefixText), asio::detached);
   ErrorCode code;
+  const auto breakOff = [&] {
+    ledger_.with([&](Ledger& ledger) { ledger.brokenByServer.insert(run.nonce); });
+  };
   if (faults_.dropBeforeFirst) {
     --running_;
+    breakOff();
     co_return std::nullopt;
   }
   http::response<http::empty_body> answer(http::status::ok, 11);
@@ -334,6 +338,7 @@
     co_await pauseFor(boot_.pieceEvery);
     co_await thaw();
   }
+  if (code || life != life_) breakOff();
   if (life != life_) co_return std::nullopt;
   --running_;
   if (code) co_return std::nullopt;
--- a/src/fleet/steps.h
+++ b/src/fleet/steps.h
@@ -55,6 +55,7 @@
   X("weights", Operator, "new weights' name")                                                      \
   X("withdraw", Operator, "tenant whose key is withdrawn")                                         \
   X("change", Operator, "name of a way to add")                                                    \
+  X("flood", Operator, "tenant that alone sends twice the mix's rate beside it for 10 s")          \
   X("race", Operator, "number of changes that each of two operators makes against the other")      \
   X("ways", Operator, "number of ways to add in one change")
 // clang-format on
--- a/src/operator/vostok.cpp
+++ b/src/operator/vostok.cpp
@@ -7,6 +7,7 @@
 #include "base/digest.h"
 #include "boot/boot.h"
 #include "net/http.h"
+#include "operator/fleet_tables.h"
 
 namespace {
 using namespace quayrill;
@@ -23,6 +24,8 @@
   vostok [--daemon=ADDR] [--json] key withdraw TENANT SECRET
   vostok [--daemon=ADDR] [--json] weights name MODEL VERSION
   vostok [--daemon=ADDR] [--json] members
+  vostok [--daemon=ADDR] [--json] query SQL
+  vostok [--daemon=ADDR] [--json] refound [--spec=FILE] [--confirm=FLEET]
   vostok [--daemon=ADDR] [--json] decisions [--from=POSITION] [--callers=ADDR] [--follow]
   vostok [--json] explain REQUEST
   vostok --help | --version
@@ -30,6 +33,8 @@
 Options:
   --daemon=ADDR      Operator address of a daemon [default: 127.0.0.1:7101].
   --expect=VERSION   The version you read; a change on top of another is turned away.
+  --spec=FILE        A spec saved with 'spec get', to found again with.
+  --confirm=FLEET    The fleet that is given up; without it, refound only says what would be lost.
   --from=POSITION    Read decisions from this position on [default: 0].
   --callers=ADDR     Read the decisions of the proxy at this callers' address, not the agent's.
   --follow           Go on reading as decisions are made.
@@ -37,6 +42,10 @@
   -h --help          Show this text.
   --version          Show the version.
 
+SQL is one SELECT over members, copies, servers, tenants, contracts, ways and decisions, as the
+daemon knows them now. refound is the last resort when a majority of the register's disks is lost:
+it founds the register anew on the disk of the daemon that is asked.
+
 FILE may be - for standard input. A request's id is in its answer's Quayrill-Request-Id.
 
 Exit codes: 0 done, 1 turned away or not found, 2 bad usage, 3 unknown whether it was done,
@@ -148,7 +157,7 @@
               << "  spec " << row["spec_in_force"] << (row["leaving"] == true ? "  leaving" : "")
               << (row["store"] != 0 ? "  disk" : "") << "\n";
   const Json& copies = all["copies"];
-  std::cout << "register copies, epoch " << copies["epoch"]
+  std::cout << "fleet " << copies["fleet"] << ", register copies, epoch " << copies["epoch"]
             << (copies["settled"] == true ? "" : ", being settled") << ":";
   for (const auto& row : copies["members"]) std::cout << " " << row["cohort"].get<std::string>();
   std::cout << "\n";
@@ -178,6 +187,86 @@
   }
 }
 
+int query(const Address& daemon, const std::string& sql, bool json) {
+  int unread = kDone;
+  const auto table = queryFleet(sql, [&](const std::string& path) -> absl::StatusOr<Json> {
+    const Answer answer = call(daemon, http::verb::get, path);
+    unread = answer.exit;
+    if (answer.exit != kDone) return absl::UnavailableError("");
+    return Json::parse(answer.response.body());
+  });
+  if (unread != kDone) return unread;
+  if (!table.ok()) {
+    std::cerr << "vostok: " << table.status().message() << "\n";
+    return kUsageExit;
+  }
+  for (std::size_t i = 0; !json && i < table->columns.size(); ++i)
+    std::cout << (i ? "\t" : "") << table->columns[i]
+              << (i + 1 < table->columns.size() ? "" : "\n");
+  for (const Json& row : table->rows) {
+    Json named = Json::object();
+    for (std::size_t i = 0; i < row.size(); ++i) {
+      if (json)
+        named[table->columns[i]] = row[i];
+      else
+        std::cout << (i ? "\t" : "")
+                  << (row[i].is_string() ? row[i].get<std::string>() : row[i].dump());
+    }
+    std::cout << (json ? named.dump() : "") << "\n";
+  }
+  return kDone;
+}
+
+// The newest spec that any live daemon serves by, so that as little as can be is lost.
+Json newestSpec(const Json& members, const Address& daemon) {
+  Json newest;
+  std::vector<std::string> asked{daemon.value};
+  for (const auto& row : members["members"]) {
+    const std::string cohort = row["cohort"].get<std::string>();
+    const std::string port = daemon.value.substr(daemon.value.rfind(':'));
+    asked.push_back(cohort.substr(0, cohort.rfind(':')) + port);
+  }
+  for (const std::string& address : asked) {
+    const Answer answer = call(Address{address}, http::verb::get, "/q/spec");
+    if (answer.exit != kDone) continue;
+    const Json told = Json::parse(answer.response.body());
+    if (told["version"] > 0 && (newest.is_null() || told["version"] > newest["version"]))
+      newest = told;
+  }
+  return newest;
+}
+
+int refound(const Address& daemon, const std::string& file, const std::string& confirm, bool json) {
+  const Answer known = call(daemon, http::verb::get, "/q/members");
+  if (known.exit != kDone) return known.exit;
+  const Json all = Json::parse(known.response.body());
+  const std::string fleet = all["copies"]["fleet"].dump();
+  const Json spec =
+      file.empty() ? newestSpec(all, daemon) : Json::parse(readFile(file), nullptr, false);
+  if (!spec.is_object() || !spec.contains("version") || !spec.contains("spec")) {
+    std::cerr << "vostok: no daemon that lives serves by a spec, or FILE is none that 'spec get' "
+                 "printed: give one with --spec\n";
+    return kUsageExit;
+  }
+  if (confirm != fleet) {
+    std::cerr << "vostok: this gives fleet " << fleet << " up and founds another on "
+              << daemon.value << " with spec version " << spec["version"]
+              << ". Changes acknowledged after that version are lost for good, and disks of the "
+                 "old fleet never vote again: empty them before they join. Do it only when a "
+                 "majority of the register's disks can't come back, with --confirm="
+              << fleet << "\n";
+    return confirm.empty() ? kTurnedAway : kUsageExit;
+  }
+  const Answer made = call(daemon, http::verb::post, "/q/refound?confirm=" + fleet, spec.dump());
+  if (made.exit != kDone) return made.exit;
+  const Json told = Json::parse(made.response.body());
+  if (json)
+    std::cout << made.response.body();
+  else
+    std::cout << "fleet " << told["fleet"] << " founded, spec version " << told["version"] << "\n";
+  return kDone;
+}
+
 void tellTry(const Json& attempt, std::size_t number) {
   std::cout << "try " << number << ": " << attempt["server"].get<std::string>() << " under weights "
             << attempt["weights"].get<std::string>() << ", chosen by "
@@ -269,6 +358,8 @@
       const Json patch{{"models", {{text("MODEL"), {{"weights", text("VERSION")}}}}}};
       return sendSpec(daemon, http::verb::patch, held.version, patch.dump(), json);
     }
+    if (is("query")) return query(daemon, text("SQL"), json);
+    if (is("refound")) return refound(daemon, text("--spec"), text("--confirm"), json);
     if (is("members")) return showMembers(daemon, json);
     if (is("decisions")) {
       const Address source = text("--callers").empty() ? daemon : Address{text("--callers")};
--- a/src/placement/placement.cpp
+++ b/src/placement/placement.cpp
@@ -15,6 +15,8 @@
 constexpr double kFetchFixedMicros = 8000, kFetchTokenMicros = 4, kPrefillTokenMicros = 25;
 // Ours: salts (times models and weights) that one tenant's prompts are remembered under.
 constexpr std::size_t kNameSpacesOfTenant = 512;
+constexpr Span kPast = std::chrono::seconds(3);
+constexpr double kMostDaemons = 16;
 // Ours: burdens from which on a server is full; the first for tenants over their share.
 constexpr double kFullOverShare = 1.5, kFull = 2.0;
 // Ours: burdens within one step tie.
@@ -70,14 +72,19 @@
 
 void Placement::dropTree(Row& row) {
   row.tree = RadixTree(1);
-  ++row.treeLife;
+  row.treeLife = ++lastTreeLife_;
 }
 
 void Placement::setServers(const std::vector<ServerState>& servers) {
   std::set<ServerName> listed;
   for (const ServerState& server : servers) {
     listed.insert(server.name);
-    Row& row = rows_[server.name];
+    const auto [entry, fresh] = rows_.try_emplace(server.name);
+    Row& row = entry->second;
+    if (fresh) {
+      dropTree(row);
+      row.firstLife = row.treeLife;
+    }
     const bool known = !row.state.identity.value.empty();
     if (known && server.sound &&
         (row.state.identity != server.identity || row.state.weights != server.weights)) {
@@ -95,10 +102,35 @@
   std::erase_if(rows_, [&](const auto& row) { return !listed.contains(row.first); });
 }
 
+void Placement::moveInFlight(Row& row, int by, Instant now) {
+  row.past.emplace_back(now, row.inFlight);
+  if (row.inFlight > 0 || by > 0) row.inFlight += static_cast<std::uint32_t>(by);
+  while (row.past.size() > 1 && row.past.front().first + kPast < now) row.past.pop_front();
+}
+
+// Each row of the past says what stood until its time.
+std::uint32_t Placement::inFlightAtPoll(const Row& row) {
+  const auto later =
+      std::upper_bound(row.past.begin(), row.past.end(), row.state.polledAt,
+                       [](const Instant& at, const auto& entry) { return at < entry.first; });
+  return later == row.past.end() ? row.inFlight : later->second;
+}
+
+// The poll counts what all daemons sent; what this one sent and saw end since is added to it.
 double Placement::burdenOf(const Row& row) const {
-  // The poll counts what all daemons sent; inFlight covers what this one sent since.
-  const std::uint32_t polled = row.state.running + row.state.queued;
-  return static_cast<double>(std::max(polled, row.inFlight)) / std::max(1U, row.state.slots);
+  const double polled = row.state.running + row.state.queued;
+  const double since = static_cast<double>(row.inFlight) - inFlightAtPoll(row);
+  return std::max(polled + since, static_cast<double>(row.inFlight)) /
+         std::max(1U, row.state.slots);
+}
+
+// The other daemons do as this one does, as far as it can know: what changed here since the poll is
+// taken for its share of what changed in all.
+double Placement::fullnessOf(const Row& row) const {
+  const double polled = row.state.running + row.state.queued;
+  const double own = inFlightAtPoll(row);
+  const double daemons = std::clamp(own > 0 ? polled / own : 1.0, 1.0, kMostDaemons);
+  return (polled + (row.inFlight - own) * daemons) / std::max(1U, row.state.slots);
 }
 
 const Placement::Row* Placement::choose(const std::vector<std::pair<const Row*, Candidate>>& open,
@@ -125,7 +157,7 @@
   return best->first;
 }
 
-std::optional<Placed> Placement::place(const PlacementAsked& asked) {
+std::optional<Placed> Placement::place(const PlacementAsked& asked, Instant now) {
   const std::vector<Token> blocks = prefixBlocks(asked.prefix, boot_.blockTokens);
   std::vector<std::pair<const Row*, Candidate>> open;
   double burdenSum = 0;
@@ -147,7 +179,9 @@
   // places of that queue are for tenants that hold no more than their share.
   auto free = open;
   const double full = asked.overShare ? kFullOverShare : kFull;
-  std::erase_if(free, [&](const auto& entry) { return entry.second.burden >= full; });
+  std::erase_if(free, [&](const auto& entry) {
+    return std::max(entry.second.burden, fullnessOf(*entry.first)) >= full;
+  });
   if (free.empty()) return std::nullopt;
 
   Placed placed;
@@ -178,7 +212,7 @@
   const PrefixInsert inserted =
       chosenRow.tree.insert(path, std::vector<BlockValue>(path.begin(), path.end()));
   chosenRow.tree.lock(inserted.node);
-  ++chosenRow.inFlight;
+  moveInFlight(chosenRow, 1, now);
   placed.ticket = ++lastTicket_;
   tickets_[placed.ticket] = {chosenRow.state.name, chosenRow.treeLife, inserted.node, path,
                              before < path.size()};
@@ -191,14 +225,14 @@
   if (row.tree.size() > budget) row.tree.evict(row.tree.size() - budget, nullptr);
 }
 
-void Placement::release(Ticket ticket, bool ran) {
+void Placement::release(Ticket ticket, bool ran, Instant now) {
   const auto entry = tickets_.find(ticket);
   if (entry == tickets_.end()) return;
   const Lock lock = entry->second;
   tickets_.erase(entry);
   const auto row = rows_.find(lock.server);
-  if (row == rows_.end()) return;
-  if (row->second.inFlight > 0) --row->second.inFlight;
+  if (row == rows_.end() || lock.treeLife < row->second.firstLife) return;
+  moveInFlight(row->second, -1, now);
   if (row->second.treeLife != lock.treeLife) return;
   row->second.tree.unlock(lock.node);
   if (!ran && lock.inserted) row->second.tree.prune(lock.path);
--- a/src/placement/placement.h
+++ b/src/placement/placement.h
@@ -1,5 +1,6 @@
 #pragma once
 // The index and the choice of a server. One owner works on this table; nothing here blocks.
+#include <deque>
 #include <map>
 #include <optional>
 #include <set>
@@ -86,10 +87,10 @@
   // The servers that are listed now. A new identity or new weights drop that server's tree.
   void setServers(const std::vector<ServerState>& servers);
   // Empty when no sound server of the model is free: the caller is turned away.
-  std::optional<Placed> place(const PlacementAsked& asked);
+  std::optional<Placed> place(const PlacementAsked& asked, Instant now = {});
   // Locks are released exactly once: a second release of a ticket does nothing. `ran` false takes
   // the path out again that this ticket put in.
-  void release(Ticket ticket, bool ran);
+  void release(Ticket ticket, bool ran, Instant now = {});
   void takeEvents(const ServerName& server, const ServerIdentity& identity, std::uint64_t first,
                   const std::vector<CacheEvent>& events, std::uint64_t next);
   std::uint64_t eventPosition(const ServerName& server) const;
@@ -104,8 +105,13 @@
   struct Row {
     ServerState state;
     RadixTree tree{1};
-    std::uint64_t treeLife = 0;  // rises when the tree is dropped; older tickets are void
-    std::uint32_t inFlight = 0;  // placed here and not yet released
+    // Of this tree alone, also where a server's name comes back: tickets of others are void.
+    std::uint64_t treeLife = 0;
+    std::uint64_t firstLife = 0;  // of this row; tickets of lives before it are of a row that left
+    std::uint32_t inFlight = 0;   // placed here and not yet released
+    // inFlight as it was, by time, for as long as a poll may look back. Never empty of what stood
+    // at the newest poll, once there was one.
+    std::deque<std::pair<Instant, std::uint32_t>> past;
     std::uint64_t eventPosition = 0;
   };
   // A ticket is in the table exactly while its path is locked in that life of the tree.
@@ -129,6 +135,9 @@
   std::vector<Token> pathFor(Token number, const std::vector<Token>& blocks) const;
   void dropTree(Row& row);
   double burdenOf(const Row& row) const;
+  double fullnessOf(const Row& row) const;
+  static std::uint32_t inFlightAtPoll(const Row& row);
+  static void moveInFlight(Row& row, int by, Instant now);
   void keepBudget(Row& row);
   const Row* choose(const std::vector<std::pair<const Row*, Candidate>>& open,
                     std::uint64_t tieName, std::string* reason);
@@ -140,6 +149,7 @@
   std::map<TenantName, std::size_t> nameSpacesOf_;  // how many rows each tenant has there
   Token lastNameSpace_ = 0;
   std::uint64_t uses_ = 0;
+  std::uint64_t lastTreeLife_ = 0;  // no two trees share a life
   Ticket lastTicket_ = 0;
   std::uint64_t nextTurn_ = 0, gaps_ = 0;
 };
--- a/src/proxy/proxy.cpp
+++ b/src/proxy/proxy.cpp
@@ -102,7 +102,8 @@
       if (next->specVersion == told.specVersion) next->confirmedAt = since(told.confirmedAgoMicros);
       next->listedAt = since(told.listedAgoMicros);
       next->servers.clear();
-      for (const SnapshotServer& row : told.servers) next->servers.push_back(fromSnapshot(row));
+      for (const SnapshotServer& row : told.servers)
+        next->servers.push_back(fromSnapshot(row, askedAt));
       {
         std::lock_guard lock(viewMutex_);
         view_ = next;
--- a/src/proxy/run.cpp
+++ b/src/proxy/run.cpp
@@ -88,7 +88,7 @@
     const PlacementAsked asked{job.contract.model, job.tenant, job.salt,
                                job.prefix,         tried,      job.entered.overShare};
     const std::function<std::optional<Placed>(Placement&)> place = [asked](Placement& placement) {
-      return placement.place(asked);
+      return placement.place(asked, BootClock::now());
     };
     const auto answered = co_await placement_.ask<std::optional<Placed>>(place);
     if (!answered || !*answered) break;
@@ -98,8 +98,9 @@
     counters_.matchedTokens += placed.matchedTokens;
     bool ran = false;
     AtEnd unlock([this, &ran, ticket = placed.ticket] {
-      placement_.mustPost(
-          [ticket, didRun = ran](Placement& placement) { placement.release(ticket, didRun); });
+      placement_.mustPost([ticket, didRun = ran](Placement& placement) {
+        placement.release(ticket, didRun, BootClock::now());
+      });
     });
     // An extra try is one more send; where nothing was sent before, this is still the first.
     if (wasSent) {
--- a/tests/checker_tests.cpp
+++ b/tests/checker_tests.cpp
@@ -231,4 +231,11 @@
   CHECK(restart(0, true) == "planned-restart");
   CHECK(restart(200, true) == "planned-restart");
   CHECK(restart(0, false).empty());
+  CHECK(rulesBroken([](Ledger& l) {
+          l.planned = {{"d", kStart - 1s, kStart + 1s}};
+          l.calls.push_back(call("dropped"));
+          l.calls.back().complete = false;
+          l.runs.push_back(run("dropped"));
+          l.brokenByServer = {"dropped"};
+        }).empty());
 }
--- a/tests/placement_tests.cpp
+++ b/tests/placement_tests.cpp
@@ -252,3 +252,50 @@
   CHECK_FALSE(admission.enter(TenantName{"big"}, 13, contract, 1000, now).isIn);
   CHECK_FALSE(admission.enter(TenantName{"new"}, 100, contract, 13, now).isIn);
 }
+
+TEST_CASE("placement: what was sent since the poll counts, for the others' part as well") {
+  Placement placement({16, PlacementRule::LongestPrefix});
+  auto one = server("s1");
+  one.slots = 4;
+  Instant now{100s};
+  std::vector<Ticket> tickets;
+  const auto send = [&] {
+    const auto placed = placement.place(asking("rules:64"), now);
+    if (placed) tickets.push_back(placed->ticket);
+    return placed.has_value();
+  };
+  placement.setServers({one});
+  REQUIRE(send());
+  now += 100ms;
+  // A poll that saw four: this daemon's one and three of others.
+  one.running = 4;
+  one.polledAt = now;
+  placement.setServers({one});
+  now += 10ms;
+  CHECK(send());  // at burden 1, one is taken for four: full
+  CHECK_FALSE(send());
+  // As many have ended here as were sent since: what ended elsewhere is taken for the same.
+  placement.release(tickets[0], true, now);
+  CHECK(send());
+  // The next poll says how it really is.
+  now += 100ms;
+  one.polledAt = now;
+  placement.setServers({one});
+  CHECK(send());
+}
+
+TEST_CASE("placement: a ticket of a server that left the list is void when the name comes back") {
+  Placement placement({16, PlacementRule::LongestPrefix});
+  placement.setServers({server("s1")});
+  const auto before = placement.place(asking("rules:64,old:64"));
+  REQUIRE(before);
+  placement.setServers({});
+  placement.setServers({server("s1")});
+  const auto after = placement.place(asking("rules:64"));
+  REQUIRE(after);
+  CHECK(after->matchedTokens == 0);
+  placement.release(before->ticket, true);  // of a tree that is gone
+  placement.release(after->ticket, true);
+  CHECK(placement.ticketCount() == 0);
+  CHECK(placement.blocksHeld(ServerName{"s1"}) == 5);
+}
