--- a/src/net/asio.h
+++ b/src/net/asio.h
@@ -1,5 +1,7 @@
 #pragma once
 // The parts of Asio and Beast that the shells use, under short names.
+#include <absl/status/status.h>
+
 #include <boost/asio.hpp>
 #include <boost/asio/awaitable.hpp>
 #include <boost/asio/co_spawn.hpp>
@@ -29,6 +31,9 @@
 
 Tcp::endpoint endpointOf(const Address& address);
 
+// Opens, binds and listens; the defect names the address and the remedy.
+absl::Status listenAt(Tcp::acceptor& acceptor, const Address& address, int backlog);
+
 // Waits on the executor's own timer.
 awaitable<void> pauseFor(Span span);
 
--- a/src/net/cohort_link.cpp
+++ b/src/net/cohort_link.cpp
@@ -25,15 +25,7 @@
       acceptor_(io) {}
 
 absl::Status CohortLink::start() {
-  const Tcp::endpoint endpoint = endpointOf(self_);
-  ErrorCode code;
-  acceptor_.open(endpoint.protocol(), code);
-  acceptor_.set_option(Tcp::acceptor::reuse_address(true), code);
-  acceptor_.bind(endpoint, code);
-  if (!code) acceptor_.listen(256, code);
-  if (code)
-    return absl::UnavailableError("can't listen on " + self_.value + " (" + code.message() +
-                                  "): free the port or name another");
+  if (auto status = listenAt(acceptor_, self_, 256); !status.ok()) return status;
   asio::co_spawn(io_, accept(), asio::detached);
   return absl::OkStatus();
 }
--- a/src/net/http.cpp
+++ b/src/net/http.cpp
@@ -14,6 +14,18 @@
   return {ip, static_cast<unsigned short>(std::atoi(address.value.c_str() + colon + 1))};
 }
 
+absl::Status listenAt(Tcp::acceptor& acceptor, const Address& address, int backlog) {
+  const Tcp::endpoint endpoint = endpointOf(address);
+  ErrorCode code;
+  acceptor.open(endpoint.protocol(), code);
+  acceptor.set_option(Tcp::acceptor::reuse_address(true), code);
+  acceptor.bind(endpoint, code);
+  if (!code) acceptor.listen(backlog, code);
+  if (!code) return absl::OkStatus();
+  return absl::UnavailableError("can't listen on " + address.value + " (" + code.message() +
+                                "): free the port or name another");
+}
+
 awaitable<void> pauseFor(Span span) {
   asio::steady_timer timer(co_await asio::this_coro::executor);
   timer.expires_after(span);
@@ -58,15 +70,7 @@
       circuits_(std::make_shared<std::atomic<std::size_t>>(0)) {}
 
 absl::Status HttpServer::start() {
-  const Tcp::endpoint endpoint = endpointOf(boot_.listen);
-  ErrorCode code;
-  acceptor_.open(endpoint.protocol(), code);
-  acceptor_.set_option(Tcp::acceptor::reuse_address(true), code);
-  acceptor_.bind(endpoint, code);
-  if (!code) acceptor_.listen(512, code);
-  if (code)
-    return absl::UnavailableError("can't listen on " + boot_.listen.value + " (" + code.message() +
-                                  "): free the port or name another");
+  if (auto status = listenAt(acceptor_, boot_.listen, 512); !status.ok()) return status;
   asio::co_spawn(acceptor_.get_executor(), accept(), asio::detached);
   return absl::OkStatus();
 }
