Dialect and platform settings: one daemon under other words, reads its settings there

Spec gains routes by host and prefix, services, stores and callers' limits (not read from documents yet).

--- a/src/agent/agent.cpp
+++ b/src/agent/agent.cpp
@@ -26,7 +26,7 @@
 }
 }  // namespace
 
-Agent::Agent(Boot boot) : boot_(std::move(boot)) {}
+Agent::Agent(Boot boot, Dialect dialect) : boot_(std::move(boot)), dialect_(std::move(dialect)) {}
 
 absl::Status Agent::start() {
   std::optional<std::map<std::string, std::string>> kept;
@@ -111,7 +111,7 @@
 void Agent::takeSpec() {
   const RegisterValue& value = core_->freshness().spec().value;
   if (value.version == specVersion_) return;
-  auto parsed = parseSpec(value.body);
+  auto parsed = dialect_.readSpec(value.body);
   if (!parsed.ok()) {
     // Checked before it was proposed, so only a newer build's spec can get here.
     LOG_EVERY_N(ERROR, 1000) << "spec " << value.version
@@ -147,7 +147,8 @@
 awaitable<void> Agent::platformLoop() {
   for (;;) {
     const Instant askedAt = BootClock::now();
-    auto listed = co_await readPlatformList(boot_.platform, boot_.cohort, 800ms);
+    std::size_t calls = 0;
+    auto listed = co_await dialect_.readList(boot_.platform, boot_.cohort, 800ms, &calls);
     if (listed.ok()) core_->takeList(std::move(*listed), askedAt);
     takeList();
     co_await pauseFor(kPollEvery);
@@ -176,7 +177,7 @@
 awaitable<void> Agent::pollLoop(ServerName server, std::uint64_t life) {
   const Address address{server.value};
   for (;;) {
-    const auto state = co_await readServer(address, 700ms);
+    const auto state = co_await dialect_.readServer(address, 700ms);
     const auto row = servers_.find(server);
     if (row == servers_.end() || row->second.life != life) co_return;
     if (state.ok()) {
--- a/src/agent/agent.h
+++ b/src/agent/agent.h
@@ -10,6 +10,7 @@
 #include "base/counters.h"
 #include "base/decision_log.h"
 #include "boot/boot.h"
+#include "dialect/dialect.h"
 #include "net/cohort_link.h"
 #include "net/disk.h"
 #include "net/model_server.h"
@@ -19,7 +20,7 @@
 
 class Agent {
  public:
-  explicit Agent(Boot boot);
+  Agent(Boot boot, Dialect dialect);
   absl::Status start();
   void run();  // on the calling thread, until stop
   void beginLeaving();
@@ -62,6 +63,7 @@
   nlohmann::json specJson() const;
 
   Boot boot_;
+  Dialect dialect_;
   asio::io_context io_{1};
   std::optional<AgentCore> core_;
   std::unique_ptr<Disk> disk_;
--- a/src/agent/snapshot.h
+++ b/src/agent/snapshot.h
@@ -11,6 +11,7 @@
 
 struct SnapshotServer {
   ServerName name;
+  ServiceName service;
   ServerIdentity identity;
   ModelName model;
   WeightsVersion weights;
@@ -19,8 +20,8 @@
   std::uint32_t running = 0, queued = 0, slots = 1;
   std::uint64_t cacheTokens = 0;
   std::int64_t polledAgoMicros = 0;  // running and queued are of then
-  QUAYRILL_FIELDS(name, identity, model, weights, zone, sound, leaving, running, queued, slots,
-                  cacheTokens, polledAgoMicros)
+  QUAYRILL_FIELDS(name, service, identity, model, weights, zone, sound, leaving, running, queued,
+                  slots, cacheTokens, polledAgoMicros)
 };
 
 struct Snapshot {
--- a/src/base/types.h
+++ b/src/base/types.h
@@ -26,6 +26,7 @@
   X(CacheSalt, std::string) /* "" is the shared salt */         \
   X(TenantName, std::string)                                    \
   X(ContractName, std::string)                                  \
+  X(ServiceName, std::string)                                   \
   X(RequestId, std::string)                                     \
   X(RegisterKey, std::string)                                   \
   X(ServerIdentity, std::string) /* new at each server start */ \
--- a/src/boot/boot.h
+++ b/src/boot/boot.h
@@ -31,6 +31,23 @@
   std::size_t trafficThreads = 2;
   std::chrono::milliseconds freshLimit{2000};
   std::chrono::milliseconds grace{10000};
+  Address ready;         // readiness is told here too, where the platform asks at an own address
+  std::string node;      // this machine's name in logs and orders; "" takes the cohort address
+  bool mayFound = true;  // false: an empty disk joins a fleet and never founds one
+  // How old the platform's list may grow before this fleet reads it again, and the calls a second
+  // that all daemons together may make for it.
+  std::chrono::milliseconds listEvery{400};
+  double listCallsPerS = 50;
+  // A server that shows as leaving gets nothing after this; 0: by the product's own bound.
+  std::chrono::milliseconds drainDue{3000};
+  // Two holders of one duty never order within this of each other.
+  std::chrono::milliseconds leaseSpan{3000};
+  // No request begins on older weights later than this after newer ones were named.
+  std::chrono::milliseconds rolloutDue{20000};
+  // Extra tries over all daemons: at most share * firsts + slack in any window.
+  double extraShare = 0.2;
+  std::chrono::milliseconds extraWindow{10000};
+  std::size_t extraSlack = 0;
 };
 
 struct BootAsked {
--- a/src/cohort/messages.h
+++ b/src/cohort/messages.h
@@ -194,8 +194,15 @@
   ServerName name;
   std::string zone;
   bool leaving = false;
+  // Where the list itself tells a server's state, nobody need ask the server: `told` says so.
+  bool told = false;
+  ServerIdentity identity{};
+  ServiceName service{};
+  ModelName model{};
+  WeightsVersion weights{};
+  std::uint32_t slots = 1;
   bool operator==(const ListRow&) const = default;
-  QUAYRILL_FIELDS(name, zone, leaving)
+  QUAYRILL_FIELDS(name, zone, leaving, told, identity, service, model, weights, slots)
 };
 struct ListAsk {
   std::uint64_t sequence = 0;
--- /dev/null
+++ b/src/dialect/dialect.h
@@ -0,0 +1,60 @@
+#pragma once
+// What a deployment's surroundings speak: how configurations are written, how servers are listed
+// and ordered, what operators call. Formats and calls only; every decision stays with the product.
+// `ownDialect()` is the product's own.
+#include <absl/status/statusor.h>
+
+#include <functional>
+#include <string>
+#include <vector>
+
+#include "cohort/messages.h"
+#include "net/http.h"
+#include "placement/placement.h"
+#include "spec/spec.h"
+
+namespace quayrill {
+
+class Agent;
+
+// What a server says when it is asked about its weights.
+struct WeightsReport {
+  ModelName model;
+  WeightsVersion weights;
+  bool busy = false;  // an order is under way there
+};
+
+enum class OrderAnswer {
+  Taken,    // it is being done
+  Holds,    // it held already
+  Busy,     // another is under way
+  Fenced,   // a higher fence was seen there
+  Refused,  // it will not be done: another server, or no such version
+  Unclear,  // no answer; it may have been taken
+};
+
+struct Dialect {
+  // The register's body to a spec; the message starts with the path of the offending field.
+  std::function<absl::StatusOr<Spec>(const std::string& body)> readSpec;
+  // The platform's whole list, all of its pages. `calls` is raised by the calls it took.
+  std::function<awaitable<absl::StatusOr<std::vector<ListRow>>>(Address platform, Address from,
+                                                                Span due, std::size_t* calls)>
+      readList;
+  // One server's own word about itself; empty where the list tells all.
+  std::function<awaitable<absl::StatusOr<ServerState>>(Address server, Span due)> readServer;
+  std::function<awaitable<absl::StatusOr<WeightsReport>>(Address server, Address from,
+                                                         ModelName model, Span due)>
+      readWeights;
+  // `owner` names the holder of the fence, and no other life of a daemon has the same.
+  std::function<awaitable<OrderAnswer>(Address server, Address from, ServerIdentity identity,
+                                       ModelName model, WeightsVersion weights, std::string owner,
+                                       Fence fence, Span due)>
+      orderWeights;
+  // Calls of operators beyond the product's own; nullopt: not one of these.
+  std::function<awaitable<std::optional<HttpResponse>>(Agent& agent, HttpRequest& request)>
+      operatorCall;
+};
+
+Dialect ownDialect();
+
+}  // namespace quayrill
--- a/src/placement/placement.h
+++ b/src/placement/placement.h
@@ -17,6 +17,7 @@
 // What the agent knows of a model server, as of polledAt.
 struct ServerState {
   ServerName name;
+  ServiceName service;  // "": servers of one kind, told apart by their model alone
   ServerIdentity identity;
   ModelName model;
   WeightsVersion weights;
--- a/src/proxy/proxy.cpp
+++ b/src/proxy/proxy.cpp
@@ -22,8 +22,9 @@
 }
 }  // namespace
 
-Proxy::Proxy(Boot boot)
+Proxy::Proxy(Boot boot, Dialect dialect)
     : boot_(std::move(boot)),
+      dialect_(std::move(dialect)),
       view_(std::make_shared<ProxyView>()),
       admission_(kQueueLimit),
       placement_(kQueueLimit, placementBoot(boot_)) {
@@ -92,7 +93,7 @@
         return agoMicros < 0 ? Instant{} : askedAt - std::chrono::microseconds(agoMicros);
       };
       if (told.specVersion != before->specVersion && !told.specBody.empty()) {
-        auto parsed = parseSpec(told.specBody);
+        auto parsed = dialect_.readSpec(told.specBody);
         if (parsed.ok()) {
           next->spec = std::make_shared<const Spec>(std::move(*parsed));
           next->specVersion = told.specVersion;
--- a/src/proxy/proxy.h
+++ b/src/proxy/proxy.h
@@ -9,6 +9,7 @@
 #include "base/counters.h"
 #include "base/decision_log.h"
 #include "boot/boot.h"
+#include "dialect/dialect.h"
 #include "placement/admission.h"
 #include "proxy/deliver.h"
 #include "proxy/owned_table.h"
@@ -26,7 +27,7 @@
 
 class Proxy {
  public:
-  explicit Proxy(Boot boot);
+  Proxy(Boot boot, Dialect dialect);
   ~Proxy();
   absl::Status start();
   void beginLeaving() { leaving_ = true; }
@@ -80,6 +81,7 @@
   HttpResponse explain(const std::string& id) const;
 
   Boot boot_;
+  Dialect dialect_;
   std::string idStem_;
   std::atomic<std::uint64_t> idCounter_{0};
   mutable std::mutex viewMutex_;
--- a/src/sonnblick.cpp
+++ b/src/sonnblick.cpp
@@ -1,14 +1,9 @@
 // sonnblick: the one daemon. Every machine runs it; all are equal.
 #include <docopt/docopt.h>
-#include <glog/logging.h>
-
-#include <csignal>
 #include <iostream>
-#include <thread>
 
-#include "agent/agent.h"
 #include "boot/boot.h"
-#include "proxy/proxy.h"
+#include "daemon/daemon.h"
 
 namespace {
 constexpr char kUsage[] = R"(sonnblick: one daemon of a quayrill fleet.
@@ -56,7 +51,6 @@
 }  // namespace
 
 int main(int argc, char** argv) {
-  using namespace std::chrono_literals;
   const std::string program = "sonnblick " QUAYRILL_VERSION;
   std::map<std::string, docopt::value> flags;
   try {
@@ -86,61 +80,5 @@
   }
   if (flags["--check"].asBool()) return 0;
 
-  FLAGS_logtostderr = true;
-  google::InitGoogleLogging(argv[0]);
-  sigset_t endings;
-  sigemptyset(&endings);
-  sigaddset(&endings, SIGTERM);
-  sigaddset(&endings, SIGINT);
-  pthread_sigmask(SIG_BLOCK, &endings, nullptr);  // before any thread starts
-  std::signal(SIGPIPE, SIG_IGN);
-  std::signal(SIGXFSZ, SIG_IGN);  // a write over a file size limit is a defect like a full disk
-
-  std::unique_ptr<quayrill::Agent> agent;
-  std::unique_ptr<quayrill::Proxy> proxy;
-  std::thread control;
-  if (boot->role != "proxy") {
-    agent = std::make_unique<quayrill::Agent>(*boot);
-    if (auto status = agent->start(); !status.ok()) {
-      std::cerr << "sonnblick: " << status.message() << "\n";
-      return 1;
-    }
-    control = std::thread([&] { agent->run(); });
-  }
-  if (boot->role != "agent") {
-    proxy = std::make_unique<quayrill::Proxy>(*boot);
-    if (auto status = proxy->start(); !status.ok()) {
-      std::cerr << "sonnblick: " << status.message() << "\n";
-      std::_Exit(1);
-    }
-  }
-  LOG(INFO) << program << " serves as " << boot->role;
-  int signal = 0;
-  sigwait(&endings, &signal);
-  LOG(INFO) << "leaving: not ready, finishing what was accepted";
-  if (agent) agent->beginLeaving();
-  if (proxy) {
-    proxy->beginLeaving();
-    // The platform needs to see it before circuits stop: accept what still comes, then only finish.
-    // What was accepted has until its due, however short the grace.
-    const quayrill::Span grace = std::max<quayrill::Span>(boot->grace, proxy->longestDue() + 2s);
-    const auto graceEnd = quayrill::BootClock::now() + grace;
-    std::this_thread::sleep_for(std::min<std::chrono::milliseconds>(boot->grace / 2, 2000ms));
-    proxy->stopAccepting();
-    while (proxy->circuits() > 0 && quayrill::BootClock::now() < graceEnd)
-      std::this_thread::sleep_for(20ms);
-    proxy->stop();
-  }
-  // A proxy beside this agent finishes on its word that the spec still stands.
-  if (boot->role == "agent")
-    std::this_thread::sleep_for(std::min<std::chrono::milliseconds>(boot->grace, 3000ms));
-  if (agent) {
-    // Each operator's call has a due of its own, so this ends by itself.
-    while (agent->callsOpen() > 0) std::this_thread::sleep_for(20ms);
-    agent->stop();
-    control.join();
-  }
-  LOG(INFO) << "ended";
-  google::FlushLogFiles(google::INFO);
-  std::_Exit(0);  // what still runs holds nothing that must be written
+  return quayrill::runDaemon(*boot, quayrill::ownDialect(), argv[0]);
 }
--- a/src/spec/spec.cpp
+++ b/src/spec/spec.cpp
@@ -1,5 +1,6 @@
 #include "spec/spec.h"
 
+#include <algorithm>
 #include <nlohmann/json.hpp>
 
 #include "spec/schema.h"
@@ -94,6 +95,25 @@
   return document.dump();
 }
 
+void sortRoutes(Spec* spec) {
+  std::stable_sort(spec->routes.begin(), spec->routes.end(), [](const Route& a, const Route& b) {
+    if (a.host != b.host) return a.host < b.host;
+    return a.prefix.size() > b.prefix.size();
+  });
+}
+
+const Route* findRoute(const Spec& spec, std::string_view host, std::string_view path) {
+  std::string name(host.substr(0, host.rfind(':')));
+  for (char& letter : name) letter = static_cast<char>(std::tolower(letter));
+  auto row = std::lower_bound(
+      spec.routes.begin(), spec.routes.end(), name,
+      [](const Route& route, const std::string& wanted) { return route.host < wanted; });
+  for (; row != spec.routes.end() && row->host == name; ++row) {
+    if (path.substr(0, row->prefix.size()) == row->prefix) return &*row;
+  }
+  return nullptr;
+}
+
 bool saltFor(const Spec& spec, const TenantName& tenant, const std::string& asked,
              CacheSalt* salt) {
   const auto row = spec.tenants.find(tenant);
--- a/src/spec/spec.h
+++ b/src/spec/spec.h
@@ -5,8 +5,10 @@
 
 #include <chrono>
 #include <map>
+#include <optional>
 #include <set>
 #include <string>
+#include <string_view>
 #include <vector>
 
 #include "base/types.h"
@@ -16,6 +18,7 @@
 // An isolated tenant's salt is its own alone, and no other tenant may name it.
 struct Tenant {
   bool isolated = false;
+  std::optional<unsigned> priority{};  // goes before the contract's; 0 is the most urgent
   std::size_t concurrency = 64;
   std::set<std::string> keyDigests;
 };
@@ -29,6 +32,57 @@
   std::string promptClass = "medium";
   std::size_t concurrency = 256;
   std::size_t bodyLimit = 1 << 20;
+  // An answer is a series of events with rising ids. A resumable one may go on at another server
+  // behind the last event that was passed on; it is repeatable too.
+  bool isStream = false;
+  bool isResumable = false;
+  unsigned priority = 1;                   // 0 is the most urgent
+  std::chrono::milliseconds target{0};     // first event within this is in time; 0: none named
+  std::chrono::milliseconds gapTarget{0};  // longest pause between events; 0: none named
+};
+
+// A kind of back end. Numbers that are 0 are not known.
+struct Service {
+  std::string healthPath;
+  std::size_t maxConnections = 0;  // of one server, from all callers together
+  std::uint32_t slots = 1;
+  std::uint64_t cacheTokens = 0;  // of one server
+  std::uint64_t tokenBytes = 0;   // of kept cache
+  double linkMbps = 0;
+  std::size_t eventReaders = 0;  // calls for cache events that one server holds at once
+  std::vector<ModelName> models;
+};
+
+// A store of kept prompt parts. It is no back end.
+struct PartStore {
+  Address address;
+  std::string zone;
+  std::uint64_t cacheTokens = 0;
+  double linkMbps = 0;
+  std::size_t eventReaders = 0;
+};
+
+struct SplitShare {
+  ServiceName service;
+  std::uint32_t weight = 1;
+};
+
+// Invariant: the split's weights add up to more than 0; no two routes share host and prefix.
+struct Route {
+  std::string name;
+  std::string host;    // lower case, no port
+  std::string prefix;  // begins and ends with a slash
+  ContractName contract;
+  std::vector<SplitShare> split;
+  bool isPublic = false;  // needs no key
+};
+
+// What a caller may send and how long it may take.
+struct CallerLimits {
+  std::size_t headerBytes = 16 << 10;
+  std::size_t bodyBytes = 16 << 20;
+  std::chrono::milliseconds headerDue{10000};
+  std::chrono::milliseconds idleDue{60000};
 };
 
 struct Spec {
@@ -37,8 +91,18 @@
   std::map<std::string, ContractName> ways;  // path below /v1/ to contract
   std::map<ModelName, WeightsVersion> weights;
   std::map<std::string, TenantName> tenantOfDigest;  // derived from tenants
+  std::vector<Route> routes;  // by host, then by falling length of the prefix
+  std::map<ServiceName, Service> services;
+  std::map<ServiceName, PartStore> stores;
+  CallerLimits callerLimits;
 };
 
+// Puts the routes into their order; call it once they are all there.
+void sortRoutes(Spec* spec);
+// The route of that host with the longest prefix that begins the path; nullptr if there is none.
+// A port behind the host and its case don't count.
+const Route* findRoute(const Spec& spec, std::string_view host, std::string_view path);
+
 // Schema and rules; the message starts with the path of the offending field.
 absl::StatusOr<Spec> parseSpec(const std::string& body);
 
