--- a/tests/proxy_stage.h
+++ b/tests/proxy_stage.h
@@ -127,7 +127,7 @@
     boot.operators = agentBoot.listen;
     boot.callers = callers;
     boot.zone = "z";
-    proxy = std::make_unique<Proxy>(boot);
+    proxy = std::make_unique<Proxy>(boot, ownDialect());
     REQUIRE(proxy->start().ok());
     waitReady(200);
   }
