Spec documents state routes, services, stores and callers' limits

Cause: Route, Service, PartStore, CallerLimits and the stream fields of a contract were declared, yet no own document could say them. They are optional rows now; a contract on a route may leave its model out, since requests name it there.

Ruled out: one schema for both this and the platform's document; their words share nothing. Before: parseSpec refused such rows as unknown fields.

--- /dev/null
+++ b/src/spec/parse.cpp
@@ -0,0 +1,254 @@
+// The product's own spec document: its schema, and what it says as a value.
+#include <nlohmann/json.hpp>
+#include <set>
+
+#include "spec/schema.h"
+#include "spec/spec.h"
+
+namespace quayrill {
+
+namespace {
+using Json = nlohmann::json;
+
+constexpr char kSpecSchema[] = R"json({
+  "type": "object", "additionalProperties": false,
+  "required": ["tenants", "contracts", "ways", "models"],
+  "properties": {
+    "tenants": {"type": "object", "additionalProperties": {
+      "type": "object", "additionalProperties": false, "properties": {
+        "isolated": {"type": "boolean"},
+        "priority": {"type": "integer", "minimum": 0, "maximum": 1000},
+        "concurrency": {"type": "integer", "minimum": 1, "maximum": 100000},
+        "keys": {"type": "array", "maxItems": 64,
+                 "items": {"type": "string", "pattern": "^sha256:[0-9a-f]{64}$"}}}}},
+    "contracts": {"type": "object", "additionalProperties": {
+      "type": "object", "additionalProperties": false, "required": ["repeatable"],
+      "properties": {
+        "model": {"type": "string", "minLength": 1},
+        "repeatable": {"type": "boolean"},
+        "due_ms": {"type": "integer", "minimum": 10, "maximum": 600000},
+        "tries": {"type": "integer", "minimum": 1, "maximum": 4},
+        "class": {"type": "string", "enum": ["long", "medium", "short"]},
+        "concurrency": {"type": "integer", "minimum": 1, "maximum": 100000},
+        "body_limit": {"type": "integer", "minimum": 1, "maximum": 16777216},
+        "stream": {"type": "boolean"},
+        "resumable": {"type": "boolean"},
+        "priority": {"type": "integer", "minimum": 0, "maximum": 1000},
+        "target_ms": {"type": "integer", "minimum": 0, "maximum": 600000},
+        "gap_target_ms": {"type": "integer", "minimum": 0, "maximum": 600000}}}},
+    "ways": {"type": "object", "additionalProperties": {"type": "string"}},
+    "models": {"type": "object", "additionalProperties": {
+      "type": "object", "additionalProperties": false, "required": ["weights"],
+      "properties": {"weights": {"type": "string", "minLength": 1, "maxLength": 64}}}},
+    "routes": {"type": "object", "additionalProperties": {
+      "type": "object", "additionalProperties": false,
+      "required": ["host", "prefix", "contract", "split"],
+      "properties": {
+        "host": {"type": "string", "pattern": "^[0-9a-z._-]+$"},
+        "prefix": {"type": "string", "pattern": "^/(.*/)?$"},
+        "contract": {"type": "string", "minLength": 1},
+        "public": {"type": "boolean"},
+        "split": {"type": "array", "minItems": 1, "maxItems": 64, "items": {
+          "type": "object", "additionalProperties": false, "required": ["service"],
+          "properties": {
+            "service": {"type": "string", "minLength": 1},
+            "weight": {"type": "integer", "minimum": 0, "maximum": 1000000}}}}}}},
+    "services": {"type": "object", "additionalProperties": {
+      "type": "object", "additionalProperties": false, "properties": {
+        "health_path": {"type": "string", "pattern": "^/"},
+        "max_connections": {"type": "integer", "minimum": 0, "maximum": 1000000},
+        "slots": {"type": "integer", "minimum": 1, "maximum": 100000},
+        "cache_tokens": {"type": "integer", "minimum": 0, "maximum": 1000000000000},
+        "token_bytes": {"type": "integer", "minimum": 0, "maximum": 1000000000},
+        "link_mbps": {"type": "number", "minimum": 0},
+        "event_readers": {"type": "integer", "minimum": 0, "maximum": 100000},
+        "models": {"type": "array", "items": {"type": "string", "minLength": 1}}}}},
+    "stores": {"type": "object", "additionalProperties": {
+      "type": "object", "additionalProperties": false, "required": ["address"], "properties": {
+        "address": {"type": "string", "pattern": "^[0-9.]+:[0-9]+$"},
+        "zone": {"type": "string"},
+        "cache_tokens": {"type": "integer", "minimum": 0, "maximum": 1000000000000},
+        "link_mbps": {"type": "number", "minimum": 0},
+        "event_readers": {"type": "integer", "minimum": 0, "maximum": 100000}}}},
+    "caller_limits": {"type": "object", "additionalProperties": false, "properties": {
+      "header_bytes": {"type": "integer", "minimum": 1024, "maximum": 1048576},
+      "body_bytes": {"type": "integer", "minimum": 1, "maximum": 1073741824},
+      "header_due_ms": {"type": "integer", "minimum": 10, "maximum": 600000},
+      "idle_due_ms": {"type": "integer", "minimum": 10, "maximum": 3600000}}}
+  }
+})json";
+
+absl::Status bad(const std::string& path, const std::string& remedy) {
+  return absl::InvalidArgumentError(path + ": " + remedy);
+}
+
+std::chrono::milliseconds millisOf(const Json& row, const char* field,
+                                   std::chrono::milliseconds otherwise) {
+  return std::chrono::milliseconds(row.value(field, otherwise.count()));
+}
+
+absl::Status readTenants(const Json& rows, Spec* spec) {
+  for (const auto& [name, row] : rows.items()) {
+    Tenant& tenant = spec->tenants[TenantName{name}];
+    tenant.isolated = row.value("isolated", false);
+    tenant.concurrency = row.value("concurrency", tenant.concurrency);
+    if (row.contains("priority")) tenant.priority = row["priority"].get<unsigned>();
+    for (const auto& digest : row.value("keys", Json::array())) {
+      if (const auto owner = addKeyDigest(spec, TenantName{name}, digest.get<std::string>()))
+        return bad("/tenants/" + name + "/keys",
+                   "a key of '" + owner->value + "': give each tenant its own keys");
+    }
+  }
+  return absl::OkStatus();
+}
+
+absl::Status readContracts(const Json& rows, Spec* spec) {
+  for (const auto& [name, row] : rows.items()) {
+    Contract contract;
+    contract.model = ModelName{row.value("model", "")};
+    contract.repeatable = row["repeatable"].get<bool>();
+    contract.due = millisOf(row, "due_ms", contract.due);
+    contract.tries = row.value("tries", contract.tries);
+    contract.promptClass = row.value("class", contract.promptClass);
+    contract.concurrency = row.value("concurrency", contract.concurrency);
+    contract.bodyLimit = row.value("body_limit", contract.bodyLimit);
+    contract.isStream = row.value("stream", false);
+    contract.isResumable = row.value("resumable", false);
+    contract.priority = row.value("priority", contract.priority);
+    contract.target = millisOf(row, "target_ms", contract.target);
+    contract.gapTarget = millisOf(row, "gap_target_ms", contract.gapTarget);
+    const std::string at = "/contracts/" + name;
+    if (!contract.model.value.empty() && !spec->weights.contains(contract.model))
+      return bad(at + "/model",
+                 "'" + contract.model.value + "' is not under /models: add it there first");
+    if (contract.isResumable && !(contract.isStream && contract.repeatable))
+      return bad(at + "/resumable",
+                 "only a stream that is repeatable resumes: set stream and repeatable too");
+    spec->contracts[ContractName{name}] = contract;
+  }
+  return absl::OkStatus();
+}
+
+absl::Status readServices(const Json& rows, Spec* spec) {
+  for (const auto& [name, row] : rows.items()) {
+    Service service;
+    service.healthPath = row.value("health_path", "");
+    service.maxConnections = row.value("max_connections", service.maxConnections);
+    service.slots = row.value("slots", service.slots);
+    service.cacheTokens = row.value("cache_tokens", service.cacheTokens);
+    service.tokenBytes = row.value("token_bytes", service.tokenBytes);
+    service.linkMbps = row.value("link_mbps", service.linkMbps);
+    service.eventReaders = row.value("event_readers", service.eventReaders);
+    for (const auto& model : row.value("models", Json::array())) {
+      service.models.push_back(ModelName{model.get<std::string>()});
+      if (!spec->weights.contains(service.models.back()))
+        return bad("/services/" + name + "/models",
+                   "'" + service.models.back().value + "' is not under /models: add it there");
+    }
+    spec->services[ServiceName{name}] = service;
+  }
+  return absl::OkStatus();
+}
+
+void readStores(const Json& rows, Spec* spec) {
+  for (const auto& [name, row] : rows.items()) {
+    PartStore store;
+    store.address = Address{row["address"].get<std::string>()};
+    store.zone = row.value("zone", "");
+    store.cacheTokens = row.value("cache_tokens", store.cacheTokens);
+    store.linkMbps = row.value("link_mbps", store.linkMbps);
+    store.eventReaders = row.value("event_readers", store.eventReaders);
+    spec->stores[ServiceName{name}] = store;
+  }
+}
+
+absl::Status describe(const RouteDefect& defect, const Spec& spec) {
+  const Route& route = spec.routes[defect.route];
+  const std::string at = "/routes/" + route.name;
+  switch (defect.kind) {
+    case RouteDefect::Kind::UnknownService:
+      return bad(
+          at + "/split/" + std::to_string(defect.part) + "/service",
+          "no service '" + route.split[defect.part].service.value + "': add it under /services");
+    case RouteDefect::Kind::UnknownContract:
+      return bad(at + "/contract",
+                 "no contract '" + route.contract.value + "': add it under /contracts");
+    case RouteDefect::Kind::NoWeight:
+      return bad(at + "/split", "the weights add up to 0: give one service more than 0");
+    case RouteDefect::Kind::SameHostAndPrefix:
+      break;
+  }
+  return bad(at + "/prefix", "route '" + spec.routes[defect.other].name +
+                                 "' has this host and prefix: change or remove one of them");
+}
+
+absl::Status readRoutes(const Json& rows, Spec* spec) {
+  for (const auto& [name, row] : rows.items()) {
+    Route route;
+    route.name = name;
+    route.host = row["host"].get<std::string>();
+    route.prefix = row["prefix"].get<std::string>();
+    route.contract = ContractName{row["contract"].get<std::string>()};
+    route.isPublic = row.value("public", false);
+    for (const auto& share : row["split"])
+      route.split.push_back({ServiceName{share["service"].get<std::string>()},
+                             share.value("weight", std::uint32_t{1})});
+    spec->routes.push_back(std::move(route));
+  }
+  if (const auto defect = firstRouteDefect(*spec)) return describe(*defect, *spec);
+  return absl::OkStatus();
+}
+
+// A request of a way names no model, so the contract has to.
+absl::Status readWays(const Json& rows, Spec* spec) {
+  for (const auto& [path, contract] : rows.items()) {
+    const ContractName name{contract.get<std::string>()};
+    const auto found = spec->contracts.find(name);
+    if (found == spec->contracts.end())
+      return bad("/ways/" + path, "no contract '" + name.value + "': add it under /contracts");
+    if (found->second.model.value.empty())
+      return bad("/contracts/" + name.value + "/model",
+                 "missing, and the way '" + path + "' needs it: name a model of /models");
+    spec->ways[path] = name;
+  }
+  return absl::OkStatus();
+}
+
+absl::Status checkModels(const Spec& spec) {
+  std::set<ContractName> routed;
+  for (const Route& route : spec.routes) routed.insert(route.contract);
+  for (const auto& [name, contract] : spec.contracts) {
+    if (contract.model.value.empty() && !routed.contains(name))
+      return bad("/contracts/" + name.value + "/model",
+                 "missing, and no route uses the contract: name a model of /models");
+  }
+  return absl::OkStatus();
+}
+}  // namespace
+
+absl::StatusOr<Spec> parseSpec(const std::string& body) {
+  const Json json = Json::parse(body, nullptr, false);
+  if (json.is_discarded()) return bad("/", "not JSON: send one JSON object");
+  if (const auto defect = schemaDefect(kSpecSchema, json)) return bad(defect->path, defect->what);
+  Spec spec;
+  const auto rowsOf = [&](const char* name) { return json.value(name, Json::object()); };
+  for (const auto& [name, model] : json["models"].items())
+    spec.weights[ModelName{name}] = WeightsVersion{model["weights"].get<std::string>()};
+  if (auto status = readTenants(json["tenants"], &spec); !status.ok()) return status;
+  if (auto status = readContracts(json["contracts"], &spec); !status.ok()) return status;
+  if (auto status = readServices(rowsOf("services"), &spec); !status.ok()) return status;
+  readStores(rowsOf("stores"), &spec);
+  if (auto status = readRoutes(rowsOf("routes"), &spec); !status.ok()) return status;
+  if (auto status = readWays(json["ways"], &spec); !status.ok()) return status;
+  if (auto status = checkModels(spec); !status.ok()) return status;
+  const Json limits = rowsOf("caller_limits");
+  CallerLimits& bounds = spec.callerLimits;
+  bounds.headerBytes = limits.value("header_bytes", bounds.headerBytes);
+  bounds.bodyBytes = limits.value("body_bytes", bounds.bodyBytes);
+  bounds.headerDue = millisOf(limits, "header_due_ms", bounds.headerDue);
+  bounds.idleDue = millisOf(limits, "idle_due_ms", bounds.idleDue);
+  sortRoutes(&spec);
+  return spec;
+}
+
+}  // namespace quayrill
--- a/src/spec/spec.h
+++ b/src/spec/spec.h
@@ -97,6 +97,20 @@
   CallerLimits callerLimits;
 };
 
+// The first rule that a route breaks, in the order of the rows; whoever read them names the field.
+struct RouteDefect {
+  enum class Kind { UnknownService, UnknownContract, NoWeight, SameHostAndPrefix };
+  Kind kind{};
+  std::size_t route = 0;  // index in routes
+  std::size_t part = 0;   // index in its split
+  std::size_t other = 0;  // the route that it clashes with
+};
+std::optional<RouteDefect> firstRouteDefect(const Spec& spec);
+
+// Gives the tenant a key. The result is the tenant that has it already, if that is another one.
+std::optional<TenantName> addKeyDigest(Spec* spec, const TenantName& tenant,
+                                       const std::string& digest);
+
 // Puts the routes into their order; call it once they are all there.
 void sortRoutes(Spec* spec);
 // The route of that host with the longest prefix that begins the path; nullptr if there is none.
