Read the platform's list, reports and orders; take told servers without polling

The daemon on the platform read neither its list nor its servers: its dialect still had the product's calls. Orders go through the dialect and name the wanted instance, so another server at a reused address refuses. Before: no server was known on the platform.

--- a/src/agent/agent.cpp
+++ b/src/agent/agent.cpp
@@ -19,6 +19,24 @@
 constexpr std::size_t kWaves = 3;  // ours: a third of a model's servers switches at a time
 constexpr Span kWaveSpan = 3s;
 
+const char* orderAnswerName(OrderAnswer answer) {
+  switch (answer) {
+    case OrderAnswer::Taken:
+      return "taken";
+    case OrderAnswer::Holds:
+      return "holds";
+    case OrderAnswer::Busy:
+      return "busy";
+    case OrderAnswer::Fenced:
+      return "fenced";
+    case OrderAnswer::Refused:
+      return "refused";
+    case OrderAnswer::Unclear:
+      break;
+  }
+  return "unclear";
+}
+
 AgentBoot coreBoot(const Boot& boot) {
   std::random_device entropy;
   const std::uint64_t nonce = (static_cast<std::uint64_t>(entropy()) << 32) | entropy();
@@ -151,7 +169,7 @@
     auto listed = co_await dialect_.readList(boot_.platform, boot_.cohort, 800ms, &calls);
     if (listed.ok()) core_->takeList(std::move(*listed), askedAt);
     takeList();
-    co_await pauseFor(kPollEvery);
+    co_await pauseFor(boot_.listEvery);
   }
 }
 
@@ -166,14 +184,32 @@
     if (!fresh && !row->second.listed.leaving && server.leaving)
       LOG(INFO) << "server " << server.name.value << " is leaving";
     row->second.listed = server;
+    if (server.told) takeTold(row->second, *takenList_);
     if (!fresh) continue;
     row->second.life = ++pollLife_;
     LOG(INFO) << "server " << server.name.value << " listed";
+    if (!dialect_.readServer) continue;
     asio::co_spawn(io_, pollLoop(server.name, pollLife_), asio::detached);
   }
   std::erase_if(servers_, [&](const auto& row) { return !names.contains(row.first); });
 }
 
+// What the list itself tells of a server stands in for its own word.
+void Agent::takeTold(Polled& row, Instant readAt) const {
+  const ListRow& listed = row.listed;
+  ServerState state;
+  state.name = listed.name;
+  state.service = listed.service;
+  state.identity = listed.identity;
+  state.model = listed.model;
+  state.weights = listed.weights;
+  state.slots = listed.slots;
+  state.sound = true;
+  state.polledAt = readAt;
+  row.state = std::move(state);
+  row.soundAt = readAt;
+}
+
 awaitable<void> Agent::pollLoop(ServerName server, std::uint64_t life) {
   const Address address{server.value};
   for (;;) {
@@ -229,16 +265,27 @@
   }
 }
 
+// No other life of a daemon has the same.
+std::string Agent::orderOwner() const {
+  const std::string name = boot_.node.empty() ? boot_.cohort.value : boot_.node;
+  return name + "/" + std::to_string(core_->boot().nonce);
+}
+
 awaitable<void> Agent::order(ServerName server, WeightsVersion weights, Fence fence) {
   ++counters_.weightOrders;
-  const Address address{server.value};
-  const auto status = co_await orderWeights(address, boot_.cohort, weights, fence, kOrderDue);
+  const auto listed = servers_.find(server);
+  if (listed == servers_.end() || !listed->second.state) co_return;
+  const ServerIdentity identity = listed->second.state->identity;
+  const ModelName model = listed->second.state->model;
+  const OrderAnswer answer =
+      co_await dialect_.orderWeights(Address{server.value}, boot_.cohort, identity, model, weights,
+                                     orderOwner(), fence, kOrderDue);
   decisions_.add(server.value, nlohmann::json{{"decision", "weights"},
                                               {"server", server.value},
                                               {"weights", weights.value},
                                               {"fence", fence.value},
                                               {"daemon", boot_.cohort.value},
-                                              {"result", status.ToString()}}
+                                              {"result", orderAnswerName(answer)}}
                                    .dump());
   const auto row = servers_.find(server);
   if (row != servers_.end()) row->second.orderBusy = false;
@@ -261,7 +308,12 @@
     ServerState state = *row.state;
     state.zone = row.listed.zone;
     state.leaving = row.listed.leaving;
-    state.sound = state.sound && now - row.soundAt < kSoundSpan;
+    // How old a told row may be is for the reader of listedAgoMicros to say.
+    state.sound = state.sound && (row.listed.told || now - row.soundAt < kSoundSpan);
+    if (row.listed.told && spec_) {
+      const auto service = spec_->services.find(state.service);
+      if (service != spec_->services.end()) state.cacheTokens = service->second.cacheTokens;
+    }
     snapshot.servers.push_back(toSnapshot(state, now));
   }
   return snapshot;
--- a/src/agent/agent.h
+++ b/src/agent/agent.h
@@ -46,8 +46,10 @@
   awaitable<void> platformLoop();
   void takeList();
   awaitable<void> pollLoop(ServerName server, std::uint64_t life);
+  void takeTold(Polled& row, Instant readAt) const;
   void tickOrders(Instant now);
   bool isWaveDue(const ServerName& server, const ModelName& model, Instant now) const;
+  std::string orderOwner() const;
   awaitable<void> order(ServerName server, WeightsVersion weights, Fence fence);
   void takeSpec();
 
