--- a/src/relay/connection_pool.cpp
+++ b/src/relay/connection_pool.cpp
@@ -43,7 +43,8 @@
     socket.close(ignored);
   });
   ErrorCode code;
-  co_await socket.async_connect(endpointOf(Address{server.value}), into(code));
+  const Tcp::endpoint endpoint = endpointOf(Address{server.value});
+  co_await socket.async_connect(endpoint, into(code));
   *ended = true;
   timer.cancel();
   if (code) co_return absl::UnavailableError("connect: " + code.message());
