Operators' calls of the platform: configurations and weights by amending the register

PUT and PATCH /q/spec check with the dialect's own reader now, so no body that the fleet can't read is proposed.

Ruled out: proposing on the spec in force here without a read (a stale daemon would say 412 for a version that is gone); one try per call (a lost race of two equal calls would be told 412). Before: changes only by PUT /q/spec.

--- a/src/agent/agent.h
+++ b/src/agent/agent.h
@@ -14,10 +14,14 @@
 #include "net/cohort_link.h"
 #include "net/disk.h"
 #include "net/model_server.h"
+#include "spec/amend.h"
 #include "spec/spec.h"
 
 namespace quayrill {
 
+// The cohort's frames and the feed of a proxy carry a spec whole: both allow several times this.
+inline constexpr std::size_t kSpecLimit = 1 << 20;
+
 class Agent {
  public:
   Agent(Boot boot, Dialect dialect);
@@ -28,6 +32,13 @@
   // Operator calls that were taken and not yet answered.
   std::size_t callsOpen() const { return callsOpen_; }
 
+  // For calls of operators, on the control thread. A register that is not heard can't be changed.
+  bool hearsRegister() const;
+  // Reads, amends and proposes until it is known what became of it, or its time is over.
+  awaitable<AmendDone> amendSpec(Amendment change);
+  // A read of the spec through the register itself, which also settles it.
+  awaitable<ChangeDone> readSettled(Span due);
+
  private:
   struct Polled {
     ListRow listed;
@@ -55,8 +66,8 @@
   awaitable<HttpResponse> refound(HttpRequest& request);
   awaitable<HttpResponse> changeSpec(HttpRequest& request, bool isPatch);
   awaitable<ChangeDone> ask(ChangeAsked change);
-  // A read of the spec through the register itself, which also settles it.
-  awaitable<ChangeDone> readSettled(Span due);
+  // Enough register copies that a change survives the loss of one.
+  bool hasCopiesToSpare() const;
   Snapshot snapshot(std::uint64_t knownSpec, Instant now) const;
   nlohmann::json membersJson(Instant now) const;
   nlohmann::json serversJson(Instant now) const;
--- a/src/agent/operators.cpp
+++ b/src/agent/operators.cpp
@@ -10,9 +10,6 @@
 using Json = nlohmann::json;
 
 namespace {
-// The cohort's frames and the feed of a proxy carry a spec whole: both allow several times this.
-constexpr std::size_t kSpecLimit = 1 << 20;
-
 HttpResponse turnedAway(const std::string& why) {
   HttpResponse response = defectResponse({DefectKind::TurnedAway, why});
   response.set(http::field::retry_after, "1");
@@ -50,8 +47,7 @@
     co_return defectResponse(
         {DefectKind::MalformedRequest, "?expect=VERSION is missing: name the version you read"});
   const std::uint64_t expected = std::stoull(expectText);
-  const CopySet& copies = core_->freshness().copies();
-  if (copies.members.size() < std::min<std::size_t>(3, boot_.copiesWanted))
+  if (!hasCopiesToSpare())
     co_return turnedAway("too few register copies to survive the loss of one");
   const ChangeDone current = co_await readSettled(2s);
   if (current.result != ChangeResult::Chosen)
@@ -74,7 +70,7 @@
     co_return defectResponse(
         {DefectKind::Oversize, "the spec would have " + std::to_string(body.size()) +
                                    " bytes of at most " + std::to_string(kSpecLimit)});
-  if (const auto parsed = parseSpec(body); !parsed.ok())
+  if (const auto parsed = dialect_.readSpec(body); !parsed.ok())
     co_return defectResponse({DefectKind::BadSpec, std::string(parsed.status().message())});
   ChangeAsked change{{}, kSpecKey, false, expected, body, {}, BootClock::now() + 3s};
   const ChangeDone done = co_await ask(change);
@@ -116,7 +112,7 @@
          R"(the body is {"version": N, "spec": {...}}, as 'spec get' prints it)"});
   const std::string body = saved.contains("spec") ? saved["spec"].dump() : "";
   if (!body.empty()) {
-    if (const auto parsed = parseSpec(body); !parsed.ok())
+    if (const auto parsed = dialect_.readSpec(body); !parsed.ok())
       co_return defectResponse({DefectKind::BadSpec, std::string(parsed.status().message())});
   }
   AgentEffects effects;
@@ -191,6 +187,10 @@
   const auto verb = request.method();
   ++callsOpen_;
   AtEnd answered([this] { --callsOpen_; });
+  if (dialect_.operatorCall) {
+    auto answer = co_await dialect_.operatorCall(*this, request);
+    if (answer) co_return std::move(*answer);
+  }
   if (path == "/q/spec" && (verb == http::verb::put || verb == http::verb::patch))
     co_return co_await changeSpec(request, verb == http::verb::patch);
   if (path == "/q/refound" && verb == http::verb::post) co_return co_await refound(request);
--- a/tests/platform_config_tests.cpp
+++ b/tests/platform_config_tests.cpp
@@ -290,3 +290,29 @@
   CHECK_FALSE(platform::namedWeights(R"({"model":"x","gen":0})").ok());
   CHECK_FALSE(platform::namedWeights("{").ok());
 }
+
+// Not a check: run it by name, `quayrill_tests "[cost]"`.
+TEST_CASE("platform config: what 280 more routes cost", "[.][cost]") {
+  Document document = sample();
+  for (int i = 0; i < 280; ++i) {
+    Document route = document["routes"][0];
+    route["name"] = "extra" + std::to_string(i);
+    route["prefix"] = "/extra" + std::to_string(i) + "/";
+    document["routes"].push_back(route);
+  }
+  const std::string text = document.dump();
+  const auto each = [](const char* what, const std::function<void()>& work) {
+    constexpr int kRounds = 50;
+    work();
+    const auto begun = std::chrono::steady_clock::now();
+    for (int i = 0; i < kRounds; ++i) work();
+    const std::chrono::duration<double, std::milli> took = std::chrono::steady_clock::now() - begun;
+    WARN(what << ": " << took.count() / kRounds << " ms");
+  };
+  const std::string body = made(platform::wholeConfig(text, 0), "");
+  const std::string patch = R"({"gen":9})";
+  WARN("document " << text.size() << " bytes, body " << body.size());
+  each("read the spec of the register", [&] { (void)platform::readSpec(body); });
+  each("read a whole configuration", [&] { (void)platform::wholeConfig(text, 0); });
+  each("make a patch of one field", [&] { made(platform::configPatch(patch, 7), body); });
+}
