Cohort lanes give a dead machine up in 2 s and a dropped opening packet in half a second

Cause: what was sent to a machine without power stayed unacknowledged in the lane for minutes, and a connect waited 1 s while a dropped opening packet is only sent again after a second. TCP_USER_TIMEOUT is 2 s now, a connect has 500 ms. Built; no run over real circuits was made.

--- a/src/net/cohort_link.cpp
+++ b/src/net/cohort_link.cpp
@@ -1,5 +1,8 @@
 #include "net/cohort_link.h"
 
+#include <netinet/in.h>
+#include <netinet/tcp.h>
+
 namespace quayrill {
 
 using namespace std::chrono_literals;
@@ -7,6 +10,8 @@
 namespace {
 constexpr std::size_t kQueueLimit = 256;
 constexpr std::size_t kLaneLimit = 1024;
+constexpr Span kConnectDue = 500ms;  // a dropped opening packet is sent again only after a second
+constexpr int kUserTimeoutMs = 2000;
 
 std::string framed(const std::string& bytes) {
   const auto size = static_cast<std::uint32_t>(bytes.size());
@@ -94,8 +99,11 @@
 awaitable<void> CohortLink::drain(Address to, std::shared_ptr<Lane> lane) {
   Circuit circuit(io_);
   ErrorCode code;
-  circuit.expires_after(1s);
+  circuit.expires_after(kConnectDue);
   circuit.socket().open(Tcp::v4(), code);
+  // A machine without power answers nothing: what is sent there must not wait for hours.
+  using UserTimeout = asio::detail::socket_option::integer<IPPROTO_TCP, TCP_USER_TIMEOUT>;
+  circuit.socket().set_option(UserTimeout(kUserTimeoutMs), code);
   const Tcp::endpoint from(endpointOf(self_).address(), 0);
   circuit.socket().bind(from, code);
   const Tcp::endpoint endpoint = endpointOf(via_.value.empty() ? to : via_);
