A hold taken from another life counts only once the lease has passed

Cause: a holder that released a duty and the next one could act in the same second. The new holder now waits leaseSpan from the last moment in which the other could have acted, by what was seen here: its release, or the end of a term begun when its last renewal was seen. Ruled out: counting from the own change, which is later than needed by the time of that change. The same life waits for nothing. Test on a fake clock: release, frozen holder, later life of the same machine. Default 0 as before.

--- a/src/agent/core/holds.cpp
+++ b/src/agent/core/holds.cpp
@@ -52,6 +52,13 @@
     row.retryAt = now + 300ms;  // look again: a renewal starts the term anew
     return change(duty, row, now, true, {});
   }
+  // The other let go before its release was seen here, or its term ran out at the latest kTerm
+  // after its last renewal was seen here.
+  const bool taken = row.version > 0 && (row.body.holder != self_ || row.body.nonce != nonce_);
+  if (taken) {
+    const Instant lastAct = row.body.released ? row.seenAt : row.seenAt + kTerm;
+    row.validFrom = std::max(row.validFrom, lastAct + leaseSpan_);
+  }
   const Fence next = std::max(floor, Fence{row.body.fence.value + 1});
   return change(duty, row, now, false, {self_, nonce_, next, false});
 }
@@ -88,7 +95,7 @@
   const HoldBody& body = row->second.body;
   if (body.holder != self_ || body.nonce != nonce_ || body.released || row->second.releasing)
     return std::nullopt;
-  if (now + needed >= row->second.validUntil) return std::nullopt;
+  if (now < row->second.validFrom || now + needed >= row->second.validUntil) return std::nullopt;
   return body.fence;
 }
 
--- a/src/agent/core/holds.h
+++ b/src/agent/core/holds.h
@@ -20,7 +20,10 @@
 
 class Holds {
  public:
-  Holds(Address self, std::uint64_t nonce) : self_(std::move(self)), nonce_(nonce) {}
+  // A hold taken from another life counts only once `leaseSpan` has passed since that one could
+  // last have acted.
+  Holds(Address self, std::uint64_t nonce, Span leaseSpan = {})
+      : self_(std::move(self)), nonce_(nonce), leaseSpan_(leaseSpan) {}
 
   // The register change that brings this daemon nearer to holding the duty, if one is due now.
   // A fence newly taken is at least `floor`, so that it rises even where the register was founded
@@ -40,6 +43,7 @@
     HoldBody body;
     Instant seenAt;      // when this version was first seen here
     Instant validUntil;  // only when held by this life
+    Instant validFrom;   // never falls; an earlier holder can't have acted in the lease before it
     bool busy = false;
     bool releasing = false;
     Instant askedAt;
@@ -50,6 +54,7 @@
                      const HoldBody& body);
   Address self_;
   std::uint64_t nonce_;
+  Span leaseSpan_;
   std::map<RegisterKey, Row> rows_;
 };
 
--- a/tests/agent_tests.cpp
+++ b/tests/agent_tests.cpp
@@ -215,6 +215,52 @@
   CHECK_FALSE(second.held(script.duty, 0s, now));
 }
 
+TEST_CASE("holds: taken from another life it counts only when the lease has passed") {
+  HoldScript script;
+  const Span lease = 3s;
+  Holds first(member(1), 11, lease), second(member(2), 22, lease);
+  Instant now{100s};
+  script.step(first, now);
+  script.step(first, now);
+  CHECK(first.held(script.duty, 0s, now) == Fence{1});  // nobody held it before
+  // Let go: the rival has the fence at once, and the right a lease after it saw the release.
+  const auto released = first.release(script.duty, now);
+  REQUIRE(released);
+  first.onDone(script.answer(*released), now);
+  script.step(second, now);
+  script.step(second, now);
+  const Instant takenAt = now;
+  for (; now < takenAt + lease; now += 50ms) {
+    script.step(second, now);
+    CHECK_FALSE(second.held(script.duty, 0s, now));
+  }
+  CHECK(second.held(script.duty, 0s, now) == Fence{2});
+  // Renewed, or let go and taken again by the same life: no second wait.
+  const auto again = second.release(script.duty, now);
+  REQUIRE(again);
+  second.onDone(script.answer(*again), now);
+  CHECK_FALSE(second.held(script.duty, 0s, now));
+  script.step(second, now);
+  CHECK(second.held(script.duty, 0s, now) == Fence{3});
+  // Run out unrenewed, as behind a cut or in a freeze: it stops acting by its own clock, and the
+  // rival acts a lease later at the earliest.
+  Instant lastAct{};
+  const Instant frozenAt = now;
+  for (; now < frozenAt + 30s && !first.held(script.duty, 0s, now); now += 50ms) {
+    if (second.held(script.duty, 0s, now)) lastAct = now;
+    script.step(first, now);
+  }
+  CHECK(first.held(script.duty, 0s, now) == Fence{4});
+  CHECK(now - lastAct >= lease);
+  CHECK_FALSE(second.held(script.duty, 0s, now));  // woken
+  // A later life of the same machine is another holder.
+  Holds later(member(1), 33, lease);
+  const Instant restartedAt = now;
+  for (; now < restartedAt + 30s && !later.held(script.duty, 0s, now); now += 50ms)
+    script.step(later, now);
+  CHECK(now - restartedAt >= 4s + lease);
+}
+
 TEST_CASE("decisions: read by position, with the gap shown to a reader that is too slow") {
   DecisionLog log(100);
   for (int i = 1; i <= 250; ++i) log.add("r" + std::to_string(i), std::to_string(i));
