--- a/src/agent/agent.cpp
+++ b/src/agent/agent.cpp
@@ -287,9 +287,11 @@
   if (listed == servers_.end() || !listed->second.state) co_return;
   const ServerIdentity identity = listed->second.state->identity;
   const ModelName model = listed->second.state->model;
-  const OrderAnswer answer =
-      co_await dialect_.orderWeights(Address{server.value}, boot_.cohort, identity, model, weights,
-                                     orderOwner(), fence, kOrderDue);
+  // GCC 12 destroys an aggregate made inside a co_await twice: name what is passed.
+  const Address address{server.value};
+  const std::string owner = orderOwner();
+  const OrderAnswer answer = co_await dialect_.orderWeights(address, boot_.cohort, identity, model,
+                                                            weights, owner, fence, kOrderDue);
   decisions_.add(server.value, nlohmann::json{{"decision", "weights"},
                                               {"server", server.value},
                                               {"weights", weights.value},
