--- a/src/agent/agent.h
+++ b/src/agent/agent.h
@@ -6,6 +6,7 @@
 #include <set>
 
 #include "agent/core/agent_core.h"
+#include "agent/core/rollout.h"
 #include "agent/snapshot.h"
 #include "base/counters.h"
 #include "base/decision_log.h"
@@ -21,6 +22,8 @@
 
 // The cohort's frames and the feed of a proxy carry a spec whole: both allow several times this.
 inline constexpr std::size_t kSpecLimit = 1 << 20;
+// The hold under which a model's servers are ordered.
+RegisterKey orderHold(const ModelName& model);
 
 class Agent {
  public:
@@ -49,9 +52,6 @@
     std::optional<ServerState> state;
     Instant soundAt{};  // start of the last poll that was answered
     std::uint64_t life = 0;
-    bool orderBusy = false;
-    Instant nextOrder{};
-    std::optional<Instant> differsSince;  // its wave is due and it has other weights than named
   };
   using Waiter = std::function<void(const ChangeDone&)>;
 
@@ -59,14 +59,17 @@
   void takeDisk(Disk::Rows rows);
   void feed(Instant now);
   awaitable<void> tickLoop();
-  awaitable<void> platformLoop();
+  awaitable<void> readList();
   void takeList();
   awaitable<void> pollLoop(ServerName server, std::uint64_t life);
   void takeTold(Polled& row, Instant readAt) const;
   void tickOrders(Instant now);
-  bool isWaveDue(const ServerName& server, const ModelName& model, Instant now) const;
+  RolloutView rolloutView(const ModelName& model, const WeightsVersion& wanted, Instant now) const;
+  void applyRollout(const ModelName& model, const RolloutEffects& made, Instant now);
   std::string orderOwner() const;
-  awaitable<void> order(ServerName server, WeightsVersion weights, Fence fence);
+  // `decidedAt` is when the hold was last seen to outlast the order.
+  awaitable<void> orderServer(ModelName model, WeightsOrder order, Instant decidedAt);
+  awaitable<void> askReport(ModelName model, ReportAsk asked);
   void takeSpec();
 
   awaitable<std::optional<HttpResponse>> handle(HttpRequest& request);
@@ -75,6 +78,7 @@
   awaitable<ChangeDone> ask(ChangeAsked change);
   // Enough register copies that a change survives the loss of one.
   bool hasCopiesToSpare() const;
+  ServerState stateOf(const Polled& row, Instant now) const;
   Snapshot snapshot(std::uint64_t knownSpec, Instant now) const;
   nlohmann::json membersJson(Instant now) const;
   nlohmann::json serversJson(Instant now) const;
@@ -100,7 +104,10 @@
   Instant nextFeed_{};
   std::optional<Spec> spec_;  // the spec in force, parsed
   std::uint64_t specVersion_ = 0;
-  std::map<ModelName, Instant> weightsNamedAt_;
+  // When the spec in force here was last known to be the newest.
+  std::optional<Instant> confirmedThen_;
+  std::map<ModelName, Rollout> rollouts_;     // of models that the spec names weights for
+  std::map<ModelName, Instant> behindSince_;  // of those, where a server has other weights
 };
 
 }  // namespace quayrill
--- a/src/agent/core/agent_core.h
+++ b/src/agent/core/agent_core.h
@@ -10,6 +10,8 @@
 #include "agent/core/membership.h"
 #include "agent/core/news.h"
 #include "agent/core/server_list.h"
+#include "agent/core/server_notes.h"
+#include "agent/core/weights_named.h"
 #include "register/copy.h"
 #include "register/proposer.h"
 
@@ -27,6 +29,8 @@
   // that the whole system starts for the first time.
   Span foundingWait = std::chrono::seconds(3);
   Span leaseSpan{};  // two holders of one duty never act within this of each other
+  std::chrono::milliseconds listEvery{400};
+  double listCallsPerS = 50;  // for the platform's list, of all daemons together
 };
 
 // One piece of work for the copy's disk: the writes are synced in order, then the answer leaves.
@@ -39,6 +43,8 @@
   std::vector<Envelope> sends;
   std::vector<CopyWork> copyWork;
   std::vector<ChangeDone> done;  // of the operations asked from outside
+  bool readList = false;         // the platform's list is to be read, and takeList or
+                                 // onListFailed called once
 };
 
 class AgentCore {
@@ -82,10 +88,21 @@
     return holds_.held(duty, needed, now);
   }
 
-  void takeList(std::vector<ListRow> rows, Instant askedAt) {
-    list_.take(std::move(rows), askedAt);
+  void takeList(std::vector<ListRow> rows, Instant askedAt, std::size_t calls, Instant now,
+                AgentEffects* effects);
+  void onListFailed(std::size_t calls, bool overRate, Instant now) {
+    list_.onReadFailed(calls, overRate, now);
   }
   const ServerList& list() const { return list_; }
+  // What this daemon learned of a server whose weights it orders, told to all that live.
+  void tellNote(const ServerNote& note, Instant now, AgentEffects* effects);
+  const ServerNotes& notes() const { return notes_; }
+  // The spec in force names these weights; `before` is when it was not in force for certain.
+  void nameWeights(const std::map<ModelName, WeightsVersion>& weights,
+                   std::optional<Instant> before) {
+    named_.onSpec(weights, before);
+  }
+  const WeightsNamed& weightsNamed() const { return named_; }
   const Freshness& freshness() const { return freshness_; }
   std::vector<NewsItem> live(Instant now) const { return news_.live(now); }
   const AgentBoot& boot() const { return boot_; }
@@ -124,6 +141,8 @@
   // Those that a duty may fall to. Empty until this daemon has had time to hear of the others: what
   // it would take for its own would have to be watched out by the true owner.
   std::vector<Address> staying(Instant now) const;
+  void tickList(Instant now, AgentEffects* effects);
+  void sendListAnswers(std::vector<Envelope> sends, Instant now, AgentEffects* effects);
 
   AgentBoot boot_;
   std::mt19937_64 random_;
@@ -134,6 +153,9 @@
   Proposer proposer_;
   Holds holds_;
   ServerList list_;
+  ListPeers listPeers_;  // as of the last time that it was due to be made anew
+  ServerNotes notes_;
+  WeightsNamed named_;
   std::map<OperationId, Purpose> purposes_;  // one row per operation under way
   std::uint64_t operationCounter_ = 0;
   // Copy work handed out and not yet done; past the limit the copy takes no more messages, so a
@@ -141,7 +163,8 @@
   std::size_t copyBacklog_ = 0;
   bool leaving_ = false;
   Instant startedAt_{};  // of the first tick
-  Instant nextBeat_{}, nextPull_{}, nextConfirm_{}, nextFounding_{}, nextCopies_{}, nextSweep_{};
+  Instant nextBeat_{}, nextPull_{}, nextConfirm_{}, nextFounding_{}, nextCopies_{}, nextSweep_{},
+      nextListPeers_{};
   Span settlePatience_{};
   std::uint64_t confirmRounds_ = 0;
   // Founding. A grant is for one fleet of one founder; the next waits until it has run out, unless
--- a/src/agent/view.cpp
+++ b/src/agent/view.cpp
@@ -19,6 +19,9 @@
   next.listedAt = since(told.listedAgoMicros);
   next.servers.clear();
   for (const SnapshotServer& row : told.servers) next.servers.push_back(fromSnapshot(row, askedAt));
+  next.weightsNamedAt.clear();
+  for (const auto& [model, agoMicros] : told.weightsNamedAgoMicros)
+    next.weightsNamedAt[model] = askedAt - std::chrono::microseconds(agoMicros);
   return next;
 }
 
--- a/src/agent/view.h
+++ b/src/agent/view.h
@@ -1,6 +1,7 @@
 #pragma once
 // What a data plane acts by: the last word of its agent, with its ages turned into instants.
 #include <functional>
+#include <map>
 #include <memory>
 
 #include "agent/snapshot.h"
@@ -15,6 +16,7 @@
   Instant confirmedAt{};  // the latest instant for which the spec is known to be the newest
   Instant listedAt{};     // the same for the server list
   std::vector<ServerState> servers;
+  std::map<ModelName, Instant> weightsNamedAt;  // never later than they truly were
 };
 
 // The view that follows `before` by a snapshot asked for at `askedAt`. A spec that can't be read
--- a/src/dialect/dialect.h
+++ b/src/dialect/dialect.h
@@ -9,6 +9,7 @@
 #include <string>
 #include <vector>
 
+#include "agent/core/rollout.h"
 #include "cohort/messages.h"
 #include "net/http.h"
 #include "placement/placement.h"
@@ -18,22 +19,6 @@
 
 class Agent;
 
-// What a server says when it is asked about its weights.
-struct WeightsReport {
-  ModelName model;
-  WeightsVersion weights;
-  bool busy = false;  // an order is under way there
-};
-
-enum class OrderAnswer {
-  Taken,    // it is being done
-  Holds,    // it held already
-  Busy,     // another is under way
-  Fenced,   // a higher fence was seen there
-  Refused,  // it will not be done: another server, or no such version
-  Unclear,  // no answer; it may have been taken
-};
-
 // The names of the headers that a relayed request and its answer carry.
 struct HeaderNames {
   // of callers, passed on
--- a/src/placement/placement.cpp
+++ b/src/placement/placement.cpp
@@ -4,6 +4,7 @@
 #include <cmath>
 #include <tuple>
 
+#include "agent/core/server_notes.h"
 #include "base/digest.h"
 
 namespace quayrill {
@@ -34,6 +35,16 @@
   for (std::size_t i = 0; i < shared; ++i) name = mixHash(name, stableHash(prefix.parts[i].id));
   return name;
 }
+// The last part is a prompt's own, or its session's.
+std::size_t sharedTokensOf(const PromptPrefix& prefix) {
+  std::size_t tokens = 0;
+  for (std::size_t i = 0; i + 1 < prefix.parts.size(); ++i) tokens += prefix.parts[i].tokens;
+  return tokens;
+}
+bool isNumber(const WeightsVersion& weights) {
+  return !weights.value.empty() &&
+         weights.value.find_first_not_of("0123456789") == std::string::npos;
+}
 std::string nameSpaceName(const ServerState& state, const CacheSalt& salt) {
   return state.model.value + '\0' + state.weights.value + '\0' + salt.value;
 }
@@ -89,13 +100,18 @@
       row.firstLife = row.treeLife;
     }
     const bool known = !row.state.identity.value.empty();
+    const bool sameLife = known && row.state.identity == server.identity;
+    const bool older = sameLife && isBehind(server.weights, row.state.weights) &&
+                       row.state.model == server.model && isNumber(server.weights);
     if (known && server.sound &&
-        (row.state.identity != server.identity || row.state.weights != server.weights)) {
+        (!sameLife || (row.state.weights != server.weights && !older))) {
       dropTree(row);
       if (row.state.identity != server.identity) row.eventPosition = 0;
     }
     const ServerState before = row.state;
     row.state = server;
+    // A list may show weights later than an answer did; those of one life never fall.
+    if (older) row.state.weights = before.weights;
     if (known && server.identity == before.identity && server.polledAt < before.polledAt) {
       row.state.running = before.running;  // what its answers showed is newer
       row.state.queued = before.queued;
@@ -171,7 +187,9 @@
   double burdenSum = 0;
   for (auto& [name, row] : rows_) {
     const ServerState& state = row.state;
-    if (!state.sound || state.leaving || asked.avoid.contains(name)) continue;
+    if (!state.sound || state.leaving || state.switching || asked.avoid.contains(name)) continue;
+    if (!asked.weightsNeeded.value.empty() && isBehind(state.weights, asked.weightsNeeded))
+      continue;
     if (!asked.service.value.empty() && state.service != asked.service) continue;
     if (state.model != asked.model && !(asked.model.value.empty() && !asked.service.value.empty()))
       continue;
@@ -220,11 +238,11 @@
   if (placed.source &&
       !worth(static_cast<double>(placed.source->matchedTokens - placed.matchedTokens)))
     placed.source.reset();
-  const std::size_t lacking = placed.promptTokens - placed.matchedTokens;
-  if (placed.source)
-    placed.fetchFrom = Address{placed.source->server.value};
-  else if (lacking > 0)
-    placed.fetchFrom = store_;
+  // What the estimate takes for held may have been evicted: a source that has no more costs next to
+  // nothing, reading the part again costs much. Shared parts that are to be read go to the store.
+  placed.fetchFrom = placed.source ? Address{placed.source->server.value} : store_;
+  if (!placed.source && placed.matchedTokens + boot_.blockTokens <= sharedTokensOf(asked.prefix))
+    placed.keepAt = store_;
   placed.worthFetching = worth(static_cast<double>(placed.promptTokens - placed.matchedTokens));
 
   const std::vector<Token> path = pathFor(nameSpace(chosenRow.state, asked), blocks);
--- a/src/relay/relay.cpp
+++ b/src/relay/relay.cpp
@@ -12,7 +12,7 @@
 using namespace std::chrono_literals;
 
 namespace {
-constexpr Span kSweepEvery = 1s;
+constexpr Span kBeginsWithin = 2s;  // ours: from a request's sending to its first token, at most
 constexpr Span kSilentSlack = 400ms;  // ours: beyond the route's target for a first event
 }  // namespace
 
@@ -60,6 +60,13 @@
   PlacementAsked asked{job.model, job.tenant, job.wall, job.prefix, tried};
   std::vector<SplitShare> left = job.split;
   const Instant now = BootClock::now();
+  // What is sent now may wait at the server before it begins.
+  const auto named = view_->weightsNamedAt.find(job.model);
+  if (named != view_->weightsNamedAt.end() &&
+      now - named->second >= boot_.rolloutDue - kBeginsWithin) {
+    const auto wanted = view_->spec->weights.find(job.model);
+    if (wanted != view_->spec->weights.end()) asked.weightsNeeded = wanted->second;
+  }
   while (!left.empty()) {
     std::uint64_t sum = 0;
     for (const SplitShare& share : left) sum += share.weight;
