--- a/src/placement/placement.cpp
+++ b/src/placement/placement.cpp
@@ -103,8 +103,7 @@
     const bool sameLife = known && row.state.identity == server.identity;
     const bool older = sameLife && isBehind(server.weights, row.state.weights) &&
                        row.state.model == server.model && isNumber(server.weights);
-    if (known && server.sound &&
-        (!sameLife || (row.state.weights != server.weights && !older))) {
+    if (known && server.sound && (!sameLife || (row.state.weights != server.weights && !older))) {
       dropTree(row);
       if (row.state.identity != server.identity) row.eventPosition = 0;
     }
--- a/src/placement/placement.h
+++ b/src/placement/placement.h
@@ -42,9 +42,9 @@
   TenantName tenant;
   CacheSalt salt;
   PromptPrefix prefix;
-  std::set<ServerName> avoid;  // tried already
-  bool overShare = false;      // its tenant leaves the last places to the others
-  ServiceName service{};       // "": any that serves the model
+  std::set<ServerName> avoid;      // tried already
+  bool overShare = false;          // its tenant leaves the last places to the others
+  ServiceName service{};           // "": any that serves the model
   WeightsVersion weightsNeeded{};  // servers with older weights are out of the choice; "": none is
 };
 
--- a/src/relay/relay.cpp
+++ b/src/relay/relay.cpp
@@ -12,7 +12,7 @@
 using namespace std::chrono_literals;
 
 namespace {
-constexpr Span kBeginsWithin = 2s;  // ours: from a request's sending to its first token, at most
+constexpr Span kBeginsWithin = 2s;    // ours: from a request's sending to its first token, at most
 constexpr Span kSilentSlack = 400ms;  // ours: beyond the route's target for a first event
 }  // namespace
 
