Name what an order's call is handed; notes of servers get a test file of their own

Before: Address{...} inside the co_await. After: named values; no other such call found by a search of src and platform. Ruled out: the order's own parameters, which are copies of named values.

--- a/src/agent/orders.cpp
+++ b/src/agent/orders.cpp
@@ -78,14 +78,16 @@
 }
 
 awaitable<void> Agent::orderServer(ModelName model, WeightsOrder order, Instant decidedAt) {
+  // GCC 12 destroys an aggregate temporary of a co_await twice: what is handed over has a name.
+  const Address address{order.server.value};
+  const std::string owner = orderOwner();
   // What stood still since it was decided has that much less time, or is not sent at all.
   const Span due = kOrderDue - (BootClock::now() - decidedAt);
   OrderAnswer answer = OrderAnswer::Unclear;
   if (due > Span{}) {
     ++counters_.weightOrders;
-    answer =
-        co_await dialect_.orderWeights(Address{order.server.value}, boot_.cohort, order.identity,
-                                       model, order.weights, orderOwner(), order.fence, due);
+    answer = co_await dialect_.orderWeights(address, boot_.cohort, order.identity, model,
+                                            order.weights, owner, order.fence, due);
   }
   decisions_.add(order.server.value, nlohmann::json{{"decision", "weights"},
                                                     {"server", order.server.value},
@@ -104,8 +106,8 @@
 
 awaitable<void> Agent::askReport(ModelName model, ReportAsk asked) {
   const Instant askedAt = BootClock::now();
-  const auto report =
-      co_await dialect_.readWeights(Address{asked.server.value}, boot_.cohort, model, kReportDue);
+  const Address address{asked.server.value};
+  const auto report = co_await dialect_.readWeights(address, boot_.cohort, model, kReportDue);
   const auto rollout = rollouts_.find(model);
   if (rollout == rollouts_.end()) co_return;
   const Instant now = BootClock::now();
--- /dev/null
+++ b/tests/server_notes_tests.cpp
@@ -0,0 +1,75 @@
+// What is known of servers and of named weights beside the list, on a fake clock.
+#include <catch2/catch.hpp>
+
+#include "agent/core/server_notes.h"
+#include "agent/core/weights_named.h"
+
+using namespace quayrill;
+using namespace std::chrono_literals;
+
+namespace {
+const ModelName kModel{"m"};
+}
+
+TEST_CASE("notes: weights of one life never fall, and a silent holder blocks no server") {
+  ServerNotes notes;
+  const Instant now{10s};
+  const ServerName server{"s"};
+  const ServerIdentity life{"i"};
+  const WeightsVersion one{"1"}, two{"2"}, ten{"10"};
+  notes.take({server, life, kModel, {}, true, Fence{3}, 1}, now);
+  CHECK(notes.over(server, life, one, now).switching);
+  CHECK(notes.over(server, life, one, now).weights == one);
+  CHECK_FALSE(notes.over(server, life, one, now + 3s).switching);
+  notes.take({server, life, kModel, two, false, Fence{3}, 2}, now + 1s);
+  notes.take({server, life, kModel, {}, true, Fence{3}, 1}, now + 1s);  // late
+  CHECK_FALSE(notes.over(server, life, one, now + 1s).switching);
+  CHECK(notes.over(server, life, one, now + 30s).weights == two);
+  CHECK(notes.over(server, life, ten, now + 30s).weights == ten);
+  // The next order says nothing of its weights, so those reached before stay known.
+  notes.take({server, life, kModel, {}, true, Fence{4}, 1}, now + 2s);
+  CHECK(notes.over(server, life, one, now + 2s).weights == two);
+  CHECK(notes.over(server, ServerIdentity{"next"}, one, now + 2s).weights == one);
+  CHECK_FALSE(notes.over(server, ServerIdentity{"next"}, one, now + 2s).switching);
+  CHECK(notes.lastSign(kModel) == now + 2s);
+}
+
+TEST_CASE("notes: versions without an order are believed only until the list must show them") {
+  CHECK(isBehind(WeightsVersion{"9"}, WeightsVersion{"10"}));
+  CHECK_FALSE(isBehind(WeightsVersion{"10"}, WeightsVersion{"9"}));
+  CHECK(isBehind(WeightsVersion{"w2"}, WeightsVersion{"w1"}));
+  ServerNotes notes;
+  const Instant now{10s};
+  notes.take(
+      {ServerName{"s"}, ServerIdentity{"i"}, kModel, WeightsVersion{"w1"}, false, Fence{3}, 1},
+      now);
+  const auto weights = [&](Span later) {
+    return notes.over(ServerName{"s"}, ServerIdentity{"i"}, WeightsVersion{"w0"}, now + later)
+        .weights;
+  };
+  CHECK(weights(1s) == WeightsVersion{"w1"});
+  CHECK(weights(4s) == WeightsVersion{"w0"});
+}
+
+TEST_CASE("weights named: an age is never too low, and others' words only sharpen it") {
+  WeightsNamed named;
+  const Instant now{1000s};
+  named.onSpec({{kModel, WeightsVersion{"1"}}}, std::nullopt);  // the first spec of this life
+  CHECK_FALSE(named.ago(kModel, now));
+  CHECK(named.tell(now).empty());
+  named.take({{kModel, WeightsVersion{"9"}, 5000000}}, now);  // of other weights
+  CHECK_FALSE(named.ago(kModel, now));
+  named.take({{kModel, WeightsVersion{"1"}, 5000000}}, now);
+  CHECK(named.ago(kModel, now + 1s) == 6s);
+  named.take({{kModel, WeightsVersion{"1"}, 9000000}}, now);  // tells less
+  CHECK(named.ago(kModel, now) == 5s);
+  named.take({{kModel, WeightsVersion{"1"}, 4000000}}, now);
+  CHECK(named.ago(kModel, now) == 4s);
+  named.onSpec({{kModel, WeightsVersion{"2"}}}, now - 300ms);
+  CHECK(named.ago(kModel, now) == 300ms);
+  named.onSpec({{kModel, WeightsVersion{"2"}}}, now);  // a later spec names the same
+  CHECK(named.ago(kModel, now) == 300ms);
+  CHECK(named.tell(now) == std::vector<NamedWeights>{{kModel, WeightsVersion{"2"}, 300000}});
+  named.onSpec({}, now);
+  CHECK_FALSE(named.ago(kModel, now));
+}
