--- a/src/agent/orders.cpp
+++ b/src/agent/orders.cpp
@@ -42,7 +42,8 @@
   if (!spec_) return;
   std::erase_if(rollouts_, [&](const auto& row) { return !spec_->weights.contains(row.first); });
   for (const auto& [model, wanted] : spec_->weights) {
-    const RolloutBoot rolloutBoot{boot_.rolloutDue, boot_.leaseSpan};
+    // The hold itself waits a lease out before it counts.
+    const RolloutBoot rolloutBoot{boot_.rolloutDue, Span{}};
     Rollout& rollout = rollouts_.try_emplace(model, model, rolloutBoot).first->second;
     const RolloutView view = rolloutView(model, wanted, now);
     const RegisterKey key = orderHold(model);
--- a/src/relay/relay.cpp
+++ b/src/relay/relay.cpp
@@ -34,6 +34,8 @@
       const auto& stores = next->spec->stores;
       placement_.setStore(stores.empty() ? Address{} : stores.begin()->second.address);
     }
+    // The platform's list tells no load; what answers show stays.
+    for (ServerState& server : next->servers) server.polledAt = Instant{};
     view_ = std::move(next);
     viewRows_.clear();
     for (std::size_t i = 0; i < view_->servers.size(); ++i) viewRows_[view_->servers[i].name] = i;
