Index fed by part events; bounded load; a slow server is not taken for a silent one

Cause: edges believed parts held that servers had evicted, hot prefixes piled up on their homes (busiest 2.1 times the mean) and tries given up as silent doubled the reading under load. Ruled out: refusals (0.2 per cent).

--- a/src/dialect/dialect.h
+++ b/src/dialect/dialect.h
@@ -31,10 +31,18 @@
   std::string seal, load, notRun, identity, weights;
 };
 
+// How the parts that a server or store keeps are asked for, on a kept connection.
+struct PartEventCalls {
+  std::function<std::string(std::uint64_t since)> target;
+  std::function<absl::StatusOr<PartEvents>(const std::string& body)> parse;
+};
+
 struct Dialect {
   // Requests are relayed by the spec's routes, unchanged, under these names; empty: the product's
   // own calls.
   std::optional<HeaderNames> relayNames;
+  // Empty: parts are not asked for.
+  std::optional<PartEventCalls> partEvents;
   // The register's body to a spec; the message starts with the path of the offending field.
   std::function<absl::StatusOr<Spec>(const std::string& body)> readSpec;
   // The platform's whole list, all of its pages. `calls` is raised by the calls it took.
--- a/src/placement/placement.cpp
+++ b/src/placement/placement.cpp
@@ -76,6 +76,7 @@
   if (--nameSpacesOf_[row.tenant] == 0) nameSpacesOf_.erase(row.tenant);
   // What is locked stays until eviction; its number leads nobody there.
   for (auto& [server, held] : rows_) held.tree.prune(std::span(&row.number, 1));
+  storeRow_.tree.prune(std::span(&row.number, 1));
 }
 
 std::vector<Token> Placement::pathFor(Token number, const std::vector<Token>& blocks) const {
@@ -105,7 +106,10 @@
                        row.state.model == server.model && isNumber(server.weights);
     if (known && server.sound && (!sameLife || (row.state.weights != server.weights && !older))) {
       dropTree(row);
-      if (row.state.identity != server.identity) row.eventPosition = 0;
+      if (row.state.identity != server.identity) {
+        row.eventPosition = 0;
+        row.eventLife.clear();
+      }
     }
     const ServerState before = row.state;
     row.state = server;
@@ -168,7 +172,11 @@
     const std::size_t match = byMatch && !candidate.capped ? candidate.matchedTokens : 0;
     const double burden = byMatch ? std::floor(candidate.burden / kBurdenStep) : candidate.burden;
     const std::uint64_t tie = mixHash(stableHash(candidate.server.value), tieName);
-    return std::make_tuple(match, -burden, tie);
+    // Bounded: those over the cap come last, the least burdened of them first.
+    const bool isBounded = boot_.spreadRequests > 0;
+    const bool isUnder = isBounded && !candidate.capped;
+    const double shown = !isBounded ? burden : isUnder ? 0 : candidate.burden;
+    return std::make_tuple(isUnder, match, -shown, tie);
   };
   const auto best = std::max_element(
       open.begin(), open.end(),
@@ -200,8 +208,13 @@
   }
   if (open.empty()) return std::nullopt;
   const double mean = burdenSum / static_cast<double>(open.size());
-  for (auto& [row, candidate] : open)
-    candidate.capped = candidate.burden >= std::min(1.5, mean + kSpreadMargin);
+  for (auto& [row, candidate] : open) {
+    const double slots = std::max(1U, row->state.slots);
+    const double bound = boot_.spreadRequests > 0
+                             ? mean * boot_.spreadFactor + boot_.spreadRequests / slots
+                             : mean + kSpreadMargin;
+    candidate.capped = candidate.burden >= std::min(1.5, bound);
+  }
   // A server with twice its slots waiting would only let the request age in its queue. The last
   // places of that queue are for tenants that hold no more than their share.
   auto free = open;
@@ -237,14 +250,22 @@
   if (placed.source &&
       !worth(static_cast<double>(placed.source->matchedTokens - placed.matchedTokens)))
     placed.source.reset();
-  // What the estimate takes for held may have been evicted: a source that has no more costs next to
-  // nothing, reading the part again costs much. Shared parts that are to be read go to the store.
-  placed.fetchFrom = placed.source ? Address{placed.source->server.value} : store_;
-  if (!placed.source && placed.matchedTokens + boot_.blockTokens <= sharedTokensOf(asked.prefix))
-    placed.keepAt = store_;
+  noteChain(asked.prefix);
+  const Token chosenSpace = nameSpace(chosenRow.state, asked);
+  const std::vector<Token> path = pathFor(chosenSpace, blocks);
+  if (placed.source) {
+    placed.fetchFrom = Address{placed.source->server.value};
+  } else if (!store_.value.empty() && storeUp_) {
+    // What the estimate takes for held may have been evicted: a source that has no more costs next
+    // to nothing, reading the part again costs much. Shared parts that are to be read are kept.
+    placed.fetchFrom = store_;
+    const std::size_t shared = sharedTokensOf(asked.prefix) / boot_.blockTokens;
+    const std::size_t kept = storeRow_.tree.peekPrefix(path);
+    if (placed.matchedTokens / boot_.blockTokens < shared && kept < shared + 1)
+      placed.keepAt = store_;
+  }
   placed.worthFetching = worth(static_cast<double>(placed.promptTokens - placed.matchedTokens));
 
-  const std::vector<Token> path = pathFor(nameSpace(chosenRow.state, asked), blocks);
   const std::size_t before = chosenRow.tree.peekPrefix(path);
   const PrefixInsert inserted =
       chosenRow.tree.insert(path, std::vector<BlockValue>(path.begin(), path.end()));
@@ -339,6 +360,7 @@
 }
 
 std::uint64_t Placement::eventPosition(const ServerName& server) const {
+  if (server.value == store_.value) return storeRow_.eventPosition;
   const auto row = rows_.find(server);
   return row == rows_.end() ? 0 : row->second.eventPosition;
 }
--- a/src/placement/placement.h
+++ b/src/placement/placement.h
@@ -35,6 +35,10 @@
 struct PlacementBoot {
   std::size_t blockTokens = 16;
   PlacementRule rule = PlacementRule::LongestPrefix;
+  // Above 0: a server is over the cap with more than this many requests beyond spreadFactor times
+  // the mean; its turn comes after all that are not. 0: by the share of its slots.
+  double spreadRequests = 0;
+  double spreadFactor = 1.5;
 };
 
 struct PlacementAsked {
@@ -86,6 +90,25 @@
   PromptPrefix prefix;
 };
 
+// One part of prompts at a server or store: it keeps so many tokens of it now.
+struct PartEvent {
+  bool isAdded = false;
+  CacheSalt salt;  // as the data plane gave it: saltText
+  std::string part;
+  std::uint32_t tokens = 0;
+  ModelName model;
+};
+struct PartEvents {
+  std::string life;  // changes when the server starts anew
+  std::uint64_t next = 0;
+  bool hasGap = false;
+  std::vector<PartEvent> events;
+};
+
+// The name under which servers keep cache: no two versions and no two walls share one, so that no
+// match and no fetch leads across. `wall` is "" where cache is shared.
+CacheSalt saltText(const WeightsVersion& weights, const CacheSalt& wall);
+
 class Placement {
  public:
   explicit Placement(PlacementBoot boot) : boot_(std::move(boot)) {}
@@ -95,7 +118,10 @@
   // Empty when no sound server of the model is free: the caller is turned away.
   std::optional<Placed> place(const PlacementAsked& asked, Instant now = {});
   // A store that servers fetch from and keep at as requests come; "" where there is none.
-  void setStore(const Address& store) { store_ = store; }
+  void setStore(const Address& store, std::uint64_t cacheTokens);
+  // A store that can't be reached is no source and keeps nothing.
+  void noteStore(bool isUp);
+  void takePartEvents(const ServerName& server, const PartEvents& told);
   // Locks are released exactly once: a second release of a ticket does nothing. `ran` false takes
   // the path out again that this ticket put in.
   void release(Ticket ticket, bool ran, Instant now = {});
@@ -133,6 +159,7 @@
     // at the newest poll, once there was one.
     std::deque<std::pair<Instant, std::uint32_t>> past;
     std::uint64_t eventPosition = 0;
+    std::string eventLife;
     // Others go first until then. failures: in a row, without an answer between.
     Instant avoidUntil{};
     std::uint32_t failures = 0;
@@ -162,13 +189,19 @@
   static std::uint32_t inFlightAtPoll(const Row& row);
   static void moveInFlight(Row& row, int by, Instant now);
   void keepBudget(Row& row);
+  void noteChain(const PromptPrefix& prefix);
+  void takePart(Row& row, const PartEvent& event);
   const Row* choose(const std::vector<std::pair<const Row*, Candidate>>& open,
                     std::uint64_t tieName, std::string* reason);
 
   PlacementBoot boot_;
   Address store_;
+  bool storeUp_ = true;
+  // Where each shared part stands: the parts before it, and itself. Events name a part alone.
+  std::map<std::string, std::vector<PromptPart>> chains_;
   std::map<ServerName, Row> rows_;
   std::map<Ticket, Lock> tickets_;
+  Row storeRow_;                                    // the store's parts, as its events tell
   std::map<std::string, NameSpace> nameSpaces_;     // exact names, so no two share a number
   std::map<TenantName, std::size_t> nameSpacesOf_;  // how many rows each tenant has there
   Token lastNameSpace_ = 0;
--- a/src/relay/attempt.cpp
+++ b/src/relay/attempt.cpp
@@ -9,6 +9,7 @@
 
 namespace {
 constexpr Span kConnectDue = 400ms;
+constexpr Span kSignsOfLife = 500ms;  // ours: a server that sent something this lately is alive
 constexpr std::size_t kAnswerLimit = 16 << 20;
 constexpr std::size_t kEventLimit = 1 << 20;
 
@@ -60,7 +61,13 @@
   struct Watch {
     Tcp::socket* socket = nullptr;
     Instant deadline = Instant::max();
-    bool expired = false;
+    // Until the first event: a server that answered others since `begun` is given more time.
+    std::shared_ptr<Instant> signs;
+    Instant begun{}, latest{};
+    bool hasBegun = false, expired = false;
+    bool deservesMore(Instant now) const {
+      return !hasBegun && now<latest&& * signs> begun && now - *signs < kSignsOfLife;
+    }
   };
   const std::shared_ptr<Caller>& caller;
   const RelayRequest& job;
@@ -78,7 +85,9 @@
     timer.expires_after(deadline - BootClock::now());
     timer.async_wait([this, watch = watch](const ErrorCode& code) {
       if (code || !watch->socket) return;
-      if (BootClock::now() < watch->deadline) return arm(watch->deadline);
+      const Instant now = BootClock::now();
+      if (now < watch->deadline) return arm(watch->deadline);
+      if (watch->deservesMore(now)) return arm(std::min(watch->latest, now + kSignsOfLife));
       watch->expired = true;
       ErrorCode ignored;
       watch->socket->close(ignored);
@@ -112,8 +121,7 @@
   if (job.needsKey) addHeader(&head, names_.tenant, job.tenant.value);
   // No two versions and no two walls share a salt, so no match and no fetch leads across: servers
   // and stores check neither.
-  addHeader(&head, names_.salt,
-            server.weights.value + (job.wall.value.empty() ? "" : "." + job.wall.value));
+  addHeader(&head, names_.salt, saltText(server.weights, job.wall).value);
   addHeader(&head, names_.urgency, std::to_string(job.urgency));
   if (!placed.fetchFrom.value.empty()) addHeader(&head, names_.fetchSource, placed.fetchFrom.value);
   if (!placed.keepAt.value.empty()) addHeader(&head, names_.keepAt, placed.keepAt.value);
@@ -166,6 +174,9 @@
 
   Tcp::socket& socket = attempt.connection->socket;
   attempt.watch->socket = &socket;
+  attempt.watch->signs = signsOf(server.name);
+  attempt.watch->begun = now;
+  attempt.watch->latest = job.deadline;
   caller->onGone = [watch = attempt.watch] {
     ErrorCode ignored;
     if (watch->socket) watch->socket->close(ignored);
@@ -284,6 +295,7 @@
     co_await http::async_read_some(socket, attempt.connection->buffer, parser, into(code));
     if (code == http::error::need_buffer) code = {};
     if (code) break;
+    *attempt.watch->signs = BootClock::now();
     const std::size_t got = sizeof block - parser.get().body().size;
     const EventBatch batch = splitter.take({block, got});
     if (splitter.rest().size() > kEventLimit) break;
@@ -307,6 +319,7 @@
     if (isEnd) bytes += "0\r\n\r\n";
     soFar.headSent = true;
     // From here on only the route's own deadline ends the answer.
+    attempt.watch->hasBegun = true;
     attempt.watch->deadline = attempt.job.deadline + 1s;
     setDeadline(attempt.caller, BootClock::now() + 10s);
     ErrorCode written;
--- a/src/relay/front.cpp
+++ b/src/relay/front.cpp
@@ -12,6 +12,8 @@
 constexpr Span kBodyDue = 30s;
 constexpr Span kWriteDue = 10s;
 constexpr std::size_t kCallerLimit = 3000;
+// Ours: prompts wait for each other's reading, so a few requests over the mean are many.
+constexpr double kSpreadRequests = 4, kSpreadFactor = 1.5;
 }  // namespace
 
 Relay::Relay(Boot boot, Dialect dialect)
@@ -19,7 +21,7 @@
       dialect_(std::move(dialect)),
       names_(dialect_.relayNames.value()),
       callers_(io_),
-      placement_({boot_.blockTokens, PlacementRule::LongestPrefix}),
+      placement_({boot_.blockTokens, PlacementRule::LongestPrefix, kSpreadRequests, kSpreadFactor}),
       budget_(boot_.extraShare * 0.7, boot_.extraSlack / 16, boot_.extraWindow),
       pool_(io_, 32, 4s) {}
 
@@ -39,6 +41,7 @@
     if (auto status = ready_->start(); !status.ok()) return status;
   }
   asio::co_spawn(io_, accept(callers_), asio::detached);
+  if (dialect_.partEvents) asio::co_spawn(io_, eventLoop(), asio::detached);
   thread_ = std::thread([this] { io_.run(); });
   return absl::OkStatus();
 }
--- a/src/relay/relay.cpp
+++ b/src/relay/relay.cpp
@@ -32,7 +32,10 @@
         longest = std::max<Span>(longest, contract.due);
       longestDue_ = longest.count();
       const auto& stores = next->spec->stores;
-      placement_.setStore(stores.empty() ? Address{} : stores.begin()->second.address);
+      if (stores.empty())
+        placement_.setStore({}, 0);
+      else
+        placement_.setStore(stores.begin()->second.address, stores.begin()->second.cacheTokens);
     }
     // The platform's list tells no load; what answers show stays.
     for (ServerState& server : next->servers) server.polledAt = Instant{};
@@ -41,9 +44,16 @@
     for (std::size_t i = 0; i < view_->servers.size(); ++i) viewRows_[view_->servers[i].name] = i;
     placement_.setServers(view_->servers);
     pool_.sweep(BootClock::now());
+    std::erase_if(signs_, [this](const auto& row) { return !viewRows_.contains(row.first); });
   });
 }
 
+std::shared_ptr<Instant> Relay::signsOf(const ServerName& server) {
+  auto& signs = signs_[server];
+  if (!signs) signs = std::make_shared<Instant>();
+  return signs;
+}
+
 // Asked right before a request's first byte leaves: what let it in must still stand.
 bool Relay::mayRun(const RelayRequest& job, const ServerState& server) const {
   const auto& seen = *view_;
--- a/src/relay/relay.h
+++ b/src/relay/relay.h
@@ -118,6 +118,11 @@
   void noteOutcome(const ServerState& server, const TryResult& result);
   void record(const RelayRequest& job, const std::string& tries, const char* outcome);
 
+  // part_events.cpp: what servers and the store keep
+  awaitable<void> eventLoop();
+  awaitable<void> pullEvents(ServerName server, bool isStore);
+  std::shared_ptr<Instant> signsOf(const ServerName& server);
+
   // attempt.cpp: one try at one server
   struct Attempt;
   awaitable<TryResult> attempt(const std::shared_ptr<Caller>& caller, const RelayRequest& job,
@@ -141,6 +146,8 @@
   ConnectionPool pool_;
   std::map<ServerName, std::size_t> viewRows_;  // row of each server in view_
   std::list<std::weak_ptr<Caller>> open_;
+  // When each listed server last sent anything: one that answers others is slow, not silent.
+  std::map<ServerName, std::shared_ptr<Instant>> signs_;
   Counters counters_;
   DecisionLog decisions_{5000};
   std::mt19937_64 random_{std::random_device{}()};
