--- a/src/base/defect.h
+++ b/src/base/defect.h
@@ -15,8 +15,8 @@
   X(VersionConflict, 409, kAborted, "read the spec again and send the change with its version")   \
   X(RegisterLives, 409, kFailedPrecondition, "mend that first; the register stays as it is")      \
   X(Oversize, 413, kOutOfRange, "send a smaller body or header")                                  \
-  X(HeaderOversize, 431, kOutOfRange, "send smaller headers")                                      \
-  X(SlowCaller, 408, kDeadlineExceeded, "send the whole request sooner; it never ran")             \
+  X(HeaderOversize, 431, kOutOfRange, "send smaller headers")                                     \
+  X(SlowCaller, 408, kDeadlineExceeded, "send the whole request sooner; it never ran")            \
   X(BadSpec, 422, kInvalidArgument, "correct the named field; nothing was changed")               \
   X(TurnedAwayBusy, 429, kResourceExhausted, "come back after Retry-After")                       \
   X(TurnedAway, 503, kUnavailable, "come back after Retry-After; it never ran")                   \
