Newest weights first where a part must be read; urgency by what is left to read

Cause: while a server switches, its prefixes went anywhere and were read for weights about to go; long prompts were read before short ones.

--- a/src/placement/placement.cpp
+++ b/src/placement/placement.cpp
@@ -176,7 +176,9 @@
     const bool isBounded = boot_.spreadRequests > 0;
     const bool isUnder = isBounded && !candidate.capped;
     const double shown = !isBounded ? burden : isUnder ? 0 : candidate.burden;
-    return std::make_tuple(isUnder, match, -shown, tie);
+    // What must be read anew is best read for the weights that stay.
+    const bool isNewest = isBounded && candidate.isNewest;
+    return std::make_tuple(isUnder, match, isNewest, -shown, tie);
   };
   const auto best = std::max_element(
       open.begin(), open.end(),
@@ -207,6 +209,13 @@
     open.emplace_back(&row, candidate);
   }
   if (open.empty()) return std::nullopt;
+  for (auto& [row, candidate] : open) {
+    candidate.isNewest = std::none_of(open.begin(), open.end(), [&row = row](const auto& other) {
+      return other.first->state.model == row->state.model &&
+             isBehind(row->state.weights, other.first->state.weights) &&
+             isNumber(row->state.weights);
+    });
+  }
   const double mean = burdenSum / static_cast<double>(open.size());
   for (auto& [row, candidate] : open) {
     const double slots = std::max(1U, row->state.slots);
--- a/src/placement/placement.h
+++ b/src/placement/placement.h
@@ -56,7 +56,8 @@
   ServerName server;
   std::size_t matchedTokens = 0;
   double burden = 0;
-  bool capped = false;  // over the spread rule's cap: its match does not count
+  bool capped = false;   // over the spread rule's cap: its match does not count
+  bool isNewest = true;  // no other candidate has newer weights of its model
 };
 
 // Where missing cache could come from. `identity` and `weights` are what was believed when it was
--- a/src/relay/attempt.cpp
+++ b/src/relay/attempt.cpp
@@ -53,6 +53,14 @@
   return numbers;
 }
 
+// What is soon read goes first among requests of like priority: it hardly holds the others up.
+unsigned urgencyOf(const RelayRequest& job, const Placed& placed) {
+  unsigned steps = 0;
+  for (std::size_t unread = placed.promptTokens - placed.matchedTokens; unread > 1000; unread /= 2)
+    ++steps;
+  return std::min(9U, job.priority + steps);
+}
+
 std::string_view view(beast::string_view text) { return {text.data(), text.size()}; }
 }  // namespace
 
@@ -122,7 +130,7 @@
   // No two versions and no two walls share a salt, so no match and no fetch leads across: servers
   // and stores check neither.
   addHeader(&head, names_.salt, saltText(server.weights, job.wall).value);
-  addHeader(&head, names_.urgency, std::to_string(job.urgency));
+  addHeader(&head, names_.urgency, std::to_string(urgencyOf(job, placed)));
   if (!placed.fetchFrom.value.empty()) addHeader(&head, names_.fetchSource, placed.fetchFrom.value);
   if (!placed.keepAt.value.empty()) addHeader(&head, names_.keepAt, placed.keepAt.value);
   if (soFar.lastEventId > 0)
--- a/src/relay/intake.cpp
+++ b/src/relay/intake.cpp
@@ -73,7 +73,7 @@
   }
   job->contract = spec.contracts.at(route->contract);
   job->split = route->split;
-  job->urgency = std::min(9U, 3 * tenantPriority.value_or(job->contract.priority));
+  job->priority = tenantPriority.value_or(job->contract.priority);
   job->deadline = job->begun + job->contract.due;
   if (const auto due = numberOf(headerOf(request, names_.dueMs)))
     job->deadline = std::min<Instant>(
--- a/src/relay/relay.h
+++ b/src/relay/relay.h
@@ -33,7 +33,7 @@
   ModelName model;
   PromptPrefix prefix;
   std::uint64_t resumesAfter = 0;  // the caller's own last event
-  unsigned urgency = 5;
+  unsigned priority = 1;           // 0 is the most urgent
   Instant begun{}, deadline{};
   HttpRequest original;
 };
