--- a/src/sim/mawson.cpp
+++ b/src/sim/mawson.cpp
@@ -10,7 +10,8 @@
 
 Usage:
   mawson [--seed=N] [--seeds=COUNT] [--seconds=S] [--disks=N] [--edges=N] [--plant=DEFECT]
-  mawson --steady [--seed=N] [--seconds=S] [--disks=N] [--edges=N]
+  mawson --steady [--seed=N] [--seconds=S] [--disks=N] [--edges=N] [--zones=N] [--body=BYTES]
+         [--duties=N] [--part=S]
   mawson --help | --version
 
 Options:
@@ -20,13 +21,45 @@
   --disks=N       Machines with a disk [default: 4].
   --edges=N       Machines without one [default: 9].
   --steady        No faults: the cost of the control plane at this size.
+  --zones=N       Machines go to so many zones in turn [default: 4].
+  --body=BYTES    Size of the configuration that each change brings [default: 6].
+  --duties=N      So many duties, each with a hold [default: 0].
+  --part=S        At the end two regions lose each other for so many seconds [default: 0].
   --plant=DEFECT  Plant a defect that a checker must find: unsynced, reused, clocks or stale.
   -h --help       Show this text.
   --version       Show the version.
 
 Exit codes: 0 no broken invariant, 1 some were broken (the seed is named), 2 bad usage.
 )";
+
+void report(const quayrill::sim::WorldBoot& boot, const quayrill::sim::SteadyResult& steady) {
+  using Millis = std::chrono::duration<double, std::milli>;
+  std::cout << "machines " << boot.diskMachines + boot.edgeMachines << " founded " << steady.founded
+            << " messages/machine/s " << steady.messagesPerMachineSecond << " bytes/machine/s "
+            << steady.bytesPerMachineSecond << " messages/s at a copy "
+            << steady.copyMessagesPerSecond << " change everywhere after ms "
+            << Millis(steady.changeEverywhereAfter).count() << " converged after cut ms "
+            << Millis(steady.convergedAfterCut).count() << "\n"
+            << "bytes/s out of a copy " << steady.copyBytesPerSecond << " processor us/machine/s "
+            << steady.processorPerMachineSecond * 1e6 << " bytes of a change " << steady.changeBytes
+            << " of them out of a copy " << steady.changeCopyBytes << "\n"
+            << "a zone cut off is missed by all after ms " << Millis(steady.zoneMissedAfter).count()
+            << " and back with all after ms " << Millis(steady.zoneBackAfter).count() << "\n"
+            << "bytes/machine/s by kind";
+  for (const auto& [kind, bytes] : steady.bytesOfKind) {
+    if (bytes >= 1) std::cout << " " << kind << " " << bytes;
+  }
+  std::cout << "\nbroken " << steady.violations.size() << "\n";
+  if (!steady.hasRegions) return;
+  const auto& parting = steady.parting;
+  std::cout << "regions parted: the smaller side closed after ms "
+            << Millis(parting.closedAfter).count() << (parting.smallerStayedClosed ? "" : " NOT")
+            << " until the heal; of " << parting.asked << " changes asked on each side, chosen "
+            << parting.chosenByLarger << " on the larger, " << parting.chosenBySmaller
+            << " on the smaller; all agreed after ms " << Millis(parting.agreedAfter).count()
+            << "\n";
 }
+}  // namespace
 
 int main(int argc, char** argv) {
   using namespace quayrill::sim;
@@ -47,15 +80,14 @@
     const std::chrono::seconds span(std::stoul(flags["--seconds"].asString()));
     if (flags["--steady"].asBool()) {
       boot.seed = first;
-      const SteadyResult steady = runSteady(boot, span);
-      using Millis = std::chrono::duration<double, std::milli>;
-      std::cout << "machines " << boot.diskMachines + boot.edgeMachines << " founded "
-                << steady.founded << " messages/machine/s " << steady.messagesPerMachineSecond
-                << " bytes/machine/s " << steady.bytesPerMachineSecond << " messages/s at a copy "
-                << steady.copyMessagesPerSecond << " change everywhere after ms "
-                << Millis(steady.changeEverywhereAfter).count() << " converged after cut ms "
-                << Millis(steady.convergedAfterCut).count() << "\n";
-      return steady.founded ? 0 : 1;
+      boot.zones = static_cast<std::size_t>(std::stoul(flags["--zones"].asString()));
+      if (boot.zones == 0) throw std::invalid_argument("--zones is 0");
+      const SteadyBoot asked{span, std::stoul(flags["--body"].asString()),
+                             std::stoul(flags["--duties"].asString()),
+                             std::chrono::seconds(std::stoul(flags["--part"].asString()))};
+      const SteadyResult steady = runSteady(boot, asked);
+      report(boot, steady);
+      return steady.founded && steady.violations.empty() ? 0 : 1;
     }
     for (auto seed = first; seed < first + count; ++seed) {
       boot.seed = seed;
--- a/src/sim/scenario.cpp
+++ b/src/sim/scenario.cpp
@@ -81,40 +81,6 @@
 
 }  // namespace
 
-SteadyResult runSteady(const WorldBoot& boot, Span span) {
-  World world(boot);
-  SteadyResult result;
-  result.founded = runUntilFounded(world, 120s);
-  const Tally before = world.tally();
-  const std::uint64_t busiestBefore = world.arrivals(0);
-  world.run(span);
-  const double seconds = std::chrono::duration<double>(span).count();
-  const auto perMachine = [&](std::uint64_t count) {
-    return static_cast<double>(count) / seconds / static_cast<double>(world.size());
-  };
-  result.messagesPerMachineSecond = perMachine(world.tally().messages - before.messages);
-  result.bytesPerMachineSecond = perMachine(world.tally().bytes - before.bytes);
-  result.copyMessagesPerSecond = static_cast<double>(world.arrivals(0) - busiestBefore) / seconds;
-  for (std::uint64_t version = 0; version < 5; ++version) {
-    const std::uint64_t id = world.change(world.size() - 1 - version, version, "steady");
-    for (int i = 0; i < 3000 && !world.asked(id).done; ++i) world.run(1ms);
-    const Span acknowledgedAt = world.elapsed();
-    for (int i = 0; i < 10000 && !world.isInForce(version + 1); ++i) world.run(1ms);
-    result.changeEverywhereAfter =
-        std::max(result.changeEverywhereAfter, world.elapsed() - acknowledgedAt);
-    world.run(1s);
-  }
-  std::set<std::size_t> side;
-  for (std::size_t i = 0; i < world.size(); i += 2) side.insert(i);
-  world.cut(side, true);
-  world.run(20s);
-  world.healAll();
-  const Span healedAt = world.elapsed();
-  for (int i = 0; i < 60000 && !(world.isConverged() && world.knowsAll()); ++i) world.run(10ms);
-  result.convergedAfterCut = world.elapsed() - healedAt;
-  return result;
-}
-
 ScenarioResult runScenario(WorldBoot boot, Span faultSpan) {
   World world(boot);
   world.wantDuty("orders/a");
--- a/src/sim/scenario.h
+++ b/src/sim/scenario.h
@@ -15,15 +15,37 @@
 // all, and checks the whole history.
 ScenarioResult runScenario(WorldBoot boot, Span faultSpan);
 
+struct SteadyBoot {
+  Span span = std::chrono::seconds(60);
+  std::size_t bodyBytes = 6;  // of the configuration that the changes bring
+  std::size_t duties = 0;     // with a hold of its own each, as servers have
+  Span part{};                // two regions lose each other for so long; 0: they don't
+};
+// Zones 0 to (zones + 1) / 2 - 1 are the first region, which has the majority of the copies.
+struct Parting {
+  Span closedAfter{};  // the smaller side confirms no configuration any more
+  std::size_t chosenByLarger = 0, chosenBySmaller = 0, asked = 0;  // asked: on each side
+  bool smallerStayedClosed = true;
+  Span agreedAfter{};  // all know all and confirm the newest configuration, from the heal on
+};
 struct SteadyResult {
   bool founded = false;
   double messagesPerMachineSecond = 0, bytesPerMachineSecond = 0;
-  double copyMessagesPerSecond = 0;  // to the busiest copy
-  Span changeEverywhereAfter{};      // slowest of several changes
-  Span convergedAfterCut{};          // half of the machines cut off for 20 s, then healed
+  double copyMessagesPerSecond = 0;           // to the busiest copy
+  Span changeEverywhereAfter{};               // slowest of several changes
+  Span convergedAfterCut{};                   // half of the machines cut off for 20 s, then healed
+  double copyBytesPerSecond = 0;              // out of the busiest copy
+  double processorPerMachineSecond = 0;       // of logic and wire format, in seconds
+  std::map<std::string, double> bytesOfKind;  // by kind of message
+  double changeBytes = 0, changeCopyBytes = 0;  // of one change: by all, by the busiest copy
+  Span zoneMissedAfter{};             // a zone is cut off: all others list themselves alone
+  Span zoneBackAfter{};               // healed: all list all
+  std::vector<Violation> violations;  // of the whole run
+  bool hasRegions = false;
+  Parting parting{};
 };
 // No faults: what the control plane costs at this size.
-SteadyResult runSteady(const WorldBoot& boot, Span span);
+SteadyResult runSteady(const WorldBoot& boot, const SteadyBoot& steady);
 
 // Waits until the copy set has all disk machines and every daemon agrees.
 bool runUntilFounded(World& world, Span limit);
--- /dev/null
+++ b/src/sim/steady.cpp
@@ -0,0 +1,162 @@
+// What the control plane costs at a size, and how long it takes to agree.
+#include <ctime>
+
+#include "sim/scenario.h"
+
+namespace quayrill::sim {
+
+using namespace std::chrono_literals;
+
+namespace {
+std::set<std::size_t> machinesOf(const World& world, const std::set<std::size_t>& zones) {
+  std::set<std::size_t> machines;
+  for (std::size_t i = 0; i < world.size(); ++i) {
+    if (zones.contains(world.zoneOf(i))) machines.insert(i);
+  }
+  return machines;
+}
+
+// From now until `done`, looked at every 10 ms; the limit where it stays false.
+template <class Done>
+Span runUntil(World& world, Span limit, Done done) {
+  const Span begun = world.elapsed();
+  while (world.elapsed() - begun < limit && !done()) world.run(10ms);
+  return world.elapsed() - begun;
+}
+
+void measureTraffic(World& world, Span span, SteadyResult* result) {
+  const Tally before = world.tally();
+  std::vector<std::uint64_t> sentBefore, arrivedBefore;
+  for (std::size_t i = 0; i < world.diskMachines(); ++i) {
+    sentBefore.push_back(world.bytesFrom(i));
+    arrivedBefore.push_back(world.arrivals(i));
+  }
+  const std::clock_t begun = std::clock();
+  world.run(span);
+  const double seconds = std::chrono::duration<double>(span).count();
+  const double machineSeconds = seconds * static_cast<double>(world.size());
+  const auto perMachine = [&](std::uint64_t count) {
+    return static_cast<double>(count) / machineSeconds;
+  };
+  result->processorPerMachineSecond =
+      static_cast<double>(std::clock() - begun) / CLOCKS_PER_SEC / machineSeconds;
+  result->messagesPerMachineSecond = perMachine(world.tally().messages - before.messages);
+  result->bytesPerMachineSecond = perMachine(world.tally().bytes - before.bytes);
+  for (const auto& [kind, bytes] : world.tally().bytesOfKind) {
+    const auto old = before.bytesOfKind.find(kind);
+    result->bytesOfKind[kind] =
+        perMachine(bytes - (old == before.bytesOfKind.end() ? 0 : old->second));
+  }
+  for (std::size_t i = 0; i < world.diskMachines(); ++i) {
+    result->copyMessagesPerSecond =
+        std::max(result->copyMessagesPerSecond,
+                 static_cast<double>(world.arrivals(i) - arrivedBefore[i]) / seconds);
+    result->copyBytesPerSecond =
+        std::max(result->copyBytesPerSecond,
+                 static_cast<double>(world.bytesFrom(i) - sentBefore[i]) / seconds);
+  }
+}
+
+// The bytes are those above the steady traffic of the same time.
+void measureChanges(World& world, std::size_t bodyBytes, SteadyResult* result) {
+  constexpr std::uint64_t kChanges = 5;
+  const std::uint64_t bytesBefore = world.tally().bytes, copyBefore = world.bytesFrom(0);
+  const Span begun = world.elapsed();
+  for (std::uint64_t version = 0; version < kChanges; ++version) {
+    const std::uint64_t id = world.change(world.size() - 1 - version, version,
+                                          std::string(bodyBytes, static_cast<char>('a' + version)));
+    for (int i = 0; i < 3000 && !world.asked(id).done; ++i) world.run(1ms);
+    const Span acknowledgedAt = world.elapsed();
+    for (int i = 0; i < 10000 && !world.isInForce(version + 1); ++i) world.run(1ms);
+    result->changeEverywhereAfter =
+        std::max(result->changeEverywhereAfter, world.elapsed() - acknowledgedAt);
+    world.run(1s);
+  }
+  const double seconds = std::chrono::duration<double>(world.elapsed() - begun).count();
+  result->changeBytes =
+      (static_cast<double>(world.tally().bytes - bytesBefore) -
+       result->bytesPerMachineSecond * seconds * static_cast<double>(world.size())) /
+      kChanges;
+  result->changeCopyBytes = (static_cast<double>(world.bytesFrom(0) - copyBefore) -
+                             result->copyBytesPerSecond * seconds) /
+                            kChanges;
+}
+
+Parting partRegions(World& world, Span span, std::size_t zones) {
+  Parting parting;
+  std::set<std::size_t> firstZones;
+  for (std::size_t zone = 0; zone < (zones + 1) / 2; ++zone) firstZones.insert(zone);
+  const auto larger = machinesOf(world, firstZones);
+  std::vector<std::size_t> smaller;
+  for (std::size_t i = 0; i < world.size(); ++i) {
+    if (!larger.contains(i)) smaller.push_back(i);
+  }
+  const auto smallerConfirms = [&] {
+    return std::any_of(smaller.begin(), smaller.end(),
+                       [&](std::size_t i) { return world.isConfirmed(i, 2s); });
+  };
+  world.cut(larger, true);
+  parting.closedAfter = runUntil(world, 60s, [&] { return !smallerConfirms(); });
+  const Span until = world.elapsed() + span;
+  const auto countChosen = [&](std::uint64_t id) -> std::size_t {
+    return id != 0 && world.asked(id).done && world.asked(id).done->result == ChangeResult::Chosen;
+  };
+  while (world.elapsed() < until) {
+    ++parting.asked;
+    const auto versionAt = [&](std::size_t i) {
+      return world.core(i).freshness().spec().value.version;
+    };
+    const std::size_t inLarger = *larger.rbegin(), inSmaller = smaller.back();
+    const auto asked = world.change(inLarger, versionAt(inLarger), "larger");
+    const auto askedToo = world.change(inSmaller, versionAt(inSmaller), "smaller");
+    world.run(std::min<Span>(45s, until - world.elapsed() + 5s));
+    parting.chosenByLarger += countChosen(asked);
+    parting.chosenBySmaller += countChosen(askedToo);
+    parting.smallerStayedClosed = parting.smallerStayedClosed && !smallerConfirms();
+  }
+  world.healAll();
+  parting.agreedAfter =
+      runUntil(world, 600s, [&] { return world.isConverged() && world.knowsAll(); });
+  return parting;
+}
+}  // namespace
+
+SteadyResult runSteady(const WorldBoot& boot, const SteadyBoot& steady) {
+  World world(boot);
+  SteadyResult result;
+  result.founded = runUntilFounded(world, 120s);
+  for (std::size_t i = 0; i < steady.duties; ++i)
+    world.wantDuty("orders/10.0.0.1:" + std::to_string(10000 + i));
+  if (steady.duties > 0) world.run(10s);
+  measureTraffic(world, steady.span, &result);
+  measureChanges(world, steady.bodyBytes, &result);
+
+  std::set<std::size_t> side;
+  for (std::size_t i = 0; i < world.size(); i += 2) side.insert(i);
+  world.cut(side, true);
+  world.run(20s);
+  world.healAll();
+  const auto agreed = [&] { return world.isConverged() && world.knowsAll(); };
+  result.convergedAfterCut = runUntil(world, 600s, agreed);
+
+  const auto zone = machinesOf(world, {boot.zones - 1});
+  world.cut(zone, true);
+  result.zoneMissedAfter = runUntil(world, 60s, [&] {
+    for (std::size_t i = 0; i < world.size(); ++i) {
+      if (!zone.contains(i) && world.listedBy(i) != world.size() - zone.size()) return false;
+    }
+    return true;
+  });
+  world.run(20s);
+  world.healAll();
+  result.zoneBackAfter = runUntil(world, 600s, agreed);
+  result.hasRegions = steady.part > Span{};
+  if (result.hasRegions) result.parting = partRegions(world, steady.part, boot.zones);
+  world.read(0);
+  world.run(4s);
+  world.checkHistory();
+  result.violations = world.violations();
+  return result;
+}
+
+}  // namespace quayrill::sim
--- a/src/sim/world.cpp
+++ b/src/sim/world.cpp
@@ -44,7 +44,7 @@
   if (machine.core) return;
   ++machine.life;
   machine.highestSpec = 0;
-  AgentBoot boot{machine.address, "zone" + std::to_string(index % 4),
+  AgentBoot boot{machine.address, "zone" + std::to_string(zoneOf(index)),
                  machine.seeds,   {},
                  random_(),       boot_.diskMachines};
   std::optional<std::map<std::string, std::string>> disk;
@@ -128,6 +128,8 @@
   ++tally_.messages;
   const std::string bytes = encodeEnvelope(envelope);
   tally_.bytes += bytes.size();
+  tally_.bytesOfKind[messageName(envelope.body)] += bytes.size();
+  machines_[from].bytesSent += bytes.size();
   if (to >= machines_.size() || cuts_.contains({from, to})) return;
   const auto chance = [&](double rate) {
     return std::uniform_real_distribution<>(0, 1)(random_) < rate;
@@ -346,6 +348,18 @@
   return version.has_value();
 }
 
+bool World::isConfirmed(std::size_t machine, Span lately) const {
+  const Machine& asked = machines_[machine];
+  if (!asked.core) return false;
+  const auto confirmed = asked.core->freshness().confirmedAt();
+  return confirmed && local(asked) - *confirmed <= lately;
+}
+
+std::size_t World::listedBy(std::size_t machine) const {
+  const Machine& asked = machines_[machine];
+  return asked.core ? asked.core->live(local(asked)).size() : 0;
+}
+
 bool World::isInForce(std::uint64_t version) const {
   return std::all_of(machines_.begin(), machines_.end(), [&](const Machine& machine) {
     return !machine.core || machine.core->freshness().spec().value.version >= version;
--- a/src/sim/world.h
+++ b/src/sim/world.h
@@ -18,6 +18,7 @@
   std::uint64_t seed = 1;
   std::size_t diskMachines = 4;
   std::size_t edgeMachines = 9;
+  std::size_t zones = 4;  // machines go to zones in turn
   double lossRate = 0.02;
   double duplicateRate = 0.02;
   Span delayLow = std::chrono::microseconds(200);
@@ -46,6 +47,7 @@
 struct Tally {
   std::uint64_t messages = 0, bytes = 0, chosen = 0, conflicts = 0, notTried = 0, unknown = 0;
   std::uint64_t holdsSeen = 0, events = 0;
+  std::map<std::string, std::uint64_t> bytesOfKind;
 };
 
 class World {
@@ -97,7 +99,11 @@
   bool isConverged() const;
   bool isInForce(std::uint64_t version) const;  // at every live machine
   bool knowsAll() const;                        // every live machine lists all live machines
+  std::size_t zoneOf(std::size_t machine) const { return machine % boot_.zones; }
+  bool isConfirmed(std::size_t machine, Span lately) const;
+  std::size_t listedBy(std::size_t machine) const;  // live machines, itself too
   std::uint64_t arrivals(std::size_t machine) const { return machines_[machine].arrivals; }
+  std::uint64_t bytesFrom(std::size_t machine) const { return machines_[machine].bytesSent; }
 
  private:
   struct Machine {
@@ -117,7 +123,7 @@
     int clockRate = 1;
     std::uint64_t life = 0;
     std::uint64_t highestSpec = 0;  // of this life
-    std::uint64_t arrivals = 0;
+    std::uint64_t arrivals = 0, bytesSent = 0;
   };
   enum class Kind { Tick, Arrive, DiskDone };
   struct Event {
--- a/tests/sim_tests.cpp
+++ b/tests/sim_tests.cpp
@@ -363,3 +363,24 @@
     for (const auto& violation : world.violations()) FAIL_CHECK(violation.what);
   }
 }
+
+TEST_CASE(
+    "sim: regions that part for a minute: the smaller closes, the larger goes on, all agree") {
+  WorldBoot boot;
+  boot.diskMachines = 5;
+  boot.edgeMachines = 5;
+  boot.zones = 5;
+  SteadyBoot steady;
+  steady.span = 1s;
+  steady.part = 60s;
+  const SteadyResult result = runSteady(boot, steady);
+  REQUIRE(result.founded);
+  CHECK(result.parting.closedAfter < 3s);
+  CHECK(result.parting.smallerStayedClosed);
+  CHECK(result.parting.chosenByLarger == result.parting.asked);
+  CHECK(result.parting.chosenBySmaller == 0);
+  CHECK(result.parting.agreedAfter < 20s);
+  CHECK(result.zoneMissedAfter < 20s);
+  CHECK(result.zoneBackAfter < 20s);
+  CHECK(result.violations.empty());
+}
