Settings: a changed file is taken up by a running daemon, with SIGHUP and without

SIGHUP was ignored and the settings file read at the start only, so a daemon whose seeds had all been replaced could not be told of others, and a bad file was found at the next restart.

src/daemon/settings_watch reads the file once a second, and at once on SIGHUP, which the main thread takes by sigwait. Its judge has no clock, file or thread: a text counts when two looks have shown the same; a good one is taken up, a bad or missing one refused in one line that names field and remedy, and what only a restart can change is named. Both programs hand in their reader; platform/ only translates. Taken up: seeds, the platform's address, the interval and rate of its list, the grace of SIGTERM. Kept until a restart: addresses, role, zone, node, data folder and the bounds that relay, leases and rollouts were built with. The modification time is not relied on: some thousand bytes are compared instead.

AgentCore::setSeeds swaps the seeds of membership, founding, the list's readers and the search for a newer replica set, and touches nothing else. Founding needs the grant of every seed, which keeps two foundings apart only where their lists share one. So new seeds are founded by only while they keep more than half of the first ones.

--- a/src/agent/agent.cpp
+++ b/src/agent/agent.cpp
@@ -67,6 +67,14 @@
   asio::post(io_, [this] { core_->setLeaving(true); });
 }
 
+void Agent::takeSettings(const Boot& changed) {
+  asio::post(io_, [this, changed] {
+    boot_.platform = changed.platform;
+    core_->setListLimits(changed.listEvery, changed.listCallsPerS);
+    if (core_->boot().seeds != changed.seeds) core_->setSeeds(changed.seeds);
+  });
+}
+
 // Called on the disk's thread.
 void Agent::takeDisk(Disk::Rows rows) {
   asio::post(io_, [this, rows = std::move(rows)] {
--- a/src/agent/agent.h
+++ b/src/agent/agent.h
@@ -31,6 +31,9 @@
   absl::Status start();
   void run();  // on the calling thread, until stop
   void beginLeaving();
+  // Takes up what of changed settings can change while it runs: `takenLive` in
+  // daemon/settings_watch.h names them. May be called on any thread.
+  void takeSettings(const Boot& changed);
   void stop();
   // Operator calls that were taken and not yet answered.
   // The data plane in this process, told each time that something changed and every 100 ms. Set it
--- a/src/agent/core/agent_core.cpp
+++ b/src/agent/core/agent_core.cpp
@@ -21,6 +21,7 @@
 
 AgentCore::AgentCore(AgentBoot boot, std::optional<std::map<std::string, std::string>> disk)
     : boot_(std::move(boot)),
+      firstSeeds_(boot_.seeds),
       random_(boot_.nonce),
       membership_(boot_.self, boot_.seeds, boot_.nonce + 1),
       news_(boot_.self, boot_.nonce),
@@ -46,6 +47,13 @@
   return {CopyWork{std::move(writes), std::nullopt}};
 }
 
+void AgentCore::setSeeds(std::vector<Address> seeds) {
+  boot_.seeds = std::move(seeds);
+  membership_.setSeeds(boot_.seeds);
+  nextFounding_ = {};
+  nextListPeers_ = {};
+}
+
 void AgentCore::onDiskDefect() {
   if (copy_) copy_->stopVoting();
 }
--- a/src/agent/core/agent_core.h
+++ b/src/agent/core/agent_core.h
@@ -73,6 +73,10 @@
   // One piece of copy work is synced and answered.
   void onCopyWorkDone() { --copyBacklog_; }
   void setLeaving(bool leaving) { leaving_ = leaving; }
+  // Other seeds stand in the settings now, one at least: from the next tick on this daemon looks
+  // for its fleet there. Nothing that it knows, keeps or has under way changes.
+  void setSeeds(std::vector<Address> seeds);
+  void setListLimits(Span every, double callsPerS) { list_.setLimits(every, callsPerS); }
 
   // True where `duty` falls to this daemon among the live ones. Duties fall to machines that keep a
   // store only: a hold needs a majority of these, so where none of them lives nobody could hold
@@ -116,6 +120,9 @@
   void handleCopy(const Envelope& envelope, Instant now, AgentEffects* effects);
   void handleFounding(const Envelope& envelope, Instant now, AgentEffects* effects);
   bool isFounder(Instant now) const;
+  // Founding needs the grants of all seeds, so that any two founders ask one machine in common.
+  // Lists that changed in between hold to this only while each keeps most of the first one.
+  bool keepsMostFirstSeeds() const;
   void foundWhenGranted(Instant now, AgentEffects* effects);
   // False for a founding that is not the one this machine gave its grant to.
   bool mayAdopt(const CopySet& copies, Instant now) const;
@@ -145,6 +152,7 @@
   void sendListAnswers(std::vector<Envelope> sends, Instant now, AgentEffects* effects);
 
   AgentBoot boot_;
+  const std::vector<Address> firstSeeds_;  // as this process started
   std::mt19937_64 random_;
   std::optional<RegisterCopy> copy_;
   Membership membership_;
--- a/src/agent/core/founding.cpp
+++ b/src/agent/core/founding.cpp
@@ -48,9 +48,19 @@
   foundWhenGranted(now, effects);
 }
 
+// Two lists that each keep more than half of the first one have a seed of it in common, and that
+// seed grants one founding at a time.
+bool AgentCore::keepsMostFirstSeeds() const {
+  const auto kept =
+      std::count_if(firstSeeds_.begin(), firstSeeds_.end(), [this](const Address& seed) {
+        return std::find(boot_.seeds.begin(), boot_.seeds.end(), seed) != boot_.seeds.end();
+      });
+  return 2 * static_cast<std::size_t>(kept) > firstSeeds_.size();
+}
+
 // The lowest of the seeds founds, or the next where the lower ones say that they never will.
 bool AgentCore::isFounder(Instant now) const {
-  if (!boot_.mayFound || !copy_ || !copy_->isVoting()) return false;
+  if (!boot_.mayFound || !copy_ || !copy_->isVoting() || !keepsMostFirstSeeds()) return false;
   bool isSeed = false;
   for (const Address& seed : boot_.seeds) {
     isSeed = isSeed || seed == boot_.self;
--- a/src/agent/core/membership.cpp
+++ b/src/agent/core/membership.cpp
@@ -23,6 +23,12 @@
   return addresses;
 }
 
+void Membership::setSeeds(std::vector<Address> seeds) {
+  seeds_ = std::move(seeds);
+  for (const Address& address : seeds_) learn(address, 0);
+  nextSeedShuffle_ = {};
+}
+
 void Membership::introduce(const Address& member) {
   if (view_.size() < kViewSize / 2) learn(member, 0);
 }
--- a/src/agent/core/membership.h
+++ b/src/agent/core/membership.h
@@ -18,6 +18,8 @@
   void onMessage(const Envelope& envelope, Instant now, std::vector<Envelope>* sends);
   // Known from elsewhere: where the view is empty and no seed may live, these are tried.
   void introduce(const Address& member);
+  // Other seeds stand in the settings now. Neighbours stay; the new seeds are asked next.
+  void setSeeds(std::vector<Address> seeds);
   std::vector<Address> view() const;
   Address randomNeighbour();
 
--- a/src/agent/core/server_list.h
+++ b/src/agent/core/server_list.h
@@ -28,6 +28,11 @@
  public:
   explicit ServerList(ListBoot boot = {}) : boot_(std::move(boot)) {}
 
+  void setLimits(Span every, double callsPerS) {
+    boot_.every = every;
+    boot_.callsPerS = callsPerS;
+  }
+
   // True: the platform is to be read now. It is until `take` or `onReadFailed` that no other is
   // begun.
   bool onTick(const ListPeers& peers, Instant now, std::vector<Envelope>* sends);
--- a/src/boot/boot.cpp
+++ b/src/boot/boot.cpp
@@ -115,15 +115,19 @@
 }
 
 absl::StatusOr<Boot> loadBoot(const BootAsked& asked) {
-  Json settings = Json::object();
-  if (!asked.settingsFile.empty()) {
-    std::ifstream in(asked.settingsFile);
-    if (!in) return bad("settings", "'" + asked.settingsFile + "' can't be read: name a JSON file");
-    settings = Json::parse(in, nullptr, false);
-    if (!settings.is_object())
-      return bad("settings", "'" + asked.settingsFile + "' is no JSON object: correct the file");
-  }
-  for (const auto& [name, text] : asked.flags) settings[name] = flagValue(name, text);
+  if (asked.settingsFile.empty()) return readBoot("{}", asked.flags);
+  std::ifstream in(asked.settingsFile);
+  if (!in) return bad("settings", "'" + asked.settingsFile + "' can't be read: name a JSON file");
+  std::ostringstream text;
+  text << in.rdbuf();
+  return readBoot(text.str(), asked.flags);
+}
+
+absl::StatusOr<Boot> readBoot(const std::string& settingsText,
+                              const std::map<std::string, std::string>& flags) {
+  Json settings = Json::parse(settingsText, nullptr, false);
+  if (!settings.is_object()) return bad("settings", "the file is no JSON object: correct it");
+  for (const auto& [name, flag] : flags) settings[name] = flagValue(name, flag);
   if (const auto defect = schemaDefect(kBootSchema, settings))
     return bad(defect->path, defect->what);
   Boot boot;
--- a/src/boot/boot.h
+++ b/src/boot/boot.h
@@ -61,6 +61,10 @@
 // Reads, checks against the schema and the rules, and names the field and the remedy.
 absl::StatusOr<Boot> loadBoot(const BootAsked& asked);
 
+// The same from the text of a settings file, JSON, with the flags over it.
+absl::StatusOr<Boot> readBoot(const std::string& settingsText,
+                              const std::map<std::string, std::string>& flags);
+
 // "ip:port" with a numeric IPv4 address; a host name is told so.
 absl::Status checkAddress(const std::string& field, const std::string& text);
 
--- a/src/daemon/daemon.cpp
+++ b/src/daemon/daemon.cpp
@@ -32,16 +32,16 @@
 }
 }  // namespace
 
-int runDaemon(const Boot& boot, const Dialect& dialect, const char* program) {
+int runDaemon(Boot boot, const Dialect& dialect, const char* program, SettingsSource source) {
   FLAGS_logtostderr = true;
   google::InitGoogleLogging(program);
-  sigset_t endings;
-  sigemptyset(&endings);
-  sigaddset(&endings, SIGTERM);
-  sigaddset(&endings, SIGINT);
-  pthread_sigmask(SIG_BLOCK, &endings, nullptr);  // before any thread starts
+  sigset_t awaited;
+  sigemptyset(&awaited);
+  sigaddset(&awaited, SIGTERM);
+  sigaddset(&awaited, SIGINT);
+  sigaddset(&awaited, SIGHUP);
+  pthread_sigmask(SIG_BLOCK, &awaited, nullptr);  // before any thread starts
   std::signal(SIGPIPE, SIG_IGN);
-  std::signal(SIGHUP, SIG_IGN);   // settings are read at the start
   std::signal(SIGXFSZ, SIG_IGN);  // a write over a file size limit is a defect like a full disk
 
   std::unique_ptr<Agent> agent;
@@ -74,8 +74,12 @@
     }
   }
   LOG(INFO) << program << " " QUAYRILL_VERSION " serves as " << boot.role;
+  SettingsWatch settings(std::move(source), boot, [&agent](const Boot& changed) {
+    if (agent) agent->takeSettings(changed);
+  });
   int signal = 0;
-  sigwait(&endings, &signal);
+  while (sigwait(&awaited, &signal) == 0 && signal == SIGHUP) settings.onHup();
+  boot = settings.stop();
   LOG(INFO) << "leaving: not ready, finishing what was accepted";
   if (agent) agent->beginLeaving();
   if (proxy) leave(*proxy, boot);
--- /dev/null
+++ b/src/daemon/settings_watch.h
@@ -0,0 +1,103 @@
+#pragma once
+// The settings file while the daemon runs. Whoever changes it may say so by SIGHUP or not say it;
+// either way its text is read about once a second and judged once it has come to rest. What can
+// change in a running daemon is taken up, the rest is named as waiting for a restart, and a file
+// that is not understood is refused whole.
+#include <absl/status/statusor.h>
+
+#include <chrono>
+#include <condition_variable>
+#include <functional>
+#include <mutex>
+#include <optional>
+#include <string>
+#include <thread>
+
+#include "boot/boot.h"
+
+namespace quayrill {
+
+// From the text of a settings file to settings; an error names the field and the remedy.
+using ReadSettings = std::function<absl::StatusOr<Boot>(const std::string& text)>;
+
+// Where a program's settings come from, and how it reads them.
+struct SettingsSource {
+  std::string file;  // "": there is none, and `text` stands for it
+  std::string text;  // as it was read at the start
+  ReadSettings read;
+};
+
+// The file's text, or nothing where it can't be read or is longer than any settings file.
+std::optional<std::string> readSettingsFile(const std::string& file);
+
+// The settings to start by. Keeps the text they were made of in `source`.
+absl::StatusOr<Boot> loadSettings(SettingsSource* source);
+
+// Names of the settings that differ and that a running daemon can't change: its addresses, data
+// folder, role and the bounds that its parts were built with.
+std::vector<std::string> restartNeeded(const Boot& before, const Boot& after);
+
+// `before`, with what a running daemon can change as it is in `after`: the seeds, the platform's
+// address, how often its list is read, and the grace of SIGTERM.
+Boot takenLive(const Boot& before, const Boot& after);
+
+// What came of one look at the file.
+struct SettingsLook {
+  std::optional<Boot> changed;  // take these up
+  std::string refused;          // one line for the log; "" where nothing is refused
+  std::string told;             // the same, of what is no defect
+  bool lookSoon = false;        // the text has just changed: it may be half written
+};
+
+// Judges the texts that were seen. No clock, file or thread of its own.
+class SettingsJudge {
+ public:
+  SettingsJudge(SettingsSource source, Boot inForce);
+
+  // `text` is what the file holds now, or nothing where it can't be read; `asked` is true where
+  // SIGHUP came since the last look. A text is judged once, when two looks have shown the same, and
+  // again at each SIGHUP.
+  SettingsLook onLook(const std::optional<std::string>& text, bool asked);
+  const Boot& inForce() const { return inForce_; }
+
+ private:
+  SettingsLook judge(const std::optional<std::string>& text);
+
+  SettingsSource source_;
+  Boot inForce_;
+  std::string takenText_;
+  std::optional<std::string> seen_;    // at the last look
+  std::optional<std::string> judged_;  // taken or refused
+  bool asked_ = false;                 // by SIGHUP, and not judged since
+};
+
+// Looks at the file on a thread of its own.
+class SettingsWatch {
+ public:
+  // Called on the watch's thread, once for each change.
+  using TakeUp = std::function<void(const Boot&)>;
+
+  SettingsWatch(SettingsSource source, Boot inForce, TakeUp takeUp);
+  ~SettingsWatch();
+  SettingsWatch(const SettingsWatch&) = delete;
+  SettingsWatch& operator=(const SettingsWatch&) = delete;
+
+  void onHup();
+  // Ends the watch; the settings in force then.
+  Boot stop();
+
+ private:
+  void run();
+  bool waitForLook(std::chrono::milliseconds span, bool* asked);
+
+  const std::string file_;
+  SettingsJudge judge_;  // the thread's own until it has ended
+  TakeUp takeUp_;
+  std::mutex mutex_;
+  std::condition_variable wake_;
+  bool hup_ = false;
+  bool ended_ = false;
+  std::thread thread_;
+};
+
+}  // namespace quayrill
--- a/src/fleet/daemons.cpp
+++ b/src/fleet/daemons.cpp
@@ -7,6 +7,7 @@
 #include <chrono>
 #include <csignal>
 #include <filesystem>
+#include <fstream>
 #include <thread>
 
 namespace quayrill::fleet {
@@ -14,9 +15,9 @@
 std::vector<Daemon> planDaemons(const FleetPlan& plan) {
   std::vector<Daemon> daemons;
   const std::string stem = "127." + std::to_string(plan.net) + ".";
-  std::string seeds;
+  std::vector<Address> seeds;
   for (std::size_t i = 0; i < std::min<std::size_t>(3, plan.cores); ++i)
-    seeds += (i ? "," : "") + stem + "1." + std::to_string(i + 1) + ":7100";
+    seeds.push_back(Address{stem + "1." + std::to_string(i + 1) + ":7100"});
   for (std::size_t i = 0; i < plan.cores + plan.edges; ++i) {
     const bool core = i < plan.cores;
     const std::size_t number = core ? i + 1 : i - plan.cores + 1;
@@ -27,12 +28,15 @@
     daemon.operators = Address{ip + ":7101"};
     daemon.callers = Address{ip + ":7102"};
     if (core) daemon.dataFolder = plan.workFolder + "/" + daemon.name;
+    daemon.settingsFile = plan.workFolder + "/" + daemon.name + ".json";
+    daemon.logFile = plan.workFolder + "/" + daemon.name + ".log";
+    daemon.seeds = seeds;
     daemon.arguments = {plan.program,
+                        "--settings=" + daemon.settingsFile,
                         "--cohort=" + daemon.cohort.value,
                         "--operators=" + daemon.operators.value,
                         "--callers=" + daemon.callers.value,
                         "--zone=zone" + std::to_string(i % 4),
-                        "--seeds=" + seeds,
                         "--platform=" + plan.platform.value,
                         "--store=" + plan.store.value,
                         "--cohort-via=" + plan.relay.value,
@@ -80,15 +84,23 @@
 }
 }  // namespace
 
+void writeSettings(const Daemon& daemon, const std::vector<Address>& seeds) {
+  std::ofstream out(daemon.settingsFile, std::ios::trunc);
+  out << "{\"seeds\": [";
+  for (std::size_t i = 0; i < seeds.size(); ++i)
+    out << (i ? ", " : "") << '"' << seeds[i].value << '"';
+  out << "]}\n";
+}
+
 bool startDaemon(Daemon* daemon, const FleetPlan& plan) {
   std::filesystem::create_directories(plan.workFolder);
-  const std::string logFile = plan.workFolder + "/" + daemon->name + ".log";
+  writeSettings(*daemon, daemon->seeds);
   std::vector<std::string> arguments = daemon->arguments;
   if (daemon->pair) arguments.push_back("--role=agent");
-  daemon->pid = startProcess(arguments, logFile);
+  daemon->pid = startProcess(arguments, daemon->logFile);
   if (!daemon->pair) return daemon->pid > 0;
   arguments.back() = "--role=proxy";
-  daemon->proxyPid = startProcess(arguments, logFile);
+  daemon->proxyPid = startProcess(arguments, daemon->logFile);
   return daemon->pid > 0 && daemon->proxyPid > 0;
 }
 
--- a/src/fleet/daemons.h
+++ b/src/fleet/daemons.h
@@ -14,6 +14,8 @@
   Address cohort, operators, callers;
   std::string dataFolder;  // "" on edge machines
   std::string dragFile;    // how long each sync of its disk lasts in addition
+  std::string settingsFile, logFile;
+  std::vector<Address> seeds;
   std::vector<std::string> arguments;
   bool pair = false;   // agent and proxy as two processes
   pid_t pid = 0;       // 0: not running
@@ -31,6 +33,8 @@
 };
 
 std::vector<Daemon> planDaemons(const FleetPlan& plan);
+// The settings file with these seeds; all other settings are flags.
+void writeSettings(const Daemon& daemon, const std::vector<Address>& seeds);
 bool startDaemon(Daemon* daemon, const FleetPlan& plan);
 void signalDaemon(const Daemon& daemon, int signal);
 // Waits for the end for at most that long; the exit status, or -1 where it did not end, or -2 where
--- a/src/fleet/jungfraujoch.cpp
+++ b/src/fleet/jungfraujoch.cpp
@@ -61,6 +61,7 @@
   }
   if (site.plannedExitDefects() > 0)
     findings.push_back({"planned-restart", "a SIGTERM did not end well"});
+  for (const std::string& missed : site.settingsMissed()) findings.push_back({"settings", missed});
   std::cout << std::fixed << std::setprecision(3);
   std::cout << "calls " << figures.calls << " done " << figures.done << " turned-away "
             << figures.turnedAway << " unknown " << figures.unknown << " cut " << figures.cut
--- a/src/fleet/site.h
+++ b/src/fleet/site.h
@@ -40,12 +40,16 @@
   void showTenants();
   Instant trafficEnd() const { return trafficEnd_; }
   int plannedExitDefects() const { return plannedExitDefects_; }
+  // What a daemon did not say of its changed settings file.
+  const std::vector<std::string>& settingsMissed() const { return settingsMissed_; }
 
  private:
   awaitable<void> perform(Step step);
   awaitable<void> atDaemon(std::string what, Daemon& daemon);
   awaitable<void> kill(Daemon& daemon, Span backAfter, bool wipe);
   awaitable<void> restart(Daemon& daemon);
+  awaitable<void> changeSettings(Daemon& daemon);
+  awaitable<void> awaitLog(const Daemon& daemon, std::string text);
   awaitable<void> atMany(std::string what, std::size_t number);
   awaitable<void> atServer(std::string what, StandInServer& server);
   awaitable<void> atOutside(std::string what, std::size_t number);
@@ -81,6 +85,7 @@
   std::vector<ChangeSeen> changes_;
   Instant trafficEnd_{};
   int plannedExitDefects_ = 0;
+  std::vector<std::string> settingsMissed_;
   std::size_t stepsOpen_ = 0;
   Instant lostAt_{};                   // when a majority of disks was emptied
   std::set<std::string> busyDaemons_;  // names of those with a fault under way
--- a/src/fleet/steps.h
+++ b/src/fleet/steps.h
@@ -15,6 +15,7 @@
   X("kill-edge", Edge, "edge number: kill -9, back after 3 s")                                     \
   X("restart-edge", Edge, "edge number: SIGTERM, back when it ended")                              \
   X("restart-core", Core, "core number: SIGTERM, back when it ended")                              \
+  X("hup-edge", Edge, "edge number: its settings file changes, with SIGHUP and without, and badly") \
   X("freeze-core", Core, "core number: SIGSTOP for 6 s")                                           \
   X("freeze-edge", Edge, "edge number: SIGSTOP for 6 s")                                           \
   X("wipe-core", Core, "core number: kill -9, its disk emptied, back after 1 s")                   \
--- a/src/fleet/steps_daemons.cpp
+++ b/src/fleet/steps_daemons.cpp
@@ -4,6 +4,7 @@
 #include <csignal>
 #include <filesystem>
 #include <fstream>
+#include <iterator>
 
 #include "fleet/site.h"
 
@@ -70,6 +71,30 @@
   hinder(daemon.callers.value, begun);
 }
 
+// Nothing is dropped for it: the daemon counts as not hindered.
+awaitable<void> Site::changeSettings(Daemon& daemon) {
+  const std::vector<Address> first = daemon.seeds;
+  daemon.seeds = {daemonAt(boot_.plan.cores, true).cohort};
+  writeSettings(daemon, daemon.seeds);
+  signalDaemon(daemon, SIGHUP);
+  co_await awaitLog(daemon, "read anew, seeds " + daemon.seeds[0].value);
+  std::ofstream(daemon.settingsFile, std::ios::trunc) << "{";
+  co_await awaitLog(daemon, "is refused");
+  daemon.seeds = first;
+  writeSettings(daemon, daemon.seeds);
+  co_await awaitLog(daemon, "read anew, seeds " + daemon.seeds[0].value);
+}
+
+awaitable<void> Site::awaitLog(const Daemon& daemon, std::string text) {
+  for (const Instant until = BootClock::now() + 4s; BootClock::now() < until;) {
+    std::ifstream in(daemon.logFile);
+    const std::string log{std::istreambuf_iterator<char>(in), {}};
+    if (log.find(text) != std::string::npos) co_return;
+    co_await pauseFor(100ms);
+  }
+  settingsMissed_.push_back(daemon.name + " did not log '" + text + "' within 4 s");
+}
+
 awaitable<void> Site::atDaemon(std::string what, Daemon& daemon) {
   if (!busyDaemons_.insert(daemon.name).second) co_return;  // one fault at a time for each
   note(what + " " + daemon.name);
@@ -81,6 +106,8 @@
     co_await kill(daemon, what == "wipe" ? 1s : 3s, what == "wipe");
   } else if (what == "restart") {
     co_await restart(daemon);
+  } else if (what == "hup") {
+    co_await changeSettings(daemon);
   } else if (what == "freeze") {
     signalDaemon(daemon, SIGSTOP);
     co_await pauseFor(6s);
--- a/src/sim/world.cpp
+++ b/src/sim/world.cpp
@@ -94,6 +94,12 @@
   start(index);
 }
 
+void World::setSeeds(std::size_t index, std::vector<Address> seeds) {
+  Machine& machine = machines_[index];
+  machine.seeds = std::move(seeds);
+  if (machine.core) machine.core->setSeeds(machine.seeds);
+}
+
 void World::freeze(std::size_t index, Span span) {
   machines_[index].frozenUntil = std::max(machines_[index].frozenUntil, now_ + span);
 }
--- a/src/sim/world.h
+++ b/src/sim/world.h
@@ -69,6 +69,9 @@
   // The machine is gone; an empty one at a new address takes its place. Only the new one is told
   // where the seeds are now.
   void replace(std::size_t machine);
+  // The settings of a machine name these seeds now; it runs on, and its later lives start so.
+  void setSeeds(std::size_t machine, std::vector<Address> seeds);
+  Address addressOf(std::size_t machine) const { return machines_[machine].address; }
   void freeze(std::size_t machine, Span span);
   void cutOneWay(std::size_t from, std::size_t to, bool cut);
   void cut(const std::set<std::size_t>& side, bool cut);
--- a/src/sonnblick.cpp
+++ b/src/sonnblick.cpp
@@ -73,12 +73,15 @@
     else
       asked.flags[settingName(flag)] = value.asString();
   }
-  const auto boot = quayrill::loadBoot(asked);
+  quayrill::SettingsSource source{
+      asked.settingsFile, "{}",
+      [given = asked.flags](const std::string& text) { return quayrill::readBoot(text, given); }};
+  const auto boot = quayrill::loadSettings(&source);
   if (!boot.ok()) {
     std::cerr << "sonnblick: " << boot.status().message() << "\n";
     return 2;
   }
   if (flags["--check"].asBool()) return 0;
 
-  return quayrill::runDaemon(*boot, quayrill::ownDialect(), argv[0]);
+  return quayrill::runDaemon(*boot, quayrill::ownDialect(), argv[0], std::move(source));
 }
--- /dev/null
+++ b/tests/settings_tests.cpp
@@ -0,0 +1,265 @@
+// Settings that change under a running daemon: by a changed file, with and without SIGHUP.
+#include <unistd.h>
+#include <catch2/catch.hpp>
+
+#include <filesystem>
+#include <fstream>
+#include <future>
+
+#include "daemon/settings_watch.h"
+#include "platform/settings.h"
+#include "sim/scenario.h"
+
+using namespace quayrill;
+using namespace std::chrono_literals;
+
+namespace {
+constexpr char kFile[] = "/settings.json";
+
+std::string settingsText(const std::string& seeds, const std::string& more = "") {
+  return R"({"cohort":"10.0.0.1:1","operators":"10.0.0.1:2","callers":"10.0.0.1:3",)"
+         R"("platform":"10.0.9.1:1","seeds":[)" +
+         seeds + "]" + more + "}";
+}
+
+const std::string kOld = settingsText(R"("10.0.0.1:1","10.0.0.2:1")");
+const std::string kNew = settingsText(R"("10.0.0.2:1","10.0.0.3:1")");
+
+absl::StatusOr<Boot> readOwn(const std::string& text) { return readBoot(text, {}); }
+
+SettingsJudge judgeOf(const std::string& text) {
+  return {SettingsSource{kFile, text, readOwn}, *readOwn(text)};
+}
+
+// Two looks, as at a file that has come to rest.
+SettingsLook lookTwice(SettingsJudge& judge, const std::optional<std::string>& text,
+                       bool asked = false) {
+  const SettingsLook first = judge.onLook(text, asked);
+  CHECK_FALSE(first.changed.has_value());
+  CHECK(first.refused.empty());
+  CHECK(first.lookSoon);
+  return judge.onLook(text, false);
+}
+
+struct SettingsFile {
+  std::string path =
+      (std::filesystem::temp_directory_path() / ("quayrill-settings-" + std::to_string(::getpid())))
+          .string();
+  explicit SettingsFile(const std::string& text) { write(text); }
+  ~SettingsFile() { std::filesystem::remove(path); }
+  void write(const std::string& text) const {
+    std::ofstream(path, std::ios::trunc | std::ios::binary) << text;
+  }
+};
+}  // namespace
+
+TEST_CASE("settings: a changed file is taken up, and an unchanged one is passed over") {
+  SettingsJudge judge = judgeOf(kOld);
+  const SettingsLook same = judge.onLook(kOld, false);
+  CHECK_FALSE((same.changed || same.lookSoon));
+  CHECK((same.told + same.refused).empty());
+  const SettingsLook look = lookTwice(judge, kNew);
+  REQUIRE(look.changed);
+  CHECK(look.changed->seeds == std::vector<Address>{{"10.0.0.2:1"}, {"10.0.0.3:1"}});
+  CHECK(judge.inForce().seeds == look.changed->seeds);
+  CHECK_THAT(look.told, Catch::Contains("10.0.0.2:1, 10.0.0.3:1"));
+  CHECK(look.refused.empty());
+  CHECK_FALSE(judge.onLook(kNew, false).changed);
+  // And back.
+  CHECK(lookTwice(judge, kOld).changed->seeds.front() == Address{"10.0.0.1:1"});
+}
+
+TEST_CASE("settings: SIGHUP over an unchanged file is answered by one line and changes nothing") {
+  SettingsJudge judge = judgeOf(kOld);
+  const SettingsLook look = judge.onLook(kOld, true);
+  CHECK_FALSE(look.changed);
+  CHECK_THAT(look.told, Catch::Contains("unchanged"));
+  CHECK(judge.onLook(kOld, false).told.empty());
+}
+
+TEST_CASE("settings: a half written file waits until it is whole, whatever part it shows") {
+  for (std::size_t size = 0; size < kNew.size(); ++size) {
+    SettingsJudge judge = judgeOf(kOld);
+    const SettingsLook half = judge.onLook(kNew.substr(0, size), size % 2 == 0);
+    CHECK_FALSE(half.changed);
+    CHECK(half.refused.empty());
+    CHECK(half.lookSoon);
+    CHECK(judge.onLook(kNew, false).lookSoon);
+    CHECK(judge.onLook(kNew, false).changed);
+  }
+}
+
+TEST_CASE("settings: a bad file is refused in one line with the remedy, and the old ones stay") {
+  const std::string outside = settingsText(R"("a.host:1")");
+  for (const std::string& bad : {std::string(), std::string("{"), outside, settingsText("")}) {
+    INFO(bad);
+    SettingsJudge judge = judgeOf(kOld);
+    const SettingsLook look = lookTwice(judge, bad);
+    CHECK_FALSE(look.changed);
+    CHECK_THAT(look.refused, Catch::Contains("refused") && Catch::Contains(kFile) &&
+                                 Catch::Contains("stay in force"));
+    CHECK(look.refused.find('\n') == std::string::npos);
+    CHECK(judge.inForce().seeds.size() == 2);
+    // Once: it is looked at each second.
+    const SettingsLook again = judge.onLook(bad, false);
+    CHECK((again.refused + again.told).empty());
+    // Whoever asks is told again.
+    CHECK_FALSE(judge.onLook(bad, true).refused.empty());
+    // The file as it was is no change.
+    const SettingsLook back = lookTwice(judge, kOld);
+    CHECK_FALSE(back.changed);
+    CHECK(back.refused.empty());
+    CHECK(lookTwice(judge, kNew).changed);
+  }
+  SettingsJudge judge = judgeOf(kOld);
+  CHECK_THAT(lookTwice(judge, outside).refused,
+             Catch::Contains("'seeds'") && Catch::Contains("give ip:port"));
+}
+
+TEST_CASE("settings: a file that is gone is told once, and read again when it is back") {
+  SettingsJudge judge = judgeOf(kOld);
+  const SettingsLook look = lookTwice(judge, std::nullopt);
+  CHECK_FALSE(look.changed);
+  CHECK_THAT(look.refused, Catch::Contains("can't be read") && Catch::Contains("stay in force"));
+  CHECK(judge.onLook(std::nullopt, false).refused.empty());
+  CHECK(lookTwice(judge, kNew).changed);
+}
+
+TEST_CASE("settings: what only a restart can change is named once, and the rest is taken up") {
+  SettingsJudge judge = judgeOf(kOld);
+  const std::string text =
+      settingsText(R"("10.0.0.9:1")", R"(,"zone":"b","fresh_limit_ms":900,"grace_ms":4000)");
+  const SettingsLook look = lookTwice(judge, text);
+  REQUIRE(look.changed);
+  CHECK_THAT(look.told,
+             Catch::Contains("zone, fresh_limit_ms") && Catch::Contains("restart this daemon"));
+  CHECK(look.told.find('\n') == std::string::npos);
+  CHECK(look.changed->seeds == std::vector<Address>{{"10.0.0.9:1"}});
+  CHECK(look.changed->grace == 4000ms);
+  CHECK(look.changed->zone == readOwn(kOld)->zone);
+  CHECK(look.changed->freshLimit == readOwn(kOld)->freshLimit);
+  const std::string moved = R"({"cohort":"10.0.0.1:9","operators":"10.0.0.1:8",)"
+                            R"("callers":"10.0.0.1:7","role":"agent","platform":"10.0.9.2:1",)"
+                            R"("seeds":["10.0.0.9:1"]})";
+  const SettingsLook other = lookTwice(judge, moved);
+  CHECK_THAT(other.told, Catch::Contains("role, cohort, operators, callers"));
+  CHECK(other.changed->role == "both");
+  CHECK(other.changed->cohort == Address{"10.0.0.1:1"});
+  CHECK(other.changed->platform == Address{"10.0.9.2:1"});
+}
+
+TEST_CASE("settings: the platform's file goes through the same watch") {
+  const auto text = [](const std::string& seeds, const std::string& more) {
+    return "ip=10.1.0.1\nportRange=7000,7010\nlisten.http=10.1.0.1:80\nprovider.addr=10.9.0.1:1\n"
+           "provider.ratePerS=40\nseeds=" +
+           seeds + "\n" + more;
+  };
+  const std::string old = text("10.1.0.1:8", "bootstrap=true\n");
+  const auto boot = platform::readSettings(old);
+  REQUIRE(boot.ok());
+  SettingsJudge judge({kFile, old, platform::readSettings}, *boot);
+  const SettingsLook look =
+      lookTwice(judge, text("10.1.0.2:8,10.1.0.3:8", "bootstrap=false\nfield.unknown=1\n"));
+  REQUIRE(look.changed);
+  CHECK(look.changed->seeds == std::vector<Address>{{"10.1.0.2:7000"}, {"10.1.0.3:7000"}});
+  // A first start of all is over when the file is written anew; nobody has to restart for it.
+  CHECK(look.told.find("restart") == std::string::npos);
+  CHECK(look.changed->mayFound);
+  CHECK_THAT(lookTwice(judge, text("a:8", "")).refused, Catch::Contains("'seeds'"));
+}
+
+TEST_CASE("settings watch: the file is read with and without a signal") {
+  const bool signalled = GENERATE(true, false);
+  const SettingsFile file(kOld);
+  SettingsSource source{file.path, "", readOwn};
+  const auto boot = loadSettings(&source);
+  REQUIRE(boot.ok());
+  std::promise<Boot> taken;
+  SettingsWatch watch(source, *boot, [&](const Boot& changed) { taken.set_value(changed); });
+  file.write(kNew);
+  if (signalled) watch.onHup();
+  auto changed = taken.get_future();
+  REQUIRE(changed.wait_for(20s) == std::future_status::ready);
+  CHECK(changed.get().seeds.back() == Address{"10.0.0.3:1"});
+  CHECK(watch.stop().seeds.back() == Address{"10.0.0.3:1"});
+}
+
+TEST_CASE("settings: a file that can't be read ends the start with the remedy") {
+  SettingsSource source{"/no/such/file", "", readOwn};
+  CHECK_THAT(std::string(loadSettings(&source).status().message()),
+             Catch::Contains("/no/such/file") && Catch::Contains("name one"));
+  CHECK_FALSE(readSettingsFile("/").has_value());
+}
+
+TEST_CASE("settings: a daemon whose seeds are all gone finds its fleet by new ones") {
+  sim::WorldBoot boot;
+  boot.seed = 31;
+  sim::World world(boot);
+  REQUIRE(sim::runUntilFounded(world, 60s));
+  const std::size_t late = world.size() - 1;
+  world.crash(late, true);
+  world.run(30s);  // the others forget its first life
+  // It comes back under settings that nobody listens at.
+  world.setSeeds(late, {Address{"127.9.9.1:7000"}, Address{"127.9.9.2:7000"}});
+  world.start(late);
+  world.run(20s);
+  REQUIRE(world.listedBy(late) == 1);
+  REQUIRE_FALSE(world.isConfirmed(late, 2s));
+  world.setSeeds(late, {world.addressOf(1), world.addressOf(2)});
+  world.run(5s);
+  CHECK(world.listedBy(late) == world.size());
+  CHECK(world.isConfirmed(late, 2s));
+  CHECK(world.violations().empty());
+}
+
+TEST_CASE("settings: new seeds cost a replica neither its identity nor a call under way") {
+  sim::WorldBoot boot;
+  boot.seed = 32;
+  sim::World world(boot);
+  REQUIRE(sim::runUntilFounded(world, 60s));
+  const StoreId store = world.core(0).store();
+  const CopySet copies = world.core(0).freshness().copies();
+  const std::uint64_t id = world.change(0, 0, "kept");
+  for (std::size_t i = 0; i < world.size(); ++i)
+    world.setSeeds(i, {world.addressOf(2), world.addressOf(3)});
+  world.run(5s);
+  REQUIRE(world.asked(id).done);
+  CHECK(world.asked(id).done->result == ChangeResult::Chosen);
+  CHECK(world.core(0).store() == store);
+  CHECK(world.core(0).freshness().copies() == copies);
+  CHECK(world.isConverged());
+  CHECK(world.violations().empty());
+}
+
+TEST_CASE("settings: seeds that share none with the first ones found no second fleet") {
+  for (std::uint64_t seed = 1; seed <= 8; ++seed) {
+    INFO("seed " << seed);
+    sim::WorldBoot boot;
+    boot.seed = seed;
+    sim::World world(boot);
+    // All start with the first three as seeds. One is told of itself alone, by which it would found
+    // a fleet of its own.
+    world.setSeeds(3, {world.addressOf(3)});
+    CHECK(sim::runUntilFounded(world, 60s));
+    std::set<std::uint64_t> fleets;
+    for (std::size_t i = 0; i < world.size(); ++i)
+      fleets.insert(world.core(i).freshness().copies().fleet);
+    CHECK(fleets.size() == 1);
+    CHECK(world.violations().empty());
+  }
+}
+
+TEST_CASE("settings: a seed that dies before the founding is replaced, and the fleet is founded") {
+  sim::WorldBoot boot;
+  boot.seed = 33;
+  sim::World world(boot);
+  world.crash(2, true);
+  world.run(20s);
+  REQUIRE(world.core(0).freshness().copies().epoch.value == 0);
+  for (std::size_t i = 0; i < world.size(); ++i)
+    world.setSeeds(i, {world.addressOf(0), world.addressOf(1), world.addressOf(3)});
+  world.run(20s);
+  CHECK(world.isConverged());
+  CHECK(world.core(0).freshness().copies().members.size() == 3);
+  CHECK(world.violations().empty());
+}
