A resent change that was acknowledged is never refused, however many followed

Cause: the register's body remembered 64 changes; one that came again behind more was judged as new, builds on an old version and was refused (412), though it had been acknowledged.

Now the window is rate x time (4 changes/s x 120 s + 8 under way = 488 changes, digests of 64 bits, at most 48 bytes a change beside the configuration's own limit), and behind it the answer is 'unclear', exactly where it must be: the numbers form a chain, so only a change on top of a version below the newest forgotten number, with a number not above it, can be a taken one. All others are still refused clearly. Ruled out: one key for each change (two keys are not changed as one); a time stamp for each change (no common clock).

--- a/src/agent/agent.h
+++ b/src/agent/agent.h
@@ -20,8 +20,6 @@
 
 namespace quayrill {
 
-// The cohort's frames and the feed of a proxy carry a spec whole: both allow several times this.
-inline constexpr std::size_t kSpecLimit = 1 << 20;
 // The hold under which a model's servers are ordered.
 RegisterKey orderHold(const ModelName& model);
 
--- a/src/agent/amend.cpp
+++ b/src/agent/amend.cpp
@@ -28,7 +28,7 @@
   if (!hasCopiesToSpare())
     co_return AmendDone{AmendResult::NotTaken,
                         "too few register copies to survive the loss of one"};
-  Amending amending(std::move(change), kSpecLimit, BootClock::now() + kAmendDue);
+  Amending amending(std::move(change), kBodyLimit, BootClock::now() + kAmendDue);
   for (;;) {
     const std::optional<ChangeAsked> asked = amending.next(BootClock::now());
     if (!asked) break;
--- a/src/register/amending.cpp
+++ b/src/register/amending.cpp
@@ -64,6 +64,10 @@
         return finish(AmendResult::Refused, why);
       case absl::StatusCode::kFailedPrecondition:
         return finish(AmendResult::Stale, why);
+      case absl::StatusCode::kResourceExhausted:
+        return finish(AmendResult::TooLarge, why);
+      case absl::StatusCode::kUnknown:
+        return finish(AmendResult::Unknown, why);
       default:  // what stands can't be read here
         return finish(AmendResult::NotTaken, why);
     }
--- a/src/spec/amend.cpp
+++ b/src/spec/amend.cpp
@@ -7,7 +7,9 @@
 namespace quayrill {
 
 namespace {
-constexpr std::size_t kDigestLength = 32;  // hex digits: no two changes share them by accident
+// Hex digits, 64 bits: among the changes remembered no two share them by accident (one chance in
+// 10^13), and each body carries all of them.
+constexpr std::size_t kDigestLength = 16;
 }  // namespace
 
 std::string changeDigest(std::string_view kind, std::uint64_t basis, std::string_view text) {
@@ -18,14 +20,23 @@
   return digest.substr(digest.find(':') + 1, kDigestLength);
 }
 
-bool hasTaken(const TakenChanges& taken, const std::string& digest) {
-  return std::any_of(taken.begin(), taken.end(),
-                     [&](const TakenChange& change) { return change.digest == digest; });
+ChangeStanding standingOf(const SentChange& sent, const TakenChanges& taken,
+                          std::uint64_t forgotten, std::uint64_t current) {
+  const TakenChange change{sent.number, sent.digest};
+  if (std::find(taken.begin(), taken.end(), change) != taken.end()) return ChangeStanding::Taken;
+  if (sent.basis == current) return ChangeStanding::New;
+  const bool mayBeForgotten = sent.basis < forgotten && sent.number <= forgotten;
+  return mayBeForgotten ? ChangeStanding::Forgotten : ChangeStanding::Stale;
 }
 
-void addTaken(TakenChanges* taken, TakenChange change) {
+std::uint64_t addTaken(TakenChanges* taken, TakenChange change) {
   taken->push_front(std::move(change));
-  while (taken->size() > kTakenKept) taken->pop_back();
+  std::uint64_t forgotten = 0;
+  while (taken->size() > kTakenKept) {
+    forgotten = std::max(forgotten, taken->back().number);
+    taken->pop_back();
+  }
+  return forgotten;
 }
 
 }  // namespace quayrill
--- a/src/spec/amend.h
+++ b/src/spec/amend.h
@@ -3,6 +3,7 @@
 // comes a second time, also through another daemon and behind later changes.
 #include <absl/status/statusor.h>
 
+#include <chrono>
 #include <cstdint>
 #include <deque>
 #include <functional>
@@ -19,20 +20,51 @@
   bool operator==(const TakenChange&) const = default;
 };
 
-// Newest first, at most kTakenKept. A change that comes again behind that many others is judged
-// as a new one.
-inline constexpr std::size_t kTakenKept = 64;
+// Ours. A caller is answered clearly for as long as it may send a change again, at the rate at
+// which changes may be taken all that time, with as many more as may be under way at once. Behind
+// that many others a resend has no clear answer; it is never refused (see RegisterBody::forgotten).
+inline constexpr std::size_t kChangesPerSecond = 4;
+inline constexpr std::chrono::seconds kResendSpan{120};
+inline constexpr std::size_t kChangesUnderWay = 8;
+inline constexpr std::size_t kTakenKept =
+    kChangesPerSecond * static_cast<std::size_t>(kResendSpan.count()) + kChangesUnderWay;
+// Newest first, at most kTakenKept.
 using TakenChanges = std::deque<TakenChange>;
 
+// Bytes of a configuration, and of the register's body with what is remembered beside it, so that
+// the one takes no room from the other. The cohort's frames and the feed of a proxy carry a body
+// whole: both allow several times this.
+inline constexpr std::size_t kSpecLimit = 1 << 20;
+inline constexpr std::size_t kTakenRowBytes = 48;  // [number of 20 digits,"digest"] and a comma
+inline constexpr std::size_t kBodyLimit = kSpecLimit + kTakenKept * kTakenRowBytes;
+
 // Two changes are the same one if what they build on and what they say are the same.
 std::string changeDigest(std::string_view kind, std::uint64_t basis, std::string_view text);
-bool hasTaken(const TakenChanges& taken, const std::string& digest);
-void addTaken(TakenChanges* taken, TakenChange change);
+// The number of the newest change that had to be forgotten for it; 0 where none had to be.
+std::uint64_t addTaken(TakenChanges* taken, TakenChange change);
+
+// A change as it was sent: the number it gives the spec, the one it builds on, and its digest.
+struct SentChange {
+  std::uint64_t number = 0;
+  std::uint64_t basis = 0;
+  std::string digest;
+};
+enum class ChangeStanding {
+  New,        // it builds on what stands
+  Taken,      // before
+  Stale,      // another version stands; it was never taken
+  Forgotten,  // another version stands; whether it was taken before is not remembered
+};
+// The numbers form a chain: what is remembered names how each one above `forgotten` was made. So
+// only a change on top of one below it, with a number not above it, can be taken and forgotten.
+ChangeStanding standingOf(const SentChange& sent, const TakenChanges& taken,
+                          std::uint64_t forgotten, std::uint64_t current);
 
 // What a change makes of the body that stands ("" before the first): a new body, or nothing where
 // it holds already. InvalidArgument: it is not allowed. FailedPrecondition: it builds on another
-// version than stands. It is asked anew of every body that is met, so it must say the same of the
-// same body.
+// version than stands, and was never taken. ResourceExhausted: too large. Unknown: it may have been
+// taken so long ago that it is forgotten. It is asked anew of every body that is met, so it must
+// say the same of the same body.
 using Amendment =
     std::function<absl::StatusOr<std::optional<std::string>>(const std::string& standing)>;
 
--- a/tests/amend_tests.cpp
+++ b/tests/amend_tests.cpp
@@ -170,6 +170,33 @@
   }
 }
 
+TEST_CASE("amend: a resend whose change is forgotten has no clear answer, and is not proposed") {
+  Script script;
+  for (std::uint64_t basis = 0; basis < kTakenKept + 5; ++basis)
+    REQUIRE(script.carry(onTop(basis, basis + 1)) == AmendResult::Taken);
+  const std::size_t changes = script.changes;
+  CHECK(script.carry(onTop(2, 3)) == AmendResult::Unknown);
+  CHECK(script.carry(onTop(2, 3, "rival")) == AmendResult::Unknown);
+  CHECK(script.carry(onTop(5, 6)) == AmendResult::Holds);
+  CHECK(script.carry(onTop(5, 6, "rival")) == AmendResult::Stale);
+  CHECK(script.carry(onTop(2, kTakenKept + 9)) == AmendResult::Stale);
+  CHECK(script.changes == changes);
+}
+
+TEST_CASE("amend: a change that is settled behind hundreds of others is never refused") {
+  Script script;
+  Amending mine(onTop(0, 1, "a"), kLimit, script.now + kDue);
+  REQUIRE(script.step(mine));
+  script.fates = {Fate::TakenUnheard};
+  REQUIRE(script.step(mine));
+  for (std::uint64_t basis = 1; basis < kTakenKept + 5; ++basis)
+    REQUIRE(script.carry(onTop(basis, basis + 1, "b")) == AmendResult::Taken);
+  while (script.step(mine)) {
+  }
+  CHECK(mine.done()->result == AmendResult::Unknown);
+  CHECK(platform::answerOf(*mine.done()).result_int() == 504);
+}
+
 TEST_CASE("amend: a register that does not answer took nothing, and it is said in time") {
   Script script;
   const Instant begun = script.now;
--- a/tests/platform_config_tests.cpp
+++ b/tests/platform_config_tests.cpp
@@ -3,6 +3,7 @@
 
 #include "base/digest.h"
 #include "platform/register_body.h"
+#include "register/amending.h"
 
 using namespace quayrill;
 using namespace std::chrono_literals;
@@ -232,6 +233,72 @@
   CHECK(holds(platform::wholeConfig(whole(9 + 25), 9 + 24), body));
 }
 
+TEST_CASE("platform config: a resend behind hundreds of changes is never refused") {
+  const auto codeOf = [](const absl::StatusOr<Amendment>& change, const std::string& standing) {
+    return tried(change, standing).status().code();
+  };
+  using absl::StatusCode;
+  constexpr std::uint64_t kChanges = 600;
+  std::string body;
+  std::vector<std::string> patches;  // the one on top of version n is patches[n - 1]
+  body = made(platform::wholeConfig(whole(1), 0), body);
+  for (std::uint64_t basis = 1; basis < kChanges; ++basis) {
+    patches.push_back(R"({"gen":)" + std::to_string(basis + 1) + R"(,"limits":{"idleTimeoutMs":)" +
+                      std::to_string(basis) + "}}");
+    body = made(platform::configPatch(patches.back(), basis), body);
+  }
+  std::size_t acknowledged = 0;
+  for (std::uint64_t basis = 1; basis < kChanges; ++basis) {
+    const auto again = tried(platform::configPatch(patches[basis - 1], basis), body);
+    if (again.ok() && !*again) ++acknowledged;
+    CHECK((again.ok() ? !*again : again.status().code() == StatusCode::kUnknown));
+  }
+  CHECK(acknowledged == kTakenKept);
+  CHECK(codeOf(platform::wholeConfig(whole(1), 0), body) == StatusCode::kUnknown);
+  // What can't have been taken is refused all the same: its number was not reached by what is
+  // forgotten, or what followed on its version is remembered.
+  CHECK(codeOf(platform::wholeConfig(whole(kChanges + 1), 1), body) ==
+        StatusCode::kFailedPrecondition);
+  CHECK(codeOf(platform::wholeConfig(whole(kChanges), kChanges - 1), body) ==
+        StatusCode::kFailedPrecondition);
+  CHECK(codeOf(platform::wholeConfig(whole(kChanges - 9), kChanges - 10), body) ==
+        StatusCode::kFailedPrecondition);
+}
+
+TEST_CASE("platform config: the configuration in force holds, whatever it says it builds on") {
+  const std::string first = made(platform::wholeConfig(whole(7), 0), "");
+  CHECK(holds(platform::wholeConfig(whole(7), 3), first));
+  std::string spaced = sample().dump(2);
+  CHECK(holds(platform::wholeConfig(spaced, 0), first));
+  const std::string patched =
+      made(platform::configPatch(R"({"gen":9,"limits":{"idleTimeoutMs":9000}})", 7), first);
+  CHECK(holds(platform::wholeConfig(platform::readBody(patched)->config.dump(), 5), patched));
+  // On top of itself or of a later one it is no resend.
+  using absl::StatusCode;
+  CHECK(tried(platform::wholeConfig(whole(7), 7), first).status().code() ==
+        StatusCode::kInvalidArgument);
+  CHECK(tried(platform::wholeConfig(whole(7), 8), first).status().code() ==
+        StatusCode::kFailedPrecondition);
+}
+
+TEST_CASE("platform config: what is remembered takes no room from a configuration") {
+  Document large = sample();
+  large["gen"] = 1;
+  large["later"] = std::string((1 << 20) - large.dump().size() - 200, 'x');
+  std::string body = made(platform::wholeConfig(large.dump(), 0), "");
+  for (std::uint64_t basis = 1; basis <= kTakenKept; ++basis)
+    body = made(platform::configPatch(R"({"gen":)" + std::to_string(basis + 1) + "}", basis), body);
+  CHECK(platform::readBody(body)->taken.size() == kTakenKept);
+  Amending amending(*platform::configPatch(R"({"gen":9000})", kTakenKept + 1), kBodyLimit,
+                    Instant(10s));
+  REQUIRE(amending.next(Instant(1s)));
+  amending.onAnswer({{}, {}, ChangeResult::Chosen, {9, {}, {}, body}, {}, {}});
+  CHECK(amending.next(Instant(1s)).has_value());  // proposed, not refused for its size
+  large["later"] = std::string(1 << 20, 'x');
+  CHECK(tried(platform::wholeConfig(large.dump(), 0), "").status().code() ==
+        absl::StatusCode::kResourceExhausted);
+}
+
 TEST_CASE("platform config: a patch changes named items") {
   const std::string first = made(platform::wholeConfig(whole(7), 0), "");
   const std::string text = R"({"gen":9,"upsert":{"routes":[
@@ -283,6 +350,10 @@
   CHECK(holds(named(2), body));
   body = made(platform::wholeConfig(whole(9), 7), body);
   CHECK(platform::readSpec(body)->weights.at(ModelName{"daka510000"}).value == "3");
+  // The first weights were acknowledged; the model went away since.
+  const std::string gone = made(
+      platform::configPatch(R"({"gen":11,"upsert":{"backends":[{"name":"east"}]}})", 7), first);
+  CHECK(holds(named(1), gone));
   const auto unknown = tried(platform::namedWeights(R"({"model":"x","gen":2})"), first);
   CHECK_THAT(std::string(unknown.status().message()),
              Contains("/model: ") && Contains("add it to the models"));
