--- a/src/agent/core/agent_core.cpp
+++ b/src/agent/core/agent_core.cpp
@@ -168,9 +168,7 @@
     }
     if (purpose->second == Purpose::Outside) effects->done.push_back(ended);
     if (purpose->second == Purpose::Hold) holds_.onDone(ended, now);
-    if (purpose->second == Purpose::Sweep && ended.result == ChangeResult::Chosen &&
-        ended.ballot.epoch == sweptEpoch_)
-      unswept_.erase(ended.key);
+    if (purpose->second == Purpose::Sweep) epochSweep_.onReadDone(ended);
     purposes_.erase(purpose);
   }
 }
--- a/src/agent/core/agent_core.h
+++ b/src/agent/core/agent_core.h
@@ -13,6 +13,7 @@
 #include "agent/core/server_notes.h"
 #include "agent/core/weights_named.h"
 #include "register/copy.h"
+#include "register/epoch_sweep.h"
 #include "register/proposer.h"
 
 namespace quayrill {
@@ -188,9 +189,7 @@
   Grant grant_;
   std::map<std::uint64_t, FoundingRound> foundingRounds_;  // by nonce; no older than kSaidSpan
   std::map<Address, SeedSaid> said_;                       // the last 'unfounded' of each seed
-  std::set<RegisterKey> unswept_;  // keys yet to be rewritten before the epoch is settled
-  Epoch sweptEpoch_;
-  bool sweepListed_ = false;
+  EpochSweep epochSweep_;
   // Stores that answered lately, and since when each member of the copy set has not.
   struct Contact {
     Address address;
--- a/src/agent/core/copy_set.cpp
+++ b/src/agent/core/copy_set.cpp
@@ -142,40 +142,13 @@
 
 void AgentCore::tickEpoch(Instant now, AgentEffects* effects) {
   const CopySet& copies = freshness_.copies();
-  const std::uint64_t version = freshness_.copySetVersion();
-  if (copies.settled) {
-    if (const auto next = nextCopySet(now))
-      begin({{}, kCopySetKey, false, version, encodeValue(*next), {}, now + 2s}, Purpose::Copies,
-            now, effects);
-    return;
+  const auto following = copies.settled ? nextCopySet(now) : std::nullopt;
+  const auto listed = copies.settled ? std::nullopt : freshness_.keysOfMajority();
+  const auto asks = epochSweep_.next(copies, freshness_.copySetVersion(), listed, following, now);
+  for (const ChangeAsked& ask : asks) {
+    if (!proposer_.isBusy(ask.key))
+      begin(ask, ask.isRead ? Purpose::Sweep : Purpose::Copies, now, effects);
   }
-  if (sweptEpoch_ != copies.epoch) {
-    sweptEpoch_ = copies.epoch;
-    unswept_.clear();
-    sweepListed_ = false;
-  }
-  // A majority inside this epoch meets every majority of the older one, and none of its members
-  // takes part in the older epoch any more: no key can come up behind the list. The read brings
-  // the copies into the epoch.
-  if (!sweepListed_) {
-    if (const auto keys = freshness_.keysOfMajority()) {
-      unswept_.insert(keys->begin(), keys->end());
-      unswept_.insert(kCopySetKey);
-      sweepListed_ = true;
-    } else {
-      begin({{}, kCopySetKey, true, 0, {}, {}, now + 1s}, Purpose::Sweep, now, effects);
-    }
-    return;
-  }
-  for (const RegisterKey& key : unswept_) {
-    if (!proposer_.isBusy(key))
-      begin({{}, key, true, 0, {}, {}, now + 2s}, Purpose::Sweep, now, effects);
-  }
-  if (!unswept_.empty()) return;
-  CopySet settled = copies;
-  settled.settled = true;
-  begin({{}, kCopySetKey, false, version, encodeValue(settled), {}, now + 2s}, Purpose::Copies, now,
-        effects);
 }
 
 }  // namespace quayrill
--- a/src/register/amending.cpp
+++ b/src/register/amending.cpp
@@ -77,4 +77,11 @@
   step_ = Step::Proposing;
 }
 
+std::string Amending::stateBytes() const {
+  std::string bytes(1, static_cast<char>(step_));
+  if (step_ == Step::Proposing) bytes += encodeValue(proposed_);
+  if (done_) bytes += "done" + std::to_string(static_cast<int>(done_->result));
+  return bytes;
+}
+
 }  // namespace quayrill
--- a/src/register/amending.h
+++ b/src/register/amending.h
@@ -16,6 +16,9 @@
   std::optional<ChangeAsked> next(Instant now);
   void onAnswer(const ChangeDone& answer);
   const std::optional<AmendDone>& done() const { return done_; }
+  // The state but for the deadline and the amendment, which never change, as bytes: two of equal
+  // bytes and the same amendment take the same steps from here on. For the model check.
+  std::string stateBytes() const;
 
  private:
   enum class Step { Reading, Proposing, Settling };
--- a/src/register/copy.cpp
+++ b/src/register/copy.cpp
@@ -89,6 +89,12 @@
   return slot->second.value;
 }
 
+std::string RegisterCopy::stateBytes() const {
+  std::string bytes = encodeValue(store_) + encodeValue(copies_) + (voting_ ? '1' : '0');
+  for (const auto& [key, slot] : slots_) bytes += slotWrite(key, slot).bytes;
+  return bytes;
+}
+
 CopyAnswer RegisterCopy::answerTo(const OperationId& operation, const RegisterKey& key,
                                   const Ballot& ballot, bool accepting) const {
   CopyAnswer answer{operation, key, ballot, store_, accepting, false, {}, {}, {}, copies_};
--- a/src/register/proposer.cpp
+++ b/src/register/proposer.cpp
@@ -160,4 +160,33 @@
   return sends;
 }
 
+std::string Proposer::bytesOf(const Operation& operation) {
+  const ChangeAsked& change = operation.change;
+  std::string bytes = encodeValue(change.operation) + encodeValue(change.key) +
+                      encodeValue(change.expectedVersion) + encodeValue(change.body) +
+                      encodeValue(change.writeId) + encodeValue(operation.copies) +
+                      encodeValue(operation.ballot);
+  for (const bool flag : {change.isRead, operation.acceptSent, operation.proposesOwn})
+    bytes += flag ? '1' : '0';
+  bytes += static_cast<char>(operation.phase);
+  if (operation.phase == Phase::Resting) return bytes;  // the next round forgets the rest
+  // Of the answers that were granted, a value is read in the first phase only.
+  bytes += encodeValue(operation.granted.size());
+  for (const auto& [store, answer] : operation.granted) {
+    bytes += encodeValue(store);
+    if (operation.phase == Phase::Preparing)
+      bytes += encodeValue(answer.acceptedAt) + encodeValue(answer.value);
+  }
+  bytes += encodeValue(operation.turnedAway.size());
+  for (const StoreId& store : operation.turnedAway) bytes += encodeValue(store);
+  if (operation.phase == Phase::Accepting) bytes += encodeValue(operation.proposal);
+  return bytes;
+}
+
+std::string Proposer::stateBytes() const {
+  std::string bytes = encodeValue(id_) + encodeValue(highestRound_) + encodeValue(newestCopies_);
+  for (const auto& [id, operation] : operations_) bytes += bytesOf(operation);
+  return bytes;
+}
+
 }  // namespace quayrill
--- a/src/register/proposer.h
+++ b/src/register/proposer.h
@@ -49,6 +49,9 @@
   std::vector<std::pair<CopyMember, Message>> onTick(const CopySet& copies, Instant now,
                                                      std::vector<ChangeDone>* done);
   bool isBusy(const RegisterKey& key) const;
+  // The state but for deadlines and jitter, as bytes: two of equal bytes take the same steps from
+  // here on, if perhaps at other times. For the model check.
+  std::string stateBytes() const;
 
  private:
   enum class Phase { Preparing, Accepting, Resting };
@@ -68,6 +71,7 @@
     Instant repeatAt;  // what got no answer is asked once more
   };
   using Sends = std::vector<std::pair<CopyMember, Message>>;
+  static std::string bytesOf(const Operation& operation);
   Sends startRound(Operation& operation, Instant now);
   Sends ask(const Operation& operation) const;
   Sends startAccept(Operation& operation, Instant now, std::vector<ChangeDone>* done);
