--- /dev/null
+++ b/src/model/caller.h
@@ -0,0 +1,54 @@
+#pragma once
+// A daemon that serves one operator: the product's Amending over the product's Proposer.
+#include <optional>
+#include <string>
+
+#include "agent/core/freshness.h"
+#include "model/configuration.h"
+#include "model/observed.h"
+#include "register/amending.h"
+
+namespace quayrill::model {
+
+class Caller {
+ public:
+  // `configuration` outlives the caller.
+  Caller(const Configuration* configuration, std::size_t index, const ChosenValue& copySet);
+
+  bool isBusy() const { return proposer_.isBusy(); }
+  // The order that would be sent next, once the one before it has ended.
+  std::optional<std::size_t> nextOrder() const;
+  // `acked`: the orders acknowledged so far, by whomever.
+  void start(OrderSet acked, StepEffects* effects);
+  void answer(const CopyAnswer& answer, OrderSet acked, StepEffects* effects);
+  void passPhase(OrderSet acked, StepEffects* effects);
+  void passDeadline(OrderSet acked, StepEffects* effects);
+  // The daemon ends: the call gets no answer, and a new daemon sends the next one.
+  void die();
+  void learn(const CopySet& copies) { known_.adopt(copies); }
+  const CopySet& copies() const { return known_.copies(); }
+  const TimedProposer* proposer(std::uint64_t id) const;
+  std::string stateBytes() const;
+
+ private:
+  void take(const std::vector<ChangeDone>& done, OrderSet acked, StepEffects* effects);
+  void pump(OrderSet acked, StepEffects* effects);
+  void report(AmendResult result, StepEffects* effects);
+  std::uint64_t proposerId() const;
+  std::size_t order() const { return configuration_->calls[index_][nextCall_ - 1]; }
+
+  const Configuration* configuration_;
+  std::size_t index_;
+  std::uint64_t life_ = 0;
+  TimedProposer proposer_;
+  Freshness known_{0};
+  std::optional<Amending> amending_;
+  std::size_t nextCall_ = 0;
+  std::vector<WriteId> writes_;  // proposed for the present call
+  bool isRead_ = false;          // the operation under way
+  OrderSet ackedBefore_ = 0;
+  // An operation's deadline has passed: time is left for the read that settles, none for a change.
+  bool isLate_ = false;
+};
+
+}  // namespace quayrill::model
--- /dev/null
+++ b/src/model/explorer.cpp
@@ -0,0 +1,127 @@
+#include "model/explorer.h"
+
+#include <unordered_set>
+
+#include "model/world.h"
+
+namespace quayrill::model {
+
+namespace {
+// Of n states two share all 128 bits with a chance of about n * n / 2^129: under 1e-23 for 1e8.
+struct Fingerprint {
+  std::uint64_t low = 0, high = 0;
+  bool operator==(const Fingerprint&) const = default;
+};
+
+struct FingerprintHash {
+  std::size_t operator()(const Fingerprint& print) const { return print.low; }
+};
+
+// The finalizer of MurmurHash3, over each byte.
+std::uint64_t mixed(std::uint64_t bits) {
+  bits = (bits ^ (bits >> 33)) * 0xff51afd7ed558ccdULL;
+  bits = (bits ^ (bits >> 33)) * 0xc4ceb9fe1a85ec53ULL;
+  return bits ^ (bits >> 33);
+}
+
+Fingerprint fingerprintOf(const std::string& bytes) {
+  Fingerprint print{0x9e3779b97f4a7c15ULL, 0xc2b2ae3d27d4eb4fULL};
+  for (const char byte : bytes) {
+    const auto value = static_cast<unsigned char>(byte);
+    print.low = mixed(print.low + value + 1);
+    print.high = mixed(print.high ^ (value + 0x165667b19e3779f9ULL));
+  }
+  return print;
+}
+
+struct Node {
+  std::uint32_t parent = 0;
+  Event event;
+};
+
+struct Waiting {
+  std::uint32_t node = 0;
+  State state;
+};
+
+class Search {
+ public:
+  Search(const Configuration& configuration, const Bounds& bounds)
+      : world_(configuration), bounds_(bounds) {}
+
+  Report run() {
+    nodes_.push_back({});
+    meet(world_.initial());
+    std::vector<Waiting> level{{0, world_.initial()}};
+    while (!level.empty() && report_.broken.empty() && !isStopped_) {
+      if (report_.depth >= bounds_.depth) break;
+      level = expand(level);
+      if (!level.empty() || !report_.broken.empty()) ++report_.depth;
+    }
+    report_.isExhausted = level.empty() && report_.broken.empty() && !isStopped_;
+    report_.distinct = seen_.size();
+    report_.parts = world_.partCount();
+    report_.time = std::chrono::steady_clock::now() - begun_;
+    return report_;
+  }
+
+ private:
+  bool meet(const State& state) {
+    ++report_.visited;
+    return seen_.insert(fingerprintOf(state.bytes())).second;
+  }
+
+  bool isBounded() const {
+    return seen_.size() >= bounds_.states ||
+           std::chrono::steady_clock::now() - begun_ >= bounds_.time;
+  }
+
+  std::vector<Waiting> expand(const std::vector<Waiting>& level) {
+    std::vector<Waiting> next;
+    for (const Waiting& waiting : level) {
+      if (isBounded()) {
+        isStopped_ = true;
+        return next;
+      }
+      ++report_.expanded;
+      for (Successor& successor : world_.successors(waiting.state)) {
+        if (!successor.broken.empty()) {
+          report_.broken = successor.broken;
+          tell(waiting.node, successor.event);
+          return next;
+        }
+        if (!meet(successor.state)) continue;
+        nodes_.push_back({waiting.node, successor.event});
+        next.push_back({static_cast<std::uint32_t>(nodes_.size() - 1), std::move(successor.state)});
+      }
+    }
+    return next;
+  }
+
+  // Plays the schedule again, for its words.
+  void tell(std::uint32_t node, const Event& last) {
+    std::vector<Event> events{last};
+    for (; node != 0; node = nodes_[node].parent) events.push_back(nodes_[node].event);
+    State state = world_.initial();
+    for (auto event = events.rbegin(); event != events.rend(); ++event) {
+      const auto next = world_.apply(state, *event);
+      report_.schedule.push_back(world_.describe(state, *event, next->state));
+      state = next->state;
+    }
+  }
+
+  World world_;
+  Bounds bounds_;
+  Report report_;
+  std::vector<Node> nodes_;
+  std::unordered_set<Fingerprint, FingerprintHash> seen_;
+  std::chrono::steady_clock::time_point begun_ = std::chrono::steady_clock::now();
+  bool isStopped_ = false;
+};
+}  // namespace
+
+Report explore(const Configuration& configuration, const Bounds& bounds) {
+  return Search(configuration, bounds).run();
+}
+
+}  // namespace quayrill::model
--- /dev/null
+++ b/src/model/history.cpp
@@ -0,0 +1,125 @@
+#include "model/history.h"
+
+#include <algorithm>
+
+namespace quayrill::model {
+
+namespace {
+bool isYes(AmendResult result) {
+  return result == AmendResult::Taken || result == AmendResult::Holds;
+}
+bool isNo(AmendResult result) {
+  return result == AmendResult::Refused || result == AmendResult::Stale ||
+         result == AmendResult::TooLarge;
+}
+std::string versionName(const Observed& seen) {
+  return "version " + std::to_string(seen.value.version) + " of '" + seen.key.value + "'";
+}
+}  // namespace
+
+// Two majorities are apart where each can be made of its own members and of different common ones.
+bool majoritiesMeet(const CopySet& one, const CopySet& other) {
+  std::size_t common = 0;
+  for (const CopyMember& member : one.members) {
+    common += static_cast<std::size_t>(std::count_if(
+        other.members.begin(), other.members.end(),
+        [&](const CopyMember& candidate) { return candidate.store == member.store; }));
+  }
+  const auto wantsOfCommon = [&](const CopySet& set) {
+    const std::size_t own = set.members.size() - common;
+    return majorityOf(set) > own ? majorityOf(set) - own : 0;
+  };
+  return wantsOfCommon(one) + wantsOfCommon(other) > common;
+}
+
+bool History::holdsDeadWrite(const RegisterValue& value) const {
+  const auto isDead = [&](WriteId write) {
+    return std::binary_search(dead_.begin(), dead_.end(), write);
+  };
+  return isDead(value.writeId) ||
+         std::any_of(value.priorWrites.begin(), value.priorWrites.end(), isDead);
+}
+
+std::string History::observe(const Observed& seen, const std::vector<Order>& orders) {
+  switch (seen.kind) {
+    case Observed::Kind::Chosen:
+      return observeChosen(seen, orders);
+    case Observed::Kind::OrderEnded:
+      return observeEnd(seen, orders);
+    case Observed::Kind::DeadWrites:
+      break;
+  }
+  dead_.insert(dead_.end(), seen.writes.begin(), seen.writes.end());
+  std::sort(dead_.begin(), dead_.end());
+  dead_.erase(std::unique(dead_.begin(), dead_.end()), dead_.end());
+  for (const auto& [key, versions] : chosen_) {
+    for (const auto& [version, value] : versions) {
+      if (holdsDeadWrite(value)) return "a write said to be dead was chosen before";
+    }
+  }
+  return "";
+}
+
+std::string History::observeChosen(const Observed& seen, const std::vector<Order>& orders) {
+  const auto [row, isNew] = chosen_[seen.key].try_emplace(seen.value.version, seen.value);
+  if (!isNew && !(row->second == seen.value))
+    return "two values were chosen as " + versionName(seen);
+  if (holdsDeadWrite(seen.value)) return "a write said to be dead was chosen: " + versionName(seen);
+  if (seen.key == kCopySetKey) {
+    CopySet copies;
+    if (!decodeValue(seen.value.body, &copies)) return "a chosen replica set can't be read";
+    return observeSet(copies);
+  }
+  const OrderSet found = ordersIn(seen.value.body, orders);
+  if (seen.isRead && (seen.ackedBefore & ~found) != 0)
+    return "a read shows no sign of a change acknowledged before it began: " + versionName(seen);
+  if ((refused_ & found) != 0) return "a refused change was chosen: " + versionName(seen);
+  return "";
+}
+
+std::string History::observeSet(const CopySet& copies) {
+  for (CopySet& known : sets_) {
+    if (known.epoch != copies.epoch) continue;
+    if (known.members != copies.members) return "two replica sets were chosen under one epoch";
+    known.settled = known.settled || copies.settled;
+    return "";
+  }
+  sets_.push_back(copies);
+  std::sort(sets_.begin(), sets_.end(),
+            [](const CopySet& a, const CopySet& b) { return a.epoch < b.epoch; });
+  for (std::size_t i = 1; i < sets_.size(); ++i) {
+    const bool areNeighbours = sets_[i].epoch.value == sets_[i - 1].epoch.value + 1;
+    if (areNeighbours && !majoritiesMeet(sets_[i - 1], sets_[i]))
+      return "majorities of neighbouring replica sets have no common member";
+  }
+  return "";
+}
+
+std::string History::observeEnd(const Observed& seen, const std::vector<Order>& orders) {
+  const OrderSet bit = bitOf(seen.order);
+  if (isYes(seen.result)) acked_ |= bit;
+  if (isNo(seen.result)) refused_ |= bit;
+  if ((acked_ & refused_) != 0)
+    return "change '" + orders[seen.order].name + "' was acknowledged once and refused once";
+  // Each acknowledged change has the number after its basis: two of one basis share a number.
+  for (std::size_t i = 0; i < orders.size(); ++i) {
+    const bool isRival = i != seen.order && orders[i].basis == orders[seen.order].basis;
+    if (isRival && (acked_ & bit) != 0 && (acked_ & bitOf(i)) != 0)
+      return "two changes were acknowledged under one number";
+  }
+  for (const auto& [version, value] : chosen_[kSpecKey]) {
+    if ((ordersIn(value.body, orders) & refused_) != 0) return "a refused change was chosen before";
+  }
+  return "";
+}
+
+std::string History::stateBytes() const {
+  std::string bytes = encodeValue(acked_) + encodeValue(refused_) + encodeValue(dead_);
+  for (const auto& [key, versions] : chosen_) {
+    bytes += encodeValue(key) + encodeValue(versions.size());
+    for (const auto& [version, value] : versions) bytes += encodeValue(value);
+  }
+  return bytes + encodeValue(sets_);
+}
+
+}  // namespace quayrill::model
--- /dev/null
+++ b/src/model/machine.cpp
@@ -0,0 +1,69 @@
+#include "model/machine.h"
+
+namespace quayrill::model {
+
+Machine::Machine(StoreId store, bool forgetsPromises)
+    : copy_(store), forgetsPromises_(forgetsPromises) {
+  sync(copy_.identityWrites());
+}
+
+void Machine::sync(const std::vector<DiskWrite>& writes) {
+  for (const DiskWrite& write : writes) disk_[write.key] = write.bytes;
+}
+
+std::optional<CopyAnswer> Machine::take(const Message& request) {
+  CopyEffects effects;
+  if (const auto* prepare = std::get_if<Prepare>(&request)) {
+    effects = copy_.onPrepare(*prepare);
+    if (forgetsPromises_) {
+      std::erase_if(effects.writes,
+                    [](const DiskWrite& write) { return write.key.rfind("slot/", 0) == 0; });
+    }
+  }
+  if (const auto* accept = std::get_if<Accept>(&request)) effects = copy_.onAccept(*accept);
+  sync(effects.writes);
+  if (!effects.answer) return std::nullopt;
+  return std::get<CopyAnswer>(*effects.answer);
+}
+
+void Machine::adopt(const CopySet& copies) { sync(copy_.adopt(copies)); }
+
+bool Machine::restart() {
+  RegisterCopy read(StoreId{});
+  if (!read.restore(disk_)) return false;
+  copy_ = std::move(read);
+  return true;
+}
+
+void Machine::empty(StoreId newStore) {
+  copy_ = RegisterCopy(newStore);
+  disk_.clear();
+  sync(copy_.identityWrites());
+}
+
+ConfirmedKey Machine::accepted(const RegisterKey& key) const {
+  Confirm question;
+  question.store = copy_.store();
+  question.known = {{key, Ballot{}}};
+  const CopyEffects effects = copy_.onConfirm(question);
+  if (!effects.answer) return {key, {}, {}};
+  const auto& answer = std::get<ConfirmAnswer>(*effects.answer);
+  return answer.keys.empty() ? ConfirmedKey{key, {}, {}} : answer.keys.front();
+}
+
+std::vector<RegisterKey> Machine::keys() const {
+  Confirm question;
+  question.store = copy_.store();
+  question.wantsKeys = true;
+  const CopyEffects effects = copy_.onConfirm(question);
+  if (!effects.answer) return {};
+  return std::get<ConfirmAnswer>(*effects.answer).allKeys;
+}
+
+std::string Machine::stateBytes() const {
+  std::string bytes = copy_.stateBytes();
+  for (const auto& [key, row] : disk_) bytes += encodeValue(key) + encodeValue(row);
+  return bytes;
+}
+
+}  // namespace quayrill::model
--- /dev/null
+++ b/src/model/machine.h
@@ -0,0 +1,37 @@
+#pragma once
+// One machine of the model: the product's replica and the rows that its disk holds.
+#include <map>
+#include <optional>
+#include <string>
+
+#include "model/orders.h"
+#include "register/copy.h"
+
+namespace quayrill::model {
+
+class Machine {
+ public:
+  Machine(StoreId store, bool forgetsPromises);
+
+  const RegisterCopy& copy() const { return copy_; }
+  // Takes a request and syncs what it writes. The answer has left with that: a crash before it is a
+  // request that was lost, one after it an answer that was lost.
+  std::optional<CopyAnswer> take(const Message& request);
+  void adopt(const CopySet& copies);
+  // The process ends and starts again on its disk. False where the product can't read the rows.
+  bool restart();
+  void empty(StoreId newStore);
+  // What it accepted under `key`, as it would tell a reader.
+  ConfirmedKey accepted(const RegisterKey& key) const;
+  std::vector<RegisterKey> keys() const;
+  std::string stateBytes() const;
+
+ private:
+  void sync(const std::vector<DiskWrite>& writes);
+
+  RegisterCopy copy_;
+  std::map<std::string, std::string> disk_;
+  bool forgetsPromises_;
+};
+
+}  // namespace quayrill::model
--- /dev/null
+++ b/src/model/modelcheck.cpp
@@ -0,0 +1,131 @@
+// quayrill-modelcheck: every schedule of a small system over the product's own register code.
+#include <docopt/docopt.h>
+
+#include <iostream>
+#include <limits>
+
+#include "model/explorer.h"
+
+namespace {
+constexpr char kUsage[] =
+    R"(quayrill-modelcheck: explores every schedule of a small replicated register.
+
+Usage:
+  quayrill-modelcheck [--configuration=NAME] [--plant=ERROR] [--states=N] [--depth=N]
+                      [--seconds=S] [--lost-answers=N] [--duplicates=N] [--phases=N]
+                      [--deadlines=N] [--daemon-deaths=N] [--restarts=N] [--emptied=N]
+                      [--learns=N]
+  quayrill-modelcheck --list | --help | --version
+
+Options:
+  --configuration=NAME  What to explore, of those that --list names [default: race].
+  --plant=ERROR         An error that must be found: unsynced-promise, unsettled-epoch,
+                        minority-read or resend-as-new [default: none].
+  --states=N            Stop at so many distinct states [default: 5000000].
+  --depth=N             Stop at schedules of so many events [default: 1000].
+  --seconds=S           Stop after so long [default: 600].
+  --lost-answers=N      How often an answer may be lost on one schedule. This and the following
+                        budgets are the configuration's own where they are not given.
+  --duplicates=N        How often a request may be delivered once more.
+  --phases=N            How often a round's time may pass.
+  --deadlines=N         How often an operation's time may pass.
+  --daemon-deaths=N     How often a proposer may end.
+  --restarts=N          How often a replica may restart on its disk.
+  --emptied=N           How often a replica may come back with an empty disk.
+  --learns=N            How often somebody may hear of a newer replica set from elsewhere.
+  --list                List the configurations.
+  -h --help             Show this text.
+  --version             Show the version.
+
+Exit codes: 0 all states were seen and no invariant broke, 1 an invariant broke (the schedule is
+shown), 2 bad usage, 3 a bound was reached before all states were seen; none broke up to there.
+)";
+
+using Flags = std::map<std::string, docopt::value>;
+using quayrill::model::Budgets;
+using quayrill::model::Configuration;
+
+void takeBudget(const Flags& flags, const std::string& name, std::uint8_t* budget) {
+  const docopt::value& flag = flags.at("--" + name);
+  if (!flag) return;
+  const long given = flag.asLong();
+  if (given < 0 || given > std::numeric_limits<std::uint8_t>::max())
+    throw std::invalid_argument("--" + name + " is not between 0 and 255");
+  *budget = static_cast<std::uint8_t>(given);
+}
+
+void takeBudgets(const Flags& flags, Budgets* budgets) {
+  takeBudget(flags, "lost-answers", &budgets->lostAnswers);
+  takeBudget(flags, "duplicates", &budgets->duplicates);
+  takeBudget(flags, "phases", &budgets->phases);
+  takeBudget(flags, "deadlines", &budgets->deadlines);
+  takeBudget(flags, "daemon-deaths", &budgets->daemonDeaths);
+  takeBudget(flags, "restarts", &budgets->restarts);
+  takeBudget(flags, "emptied", &budgets->emptied);
+  takeBudget(flags, "learns", &budgets->learns);
+}
+
+Configuration configurationFrom(const Flags& flags) {
+  const std::string name = flags.at("--configuration").asString();
+  auto configuration = quayrill::model::configurationOf(name);
+  if (!configuration) throw std::invalid_argument("no configuration '" + name + "': see --list");
+  const std::string planted = flags.at("--plant").asString();
+  const auto plant = quayrill::model::plantOf(planted);
+  if (!plant) throw std::invalid_argument("no error '" + planted + "' to plant: see --help");
+  configuration->plant = *plant;
+  takeBudgets(flags, &configuration->budgets);
+  return *configuration;
+}
+
+quayrill::model::Bounds boundsFrom(const Flags& flags) {
+  quayrill::model::Bounds bounds;
+  const auto positive = [&](const std::string& name) {
+    const long given = flags.at(name).asLong();
+    if (given <= 0) throw std::invalid_argument(name + " is not above 0");
+    return given;
+  };
+  bounds.states = static_cast<std::size_t>(positive("--states"));
+  bounds.depth = static_cast<std::size_t>(positive("--depth"));
+  bounds.time = std::chrono::seconds(positive("--seconds"));
+  return bounds;
+}
+
+int report(const Configuration& configuration, const quayrill::model::Report& report) {
+  const Budgets& budgets = configuration.budgets;
+  std::cout << configuration.name << ": " << configuration.about << "\n"
+            << "budgets: lost answers " << +budgets.lostAnswers << ", duplicates "
+            << +budgets.duplicates << ", phases " << +budgets.phases << ", deadlines "
+            << +budgets.deadlines << ", daemon deaths " << +budgets.daemonDeaths << ", restarts "
+            << +budgets.restarts << ", emptied " << +budgets.emptied << ", learns "
+            << +budgets.learns << "\n"
+            << "states visited " << report.visited << ", distinct " << report.distinct
+            << ", expanded " << report.expanded << ", depth " << report.depth << ", parts "
+            << report.parts << ", seconds " << report.time.count() << "\n";
+  if (!report.broken.empty()) {
+    std::cout << "BROKEN: " << report.broken << "\nshortest schedule:\n";
+    for (std::size_t i = 0; i < report.schedule.size(); ++i)
+      std::cout << "  " << i + 1 << ". " << report.schedule[i] << "\n";
+    return 1;
+  }
+  std::cout << (report.isExhausted ? "all states were seen, no invariant broke\n"
+                                   : "a bound was reached: states are left unseen\n");
+  return report.isExhausted ? 0 : 3;
+}
+}  // namespace
+
+int main(int argc, char** argv) {
+  const Flags flags = docopt::docopt(kUsage, {argv + 1, argv + argc}, true,
+                                     "quayrill-modelcheck " QUAYRILL_VERSION);
+  if (flags.at("--list").asBool()) {
+    for (const Configuration& configuration : quayrill::model::configurations())
+      std::cout << configuration.name << ": " << configuration.about << "\n";
+    return 0;
+  }
+  try {
+    const Configuration configuration = configurationFrom(flags);
+    return report(configuration, quayrill::model::explore(configuration, boundsFrom(flags)));
+  } catch (const std::exception& error) {
+    std::cerr << "quayrill-modelcheck: " << error.what() << "\n";
+    return 2;
+  }
+}
--- /dev/null
+++ b/src/model/mover.cpp
@@ -0,0 +1,106 @@
+#include "model/mover.h"
+
+namespace quayrill::model {
+
+namespace {
+std::size_t proposerFor(const RegisterKey& key) { return key == kCopySetKey ? 0 : 1; }
+}  // namespace
+
+Mover::Mover(const Configuration* configuration, std::size_t index, const ChosenValue& copySet)
+    : configuration_(configuration), index_(index), isRead_(kProposers, false) {
+  for (std::size_t i = 0; i < kProposers; ++i) proposers_.push_back(madeProposer(i));
+  known_.learnChosen(kCopySetKey, copySet);
+}
+
+std::uint64_t Mover::proposerId(std::size_t proposer) const {
+  return 50 + kProposers * index_ + proposer + 100 * life_;
+}
+
+TimedProposer Mover::madeProposer(std::size_t proposer) const {
+  return TimedProposer(ProposerId{proposerId(proposer)});
+}
+
+void Mover::begin(const ChangeAsked& ask, StepEffects* effects) {
+  const std::size_t proposer = proposerFor(ask.key);
+  if (proposers_[proposer].isBusy()) return;
+  isRead_[proposer] = ask.isRead;
+  for (auto& send : proposers_[proposer].begin(ask, known_.copies()))
+    effects->sends.push_back(std::move(send));
+}
+
+void Mover::step(const std::optional<std::vector<RegisterKey>>& listed,
+                 const std::optional<CopySet>& following, StepEffects* effects) {
+  if (wantsRead_) {
+    begin({{}, kCopySetKey, true, 0, {}, {}, {}}, effects);
+    return;
+  }
+  CopySet copies = known_.copies();
+  if (configuration_->plant == Plant::UnsettledEpoch) copies.settled = true;
+  const Instant now = proposers_[0].clock();
+  const auto asks = sweep_.next(copies, known_.copySetVersion(), listed, following, now);
+  for (const ChangeAsked& ask : asks) begin(ask, effects);
+}
+
+void Mover::take(std::size_t proposer, const std::vector<ChangeDone>& done, StepEffects* effects) {
+  for (const ChangeDone& ended : done) {
+    known_.adopt(ended.copies);
+    const bool isChosen = ended.result == ChangeResult::Chosen;
+    if (isChosen) {
+      known_.learnChosen(ended.key, {ended.ballot, ended.value});
+      Observed seen;
+      seen.key = ended.key;
+      seen.value = ended.value;
+      effects->observed.push_back(seen);
+    }
+    if (isRead_[proposer] && !wantsRead_) sweep_.onReadDone(ended);
+    if (ended.key == kCopySetKey) wantsRead_ = !isChosen && (wantsRead_ || !isRead_[proposer]);
+  }
+}
+
+void Mover::answer(const CopyAnswer& answer, StepEffects* effects) {
+  for (std::size_t i = 0; i < kProposers; ++i) {
+    if (proposerOf(answer.operation) != proposerId(i)) continue;
+    std::vector<ChangeDone> done;
+    effects->sends = proposers_[i].answer(answer, &done);
+    known_.adopt(answer.copies);
+    take(i, done, effects);
+  }
+}
+
+void Mover::passPhase(std::size_t proposer, StepEffects* effects) {
+  std::vector<ChangeDone> done;
+  effects->sends = proposers_[proposer].passPhase(known_.copies(), &done);
+  take(proposer, done, effects);
+}
+
+void Mover::passDeadline(std::size_t proposer, StepEffects* effects) {
+  std::vector<ChangeDone> done;
+  proposers_[proposer].passDeadline(known_.copies(), &done);
+  take(proposer, done, effects);
+}
+
+void Mover::die() {
+  ++life_;
+  for (std::size_t i = 0; i < kProposers; ++i) proposers_[i] = madeProposer(i);
+  sweep_ = EpochSweep();
+  wantsRead_ = false;
+}
+
+const TimedProposer* Mover::proposer(std::uint64_t id) const {
+  for (std::size_t i = 0; i < kProposers; ++i) {
+    if (id == proposerId(i)) return &proposers_[i];
+  }
+  return nullptr;
+}
+
+std::string Mover::stateBytes() const {
+  std::string bytes = "mover" + encodeValue(index_) + encodeValue(life_) +
+                      encodeValue(known_.copies()) + encodeValue(known_.question({}, false)) +
+                      encodeValue(known_.copySetVersion()) + sweep_.stateBytes() +
+                      (wantsRead_ ? '1' : '0');
+  for (std::size_t i = 0; i < kProposers; ++i)
+    bytes += proposers_[i].stateBytes() + (isRead_[i] ? '1' : '0');
+  return bytes;
+}
+
+}  // namespace quayrill::model
--- /dev/null
+++ b/src/model/mover.h
@@ -0,0 +1,51 @@
+#pragma once
+// A daemon that takes the replica set's steps: the product's EpochSweep and Freshness over the
+// product's Proposer, one proposer for each key.
+#include <optional>
+#include <string>
+
+#include "agent/core/freshness.h"
+#include "model/configuration.h"
+#include "model/observed.h"
+#include "register/epoch_sweep.h"
+
+namespace quayrill::model {
+
+class Mover {
+ public:
+  static constexpr std::size_t kProposers = 2;  // of the replica set's key, of the configuration's
+
+  // `configuration` outlives the mover.
+  Mover(const Configuration* configuration, std::size_t index, const ChosenValue& copySet);
+
+  bool isBusy(std::size_t proposer) const { return proposers_[proposer].isBusy(); }
+  // `listed` and `following` as EpochSweep asks for them.
+  void step(const std::optional<std::vector<RegisterKey>>& listed,
+            const std::optional<CopySet>& following, StepEffects* effects);
+  void answer(const CopyAnswer& answer, StepEffects* effects);
+  void passPhase(std::size_t proposer, StepEffects* effects);
+  void passDeadline(std::size_t proposer, StepEffects* effects);
+  void die();
+  void learn(const CopySet& copies) { known_.adopt(copies); }
+  const CopySet& copies() const { return known_.copies(); }
+  const TimedProposer* proposer(std::uint64_t id) const;
+  std::string stateBytes() const;
+
+ private:
+  void begin(const ChangeAsked& ask, StepEffects* effects);
+  void take(std::size_t proposer, const std::vector<ChangeDone>& done, StepEffects* effects);
+  std::uint64_t proposerId(std::size_t proposer) const;
+  TimedProposer madeProposer(std::size_t proposer) const;
+
+  const Configuration* configuration_;
+  std::size_t index_;
+  std::uint64_t life_ = 0;
+  std::vector<TimedProposer> proposers_;
+  Freshness known_{0};
+  EpochSweep sweep_;
+  std::vector<bool> isRead_;  // by proposer: the operation under way
+  // The last change of the set was turned away or is unknown: a read comes before the next.
+  bool wantsRead_ = false;
+};
+
+}  // namespace quayrill::model
--- /dev/null
+++ b/src/model/observed.h
@@ -0,0 +1,33 @@
+#pragma once
+// What a step of a daemon lets the outside see: the material of the invariants.
+#include <vector>
+
+#include "model/orders.h"
+#include "model/timed_proposer.h"
+#include "spec/amend.h"
+
+namespace quayrill::model {
+
+struct Observed {
+  enum class Kind {
+    Chosen,      // a value was proved chosen
+    DeadWrites,  // these writes were said never to take effect
+    OrderEnded,  // the operator was answered
+  };
+  Kind kind = Kind::Chosen;
+  RegisterKey key;
+  RegisterValue value;
+  bool isRead = false;
+  OrderSet ackedBefore = 0;  // what was acknowledged when the read began
+  std::vector<WriteId> writes;
+  std::size_t order = 0;
+  AmendResult result{};
+};
+
+// What one step of a daemon sends and shows.
+struct StepEffects {
+  Sends sends;
+  std::vector<Observed> observed;
+};
+
+}  // namespace quayrill::model
--- /dev/null
+++ b/src/model/orders.cpp
@@ -0,0 +1,48 @@
+#include "model/orders.h"
+
+#include <sstream>
+
+namespace quayrill::model {
+
+namespace {
+std::string digestOf(const Order& order) { return changeDigest("order", order.basis, order.name); }
+
+TakenChanges readBody(const std::string& body) {
+  std::istringstream in(body);
+  TakenChanges taken;
+  TakenChange change;
+  while (in >> change.number >> change.digest) taken.push_back(change);
+  return taken;
+}
+
+std::string writeBody(const TakenChanges& taken) {
+  std::ostringstream out;
+  for (const TakenChange& change : taken) out << change.number << ' ' << change.digest << ' ';
+  return out.str();
+}
+}  // namespace
+
+Amendment amendmentOf(const Order& order, bool judgesResendsAsNew) {
+  return [order, judgesResendsAsNew](
+             const std::string& standing) -> absl::StatusOr<std::optional<std::string>> {
+    TakenChanges taken = readBody(standing);
+    const std::string digest = digestOf(order);
+    if (!judgesResendsAsNew && hasTaken(taken, digest)) return std::optional<std::string>{};
+    const std::uint64_t number = taken.empty() ? 0 : taken.front().number;
+    if (number != order.basis)
+      return absl::FailedPreconditionError("number " + std::to_string(number) + " stands");
+    addTaken(&taken, {number + 1, digest});
+    return std::optional<std::string>{writeBody(taken)};
+  };
+}
+
+OrderSet ordersIn(const std::string& body, const std::vector<Order>& orders) {
+  const TakenChanges taken = readBody(body);
+  OrderSet found = 0;
+  for (std::size_t i = 0; i < orders.size(); ++i) {
+    if (hasTaken(taken, digestOf(orders[i]))) found |= bitOf(i);
+  }
+  return found;
+}
+
+}  // namespace quayrill::model
--- /dev/null
+++ b/src/model/orders.h
@@ -0,0 +1,28 @@
+#pragma once
+// The operators' changes in the model: the smallest body that has the platform's rules. Each change
+// builds on a number and takes the next one; a change that was taken before holds.
+#include <cstdint>
+#include <string>
+#include <vector>
+
+#include "spec/amend.h"
+
+namespace quayrill::model {
+
+// One change. Two calls with the same name and basis are the same change sent again.
+struct Order {
+  std::string name;
+  std::uint64_t basis = 0;
+};
+
+// A set of orders by their index in the configuration, as bits.
+using OrderSet = std::uint32_t;
+inline OrderSet bitOf(std::size_t order) { return OrderSet{1} << order; }
+
+// `judgesResendsAsNew` plants the error that a taken change is not known again.
+Amendment amendmentOf(const Order& order, bool judgesResendsAsNew);
+
+// Those of `orders` that the body has taken.
+OrderSet ordersIn(const std::string& body, const std::vector<Order>& orders);
+
+}  // namespace quayrill::model
--- /dev/null
+++ b/src/model/state.h
@@ -0,0 +1,51 @@
+#pragma once
+// One state of the model, as numbers of interned parts, and the events that lead out of it.
+#include <array>
+#include <cstdint>
+#include <string>
+#include <vector>
+
+#include "model/configuration.h"
+
+namespace quayrill::model {
+
+using PartId = std::uint32_t;
+
+inline constexpr std::size_t kMostMovers = 2;
+
+struct State {
+  std::array<PartId, kMostMachines> machines{};
+  std::array<PartId, kMostCallers> callers{};
+  std::array<PartId, kMostMovers> movers{};
+  PartId history = 0;
+  Budgets budgets;
+  std::vector<PartId> requests;  // sent and not delivered or lost for good; sorted, each once
+
+  // Equal bytes: the same state.
+  std::string bytes() const;
+  bool equalsButBudgets(const State& other) const;
+};
+
+struct Event {
+  enum class Kind : std::uint8_t {
+    Deliver,         // a request to its replica, and the answer back
+    DeliverUnheard,  // the answer is lost
+    Duplicate,       // as Deliver, and the request stays under way
+    Start,           // an operator's next call
+    Phase,           // a round's time passes
+    Deadline,        // an operation's time passes
+    DaemonDies,
+    MoverSteps,
+    Restart,
+    Empty,
+    ReplicaLearns,
+    DaemonLearns,
+  };
+  Kind kind = Kind::Deliver;
+  std::uint8_t who = 0;     // machine, caller, or kMostCallers + mover
+  std::uint8_t choice = 0;  // mover: proposer for its time events, else index of the step
+  std::uint8_t quorum = 0;  // mover: bits of the machines that told their keys; 0: none
+  PartId request = 0;
+};
+
+}  // namespace quayrill::model
--- /dev/null
+++ b/src/model/world.cpp
@@ -0,0 +1,258 @@
+#include "model/world.h"
+
+#include <algorithm>
+
+#include "model/invariants.h"
+
+namespace quayrill::model {
+
+namespace {
+constexpr std::uint64_t kFounder = 1;          // its proposer's id, below all others
+constexpr std::uint64_t kEmptiedStores = 100;  // a store made on an emptied disk, and the machine
+
+StoreId firstStoreOf(std::size_t machine) { return StoreId{machine + 1}; }
+Address addressOf(std::size_t machine) { return Address{"m" + std::to_string(machine + 1)}; }
+
+CopySet firstSet(std::size_t members) {
+  CopySet copies;
+  copies.epoch = Epoch{1};
+  copies.fleet = 1;
+  copies.settled = true;
+  for (std::size_t i = 0; i < members; ++i)
+    copies.members.push_back({firstStoreOf(i), addressOf(i)});
+  return copies;
+}
+
+const Ballot& ballotOf(const Message& request) {
+  if (const auto* prepare = std::get_if<Prepare>(&request)) return prepare->ballot;
+  return std::get<Accept>(request).ballot;
+}
+
+OperationId operationOf(const Message& request) {
+  if (const auto* prepare = std::get_if<Prepare>(&request)) return prepare->operation;
+  return std::get<Accept>(request).operation;
+}
+}  // namespace
+
+std::string World::Request::stateBytes() const {
+  if (const auto* prepare = std::get_if<Prepare>(&body)) return "p" + encodeValue(*prepare);
+  return "a" + encodeValue(std::get<Accept>(body));
+}
+
+World::World(Configuration configuration)
+    : configuration_(std::make_unique<Configuration>(std::move(configuration))) {
+  const CopySet copies = firstSet(configuration_->members);
+  std::vector<Machine> machines;
+  for (std::size_t i = 0; i < configuration_->machines; ++i)
+    machines.emplace_back(firstStoreOf(i), configuration_->plant == Plant::UnsyncedPromise);
+  const ChosenValue founded = found(&machines, copies);
+  for (std::size_t i = 0; i < machines.size(); ++i)
+    initial_.machines[i] = machines_.idOf(machines[i]);
+  for (std::size_t i = 0; i < configuration_->calls.size(); ++i)
+    initial_.callers[i] = callers_.idOf(Caller(configuration_.get(), i, founded));
+  for (std::size_t i = 0; i < configuration_->movers; ++i)
+    initial_.movers[i] = movers_.idOf(Mover(configuration_.get(), i, founded));
+  initial_.history = histories_.idOf(History(copies));
+  initial_.budgets = configuration_->budgets;
+}
+
+ChosenValue World::found(std::vector<Machine>* machines, const CopySet& copies) const {
+  TimedProposer founder{ProposerId{kFounder}};
+  ChangeAsked ask;
+  ask.key = kCopySetKey;
+  ask.body = encodeValue(copies);
+  std::vector<ChangeDone> done;
+  Sends sends = founder.begin(ask, copies);
+  while (!sends.empty()) {
+    Sends next;
+    for (const auto& [member, message] : sends) {
+      const auto answer = (*machines)[member.store.value - 1].take(message);
+      for (auto& send : founder.answer(*answer, &done)) next.push_back(std::move(send));
+    }
+    sends = std::move(next);
+  }
+  return {done.front().ballot, done.front().value};
+}
+
+std::vector<Successor> World::successors(const State& state) {
+  std::vector<Successor> found;
+  for (const Event& event : events(state)) {
+    if (auto next = apply(state, event)) found.push_back(std::move(*next));
+  }
+  return found;
+}
+
+std::optional<Successor> World::apply(const State& state, const Event& event) {
+  Successor next{event, state, {}};
+  switch (event.kind) {
+    case Event::Kind::Deliver:
+    case Event::Kind::DeliverUnheard:
+    case Event::Kind::Duplicate:
+      if (!applyDelivery(event, &next)) return std::nullopt;
+      break;
+    case Event::Kind::Restart:
+    case Event::Kind::Empty:
+    case Event::Kind::ReplicaLearns:
+      applyMachine(event, &next);
+      break;
+    case Event::Kind::MoverSteps:
+      applyDaemon(event, moverArgument(state, event), &next);
+      break;
+    default:
+      applyDaemon(event, event.kind == Event::Kind::DaemonLearns ? state.history : event.choice,
+                  &next);
+  }
+  if (next.broken.empty()) prune(&next.state);
+  if (next.broken.empty() && next.state.equalsButBudgets(state)) return std::nullopt;
+  if (next.broken.empty()) next.broken = brokenIn(next.state);
+  return next;
+}
+
+bool World::applyDelivery(const Event& event, Successor* next) {
+  State& state = next->state;
+  const Message& body = requests_[event.request].body;
+  const auto machine = machineOf(state, requests_[event.request].store);
+  if (!machine) return false;
+  const Taken& taken = take(state.machines[*machine], event.request);
+  const bool isHeard = taken.answer && isAwaited(state, body);
+  state.machines[*machine] = taken.machine;
+  if (event.kind == Event::Kind::Duplicate) {
+    --state.budgets.duplicates;
+  } else {
+    state.requests.erase(std::find(state.requests.begin(), state.requests.end(), event.request));
+  }
+  if (event.kind == Event::Kind::DeliverUnheard) {
+    --state.budgets.lostAnswers;
+    return isHeard;
+  }
+  if (!isHeard) return true;
+  Event heard = event;
+  heard.kind = Event::Kind::Deliver;
+  heard.who = daemonOf(state, proposerOf(operationOf(body))).first;
+  applyDaemon(heard, *taken.answer, next);
+  return true;
+}
+
+void World::applyMachine(const Event& event, Successor* next) {
+  State& state = next->state;
+  PartId& id = state.machines[event.who];
+  if (event.kind == Event::Kind::Restart) {
+    --state.budgets.restarts;
+    id = restarted(id);
+    return;
+  }
+  Machine machine = machines_[id];
+  if (event.kind == Event::Kind::Empty) {
+    --state.budgets.emptied;
+    machine.empty(StoreId{kEmptiedStores + event.who + 1});
+  } else {
+    --state.budgets.learns;
+    machine.adopt(newestSet(state));
+  }
+  id = machines_.idOf(std::move(machine));
+}
+
+void World::applyDaemon(const Event& event, std::uint32_t argument, Successor* next) {
+  State& state = next->state;
+  if (event.kind == Event::Kind::Phase) --state.budgets.phases;
+  if (event.kind == Event::Kind::Deadline) --state.budgets.deadlines;
+  if (event.kind == Event::Kind::DaemonDies) --state.budgets.daemonDeaths;
+  if (event.kind == Event::Kind::DaemonLearns) --state.budgets.learns;
+  PartId& daemon =
+      event.who < kMostCallers ? state.callers[event.who] : state.movers[event.who - kMostCallers];
+  const Stepped& stepped = step(event, daemon, argument, histories_[state.history]);
+  daemon = stepped.daemon;
+  state.requests.insert(state.requests.end(), stepped.requests.begin(), stepped.requests.end());
+  std::sort(state.requests.begin(), state.requests.end());
+  state.requests.erase(std::unique(state.requests.begin(), state.requests.end()),
+                       state.requests.end());
+  if (stepped.observed.empty()) return;
+  History history = histories_[state.history];
+  for (const Observed& seen : stepped.observed) {
+    next->broken = history.observe(seen, configuration_->orders);
+    if (!next->broken.empty()) break;
+  }
+  state.history = histories_.idOf(std::move(history));
+}
+
+std::optional<std::size_t> World::machineOf(const State& state, StoreId store) const {
+  for (std::size_t i = 0; i < configuration_->machines; ++i) {
+    if (machines_[state.machines[i]].copy().store() == store) return i;
+  }
+  return std::nullopt;
+}
+
+std::pair<std::uint8_t, const TimedProposer*> World::daemonOf(const State& state,
+                                                              std::uint64_t proposer) const {
+  for (std::size_t i = 0; i < configuration_->calls.size(); ++i) {
+    if (const auto* found = callers_[state.callers[i]].proposer(proposer))
+      return {static_cast<std::uint8_t>(i), found};
+  }
+  for (std::size_t i = 0; i < configuration_->movers; ++i) {
+    if (const auto* found = movers_[state.movers[i]].proposer(proposer))
+      return {static_cast<std::uint8_t>(kMostCallers + i), found};
+  }
+  return {0, nullptr};
+}
+
+bool World::isAwaited(const State& state, const Message& request) const {
+  const auto* proposer = daemonOf(state, proposerOf(operationOf(request))).second;
+  return proposer && proposer->awaits(ballotOf(request), std::holds_alternative<Accept>(request));
+}
+
+void World::prune(State* state) {
+  std::erase_if(state->requests, [&](PartId request) { return isPointless(*state, request); });
+}
+
+// An Accept that leaves the replica as it is does so for ever: it was refused, and neither promise
+// nor epoch ever falls, or it was accepted before. The replica that would restart on its disk is
+// asked too, so that nothing is lost where a planted error makes the disk forget.
+bool World::isPointless(const State& state, PartId request) {
+  const auto machine = machineOf(state, requests_[request].store);
+  if (!machine) return true;
+  if (isAwaited(state, requests_[request].body)) return false;
+  if (std::holds_alternative<Prepare>(requests_[request].body)) return true;
+  const PartId now = state.machines[*machine];
+  const PartId later = restarted(now);
+  return take(now, request).machine == now && take(later, request).machine == later;
+}
+
+const World::Taken& World::take(PartId machine, PartId request) {
+  const std::uint64_t key = (std::uint64_t{machine} << 32) | request;
+  const auto found = taken_.find(key);
+  if (found != taken_.end()) return found->second;
+  Machine changed = machines_[machine];
+  const auto answer = changed.take(requests_[request].body);
+  Taken taken;
+  taken.machine = machines_.idOf(std::move(changed));
+  if (answer) taken.answer = answers_.idOf({*answer});
+  return taken_[key] = taken;
+}
+
+PartId World::restarted(PartId machine) {
+  const auto found = restarted_.find(machine);
+  if (found != restarted_.end()) return found->second;
+  Machine changed = machines_[machine];
+  if (!changed.restart()) throw std::logic_error("a replica can't read what it wrote");
+  return restarted_[machine] = machines_.idOf(std::move(changed));
+}
+
+const std::string& World::brokenIn(const State& state) {
+  std::string key;
+  for (const PartId id : state.machines) key += std::to_string(id) + ' ';
+  key += std::to_string(state.history);
+  const auto found = broken_.find(key);
+  if (found != broken_.end()) return found->second;
+  std::vector<const Machine*> machines;
+  for (std::size_t i = 0; i < configuration_->machines; ++i)
+    machines.push_back(&machines_[state.machines[i]]);
+  return broken_[key] =
+             brokenInvariant(machines, histories_[state.history], configuration_->orders);
+}
+
+std::size_t World::partCount() const {
+  return machines_.size() + callers_.size() + movers_.size() + histories_.size() +
+         requests_.size() + answers_.size();
+}
+
+}  // namespace quayrill::model
--- /dev/null
+++ b/src/model/world_events.cpp
@@ -0,0 +1,137 @@
+// Which events may come in a state of the model.
+#include <bit>
+
+#include "model/world.h"
+
+namespace quayrill::model {
+
+namespace {
+bool isNewer(const CopySet& copies, const CopySet& than) {
+  return copies.epoch > than.epoch ||
+         (copies.epoch == than.epoch && copies.settled && !than.settled);
+}
+
+Event eventOf(Event::Kind kind, std::size_t who) {
+  Event event;
+  event.kind = kind;
+  event.who = static_cast<std::uint8_t>(who);
+  return event;
+}
+}  // namespace
+
+std::vector<Event> World::events(const State& state) const {
+  std::vector<Event> events;
+  addDaemonEvents(state, &events);
+  addDeliveries(state, &events);
+  addMachineEvents(state, &events);
+  return events;
+}
+
+void World::addDeliveries(const State& state, std::vector<Event>* events) const {
+  for (const PartId request : state.requests) {
+    Event event;
+    event.request = request;
+    event.kind = Event::Kind::Deliver;
+    events->push_back(event);
+    event.kind = Event::Kind::DeliverUnheard;
+    if (state.budgets.lostAnswers > 0) events->push_back(event);
+    event.kind = Event::Kind::Duplicate;
+    if (state.budgets.duplicates > 0) events->push_back(event);
+  }
+}
+
+// A call comes after the one before it has ended, and builds only on what was acknowledged: a
+// number that nobody was told is none that an operator can build on.
+bool World::mayStart(const State& state, const Caller& caller) const {
+  const auto order = caller.nextOrder();
+  if (!order) return false;
+  const std::uint64_t basis = configuration_->orders[*order].basis;
+  if (basis == 0) return true;
+  const OrderSet acked = histories_[state.history].acked();
+  for (std::size_t i = 0; i < configuration_->orders.size(); ++i) {
+    if ((acked & bitOf(i)) != 0 && configuration_->orders[i].basis + 1 == basis) return true;
+  }
+  return false;
+}
+
+void World::addTimeEvents(const State& state, std::uint8_t who, std::uint8_t proposer,
+                          std::vector<Event>* events) const {
+  Event event = eventOf(Event::Kind::Phase, who);
+  event.choice = proposer;
+  if (state.budgets.phases > 0) events->push_back(event);
+  event.kind = Event::Kind::Deadline;
+  if (state.budgets.deadlines > 0) events->push_back(event);
+}
+
+void World::addDaemonEvents(const State& state, std::vector<Event>* events) const {
+  const CopySet& newest = newestSet(state);
+  const auto addFaults = [&](std::size_t who, bool isBusy, const CopySet& known) {
+    if (isBusy && state.budgets.daemonDeaths > 0)
+      events->push_back(eventOf(Event::Kind::DaemonDies, who));
+    if (state.budgets.learns > 0 && isNewer(newest, known))
+      events->push_back(eventOf(Event::Kind::DaemonLearns, who));
+  };
+  for (std::size_t i = 0; i < configuration_->calls.size(); ++i) {
+    const Caller& caller = callers_[state.callers[i]];
+    if (mayStart(state, caller)) events->push_back(eventOf(Event::Kind::Start, i));
+    if (caller.isBusy()) addTimeEvents(state, static_cast<std::uint8_t>(i), 0, events);
+    addFaults(i, caller.isBusy(), caller.copies());
+  }
+  for (std::size_t i = 0; i < configuration_->movers; ++i) {
+    const Mover& mover = movers_[state.movers[i]];
+    const std::size_t who = kMostCallers + i;
+    addMoverSteps(state, i, events);
+    for (std::uint8_t proposer = 0; proposer < Mover::kProposers; ++proposer) {
+      if (mover.isBusy(proposer))
+        addTimeEvents(state, static_cast<std::uint8_t>(who), proposer, events);
+    }
+    addFaults(who, mover.isBusy(0) || mover.isBusy(1), mover.copies());
+  }
+}
+
+// As the product's agent does: no step while an operation on the set's own key is under way. The
+// keys are told by any majority of members that are inside the epoch, at one moment: what is told
+// later than that can only be more, for a replica forgets no key and leaves no epoch.
+void World::addMoverSteps(const State& state, std::size_t mover, std::vector<Event>* events) const {
+  const Mover& daemon = movers_[state.movers[mover]];
+  if (daemon.isBusy(0)) return;
+  const CopySet& copies = daemon.copies();
+  Event event = eventOf(Event::Kind::MoverSteps, kMostCallers + mover);
+  const bool mayMove = copies.settled || configuration_->plant == Plant::UnsettledEpoch;
+  const std::size_t index = copies.epoch.value - 1;
+  if (mayMove && index < configuration_->steps.size()) {
+    for (std::size_t i = 0; i < configuration_->steps[index].size(); ++i) {
+      event.choice = static_cast<std::uint8_t>(i);
+      events->push_back(event);
+    }
+    return;
+  }
+  events->push_back(event);
+  if (copies.settled) return;
+  std::uint8_t inside = 0;
+  for (std::size_t i = 0; i < configuration_->machines; ++i) {
+    const RegisterCopy& copy = machines_[state.machines[i]].copy();
+    if (copy.copies().epoch == copies.epoch && copy.isMember())
+      inside = static_cast<std::uint8_t>(inside | (1u << i));
+  }
+  for (unsigned quorum = 1; quorum <= inside; ++quorum) {
+    const bool isInside = (quorum & ~static_cast<unsigned>(inside)) == 0;
+    if (!isInside || static_cast<std::size_t>(std::popcount(quorum)) != majorityOf(copies))
+      continue;
+    event.quorum = static_cast<std::uint8_t>(quorum);
+    events->push_back(event);
+  }
+}
+
+void World::addMachineEvents(const State& state, std::vector<Event>* events) const {
+  const CopySet& newest = newestSet(state);
+  for (std::size_t i = 0; i < configuration_->machines; ++i) {
+    const RegisterCopy& copy = machines_[state.machines[i]].copy();
+    if (state.budgets.restarts > 0) events->push_back(eventOf(Event::Kind::Restart, i));
+    if (state.budgets.emptied > 0) events->push_back(eventOf(Event::Kind::Empty, i));
+    if (state.budgets.learns > 0 && isNewer(newest, copy.copies()))
+      events->push_back(eventOf(Event::Kind::ReplicaLearns, i));
+  }
+}
+
+}  // namespace quayrill::model
--- /dev/null
+++ b/src/model/world_steps.cpp
@@ -0,0 +1,131 @@
+// What the events make of the model's daemons.
+#include <algorithm>
+
+#include "model/world.h"
+
+namespace quayrill::model {
+
+namespace {
+// The parts of a mover's argument.
+constexpr std::uint32_t kListed = 1, kListsSpec = 2;
+constexpr unsigned kChoiceShift = 4, kStoreShift = 8;
+}  // namespace
+
+const World::Stepped& World::step(const Event& event, PartId daemon, std::uint32_t argument,
+                                  const History& history) {
+  const bool isCaller = event.who < kMostCallers;
+  const std::uint32_t what =
+      static_cast<std::uint32_t>(event.kind) * 16 + event.choice * 2u + (isCaller ? 1u : 0u);
+  const StepKey key{what, daemon, argument, history.acked()};
+  const auto found = stepped_.find(key);
+  if (found != stepped_.end()) return found->second;
+  Stepped stepped;
+  StepEffects effects;
+  if (isCaller) {
+    Caller caller = callers_[daemon];
+    stepCaller(event, argument, history, &caller, &effects);
+    stepped.daemon = callers_.idOf(std::move(caller));
+  } else {
+    Mover mover = movers_[daemon];
+    stepMover(event, argument, history, &mover, &effects);
+    stepped.daemon = movers_.idOf(std::move(mover));
+  }
+  for (auto& [member, message] : effects.sends)
+    stepped.requests.push_back(requests_.idOf({member.store, std::move(message)}));
+  stepped.observed = std::move(effects.observed);
+  return stepped_[key] = std::move(stepped);
+}
+
+void World::stepCaller(const Event& event, std::uint32_t argument, const History& history,
+                       Caller* caller, StepEffects* effects) const {
+  const OrderSet acked = history.acked();
+  switch (event.kind) {
+    case Event::Kind::Deliver:
+      return caller->answer(answers_[argument].body, acked, effects);
+    case Event::Kind::Start:
+      return caller->start(acked, effects);
+    case Event::Kind::Phase:
+      return caller->passPhase(acked, effects);
+    case Event::Kind::Deadline:
+      return caller->passDeadline(acked, effects);
+    case Event::Kind::DaemonDies:
+      return caller->die();
+    case Event::Kind::DaemonLearns:
+      return caller->learn(history.sets().back());
+    default:
+      throw std::logic_error("no event of a caller");
+  }
+}
+
+void World::stepMover(const Event& event, std::uint32_t argument, const History& history,
+                      Mover* mover, StepEffects* effects) const {
+  switch (event.kind) {
+    case Event::Kind::Deliver:
+      return mover->answer(answers_[argument].body, effects);
+    case Event::Kind::MoverSteps: {
+      std::optional<std::vector<RegisterKey>> listed;
+      if ((argument & kListed) != 0) listed.emplace({kCopySetKey});
+      if ((argument & kListsSpec) != 0) listed->push_back(kSpecKey);
+      return mover->step(listed, following(mover->copies(), argument), effects);
+    }
+    case Event::Kind::Phase:
+      return mover->passPhase(event.choice, effects);
+    case Event::Kind::Deadline:
+      return mover->passDeadline(event.choice, effects);
+    case Event::Kind::DaemonDies:
+      return mover->die();
+    case Event::Kind::DaemonLearns:
+      return mover->learn(history.sets().back());
+    default:
+      throw std::logic_error("no event of a mover");
+  }
+}
+
+std::uint32_t World::moverArgument(const State& state, const Event& event) const {
+  std::uint32_t argument = static_cast<std::uint32_t>(event.choice) << kChoiceShift;
+  const CopySet& copies = movers_[state.movers[event.who - kMostCallers]].copies();
+  const std::size_t index = copies.epoch.value - 1;
+  if (index < configuration_->steps.size()) {
+    const auto& options = configuration_->steps[index];
+    const MembershipStep& step = options[event.choice < options.size() ? event.choice : 0];
+    const StoreId store = machines_[state.machines[step.machine]].copy().store();
+    argument |= static_cast<std::uint32_t>(store.value) << kStoreShift;
+  }
+  if (event.quorum == 0) return argument;
+  argument |= kListed;
+  for (std::size_t i = 0; i < configuration_->machines; ++i) {
+    if (((event.quorum >> i) & 1) == 0) continue;
+    const auto keys = machines_[state.machines[i]].keys();
+    if (std::find(keys.begin(), keys.end(), kSpecKey) != keys.end()) argument |= kListsSpec;
+  }
+  return argument;
+}
+
+std::optional<CopySet> World::following(const CopySet& copies, std::uint32_t argument) const {
+  const std::size_t index = copies.epoch.value - 1;
+  if (index >= configuration_->steps.size()) return std::nullopt;
+  const auto& options = configuration_->steps[index];
+  const std::uint32_t choice = (argument >> kChoiceShift) & 0xf;
+  if (choice >= options.size()) return std::nullopt;
+  const MembershipStep& step = options[choice];
+  const Address address{"m" + std::to_string(step.machine + 1)};
+  CopySet next = copies;
+  next.epoch = Epoch{copies.epoch.value + 1};
+  next.settled = false;
+  if (step.kind == MembershipStep::Kind::Join) {
+    const CopyMember joining{StoreId{argument >> kStoreShift}, address};
+    if (std::find(next.members.begin(), next.members.end(), joining) != next.members.end())
+      return std::nullopt;
+    next.members.push_back(joining);
+    std::sort(next.members.begin(), next.members.end());
+    return next;
+  }
+  const auto leaving = std::find_if(
+      next.members.begin(), next.members.end(),
+      [&](const CopyMember& member) { return member.store == StoreId{step.machine + 1}; });
+  if (leaving == next.members.end()) return std::nullopt;
+  next.members.erase(leaving);
+  return next;
+}
+
+}  // namespace quayrill::model
--- /dev/null
+++ b/src/model/world_words.cpp
@@ -0,0 +1,116 @@
+// The words of a counterexample.
+#include <algorithm>
+
+#include "model/world.h"
+
+namespace quayrill::model {
+
+namespace {
+std::string nameOf(const Ballot& ballot) {
+  return "(" + std::to_string(ballot.epoch.value) + "," + std::to_string(ballot.round) + "," +
+         std::to_string(ballot.proposer.value) + ")";
+}
+
+std::string daemonName(std::uint8_t who) {
+  if (who < kMostCallers) return "caller " + std::to_string(who + 1);
+  return "mover " + std::to_string(who - kMostCallers + 1);
+}
+
+std::string machineName(std::size_t index) { return "replica " + std::to_string(index + 1); }
+
+std::string setName(const CopySet& copies) {
+  std::string text = "epoch " + std::to_string(copies.epoch.value) + " {";
+  for (const CopyMember& member : copies.members)
+    text += (text.back() == '{' ? "" : " ") + std::to_string(member.store.value);
+  return text + (copies.settled ? "} settled" : "}");
+}
+
+// The names of the orders in a set, as "a b".
+std::string ordersName(OrderSet set, const std::vector<Order>& orders) {
+  std::string text;
+  for (std::size_t i = 0; i < orders.size(); ++i) {
+    if ((set & bitOf(i)) != 0) text += (text.empty() ? "" : " ") + orders[i].name;
+  }
+  return text.empty() ? "none" : text;
+}
+}  // namespace
+
+std::string World::describeRequest(PartId id) const {
+  const Request& request = requests_[id];
+  const std::string store = " to store " + std::to_string(request.store.value);
+  if (const auto* prepare = std::get_if<Prepare>(&request.body))
+    return "Prepare " + nameOf(prepare->ballot) + " '" + prepare->key.value + "'" + store;
+  const auto& accept = std::get<Accept>(request.body);
+  std::string text = "Accept " + nameOf(accept.ballot) + " '" + accept.key.value + "' version " +
+                     std::to_string(accept.value.version);
+  CopySet copies;
+  if (accept.key == kSpecKey)
+    text += " with " +
+            ordersName(ordersIn(accept.value.body, configuration_->orders), configuration_->orders);
+  else if (decodeValue(accept.value.body, &copies))
+    text += " " + setName(copies);
+  return text + store;
+}
+
+std::string World::describeChanges(const State& before, const State& after) const {
+  const History& was = histories_[before.history];
+  const History& is = histories_[after.history];
+  std::string text;
+  if (is.acked() != was.acked())
+    text += "; acknowledged now: " + ordersName(is.acked(), configuration_->orders);
+  if (is.refused() != was.refused())
+    text += "; refused now: " + ordersName(is.refused(), configuration_->orders);
+  if (is.sets() != was.sets()) text += "; known as chosen now: " + setName(is.sets().back());
+  std::vector<PartId> sent;
+  std::set_difference(after.requests.begin(), after.requests.end(), before.requests.begin(),
+                      before.requests.end(), std::back_inserter(sent));
+  for (const PartId request : sent) text += "\n      sends " + describeRequest(request);
+  return text;
+}
+
+std::string World::describe(const State& before, const Event& event, const State& after) const {
+  std::string text;
+  switch (event.kind) {
+    case Event::Kind::Deliver:
+      text = "delivered: " + describeRequest(event.request);
+      break;
+    case Event::Kind::DeliverUnheard:
+      text = "delivered, its answer lost: " + describeRequest(event.request);
+      break;
+    case Event::Kind::Duplicate:
+      text = "delivered, and a duplicate stays under way: " + describeRequest(event.request);
+      break;
+    case Event::Kind::Start: {
+      const auto order = callers_[before.callers[event.who]].nextOrder();
+      text = daemonName(event.who) + " is sent order " + configuration_->orders[*order].name;
+      break;
+    }
+    case Event::Kind::Phase:
+      text = daemonName(event.who) + ": the round's time passes";
+      break;
+    case Event::Kind::Deadline:
+      text = daemonName(event.who) + ": the operation's time passes";
+      break;
+    case Event::Kind::DaemonDies:
+      text = daemonName(event.who) + " ends, another daemon takes its place";
+      break;
+    case Event::Kind::MoverSteps:
+      text = daemonName(event.who) + " takes the replica set's next step";
+      break;
+    case Event::Kind::Restart:
+      text = machineName(event.who) + " restarts on its disk";
+      break;
+    case Event::Kind::Empty:
+      text = machineName(event.who) + " comes back with an empty disk";
+      break;
+    case Event::Kind::ReplicaLearns:
+      text = machineName(event.who) + " hears of the newest set";
+      break;
+    case Event::Kind::DaemonLearns:
+      text = daemonName(event.who) + " hears of the newest set";
+      break;
+  }
+  return text + describeChanges(before, after);
+}
+
+}  // namespace quayrill::model
--- /dev/null
+++ b/tests/model_tests.cpp
@@ -0,0 +1,130 @@
+// The model check: small systems over the product's own register code, schedule by schedule. Each
+// search has a floor of distinct states, so that one that explores nothing fails.
+#include <catch2/catch.hpp>
+
+#include "model/explorer.h"
+#include "model/history.h"
+
+using namespace quayrill;
+using namespace quayrill::model;
+
+namespace {
+Configuration named(const std::string& name) {
+  const auto configuration = configurationOf(name);
+  REQUIRE(configuration);
+  return *configuration;
+}
+
+Report search(const Configuration& configuration, std::size_t states) {
+  Bounds bounds;
+  bounds.states = states;
+  bounds.time = std::chrono::seconds(250);  // a loaded machine: the states are the bound
+  const Report report = explore(configuration, bounds);
+  std::string schedule;
+  for (const std::string& event : report.schedule) schedule += "\n  " + event;
+  WARN(configuration.name << ": distinct " << report.distinct << " visited " << report.visited
+                          << " depth " << report.depth << " seconds " << report.time.count()
+                          << (report.isExhausted ? " exhausted" : "") << " " << report.broken);
+  UNSCOPED_INFO("schedule:" << schedule);
+  return report;
+}
+
+Configuration withoutFaults(Configuration configuration) {
+  configuration.budgets = {};
+  return configuration;
+}
+
+// The smallest systems in which each planted error shows, and the same ones without it.
+Configuration unsyncedPromise() {
+  Configuration configuration = withoutFaults(named("crash"));
+  configuration.budgets.restarts = 1;
+  configuration.plant = Plant::UnsyncedPromise;
+  return configuration;
+}
+Configuration unsettledEpoch() {
+  Configuration configuration = named("replace");
+  configuration.plant = Plant::UnsettledEpoch;
+  return configuration;
+}
+Configuration minorityRead() {
+  Configuration configuration = withoutFaults(named("race"));
+  configuration.plant = Plant::MinorityRead;
+  return configuration;
+}
+Configuration resendAsNew() {
+  Configuration configuration = withoutFaults(named("resend"));
+  configuration.orders.resize(1);
+  configuration.calls = {{0}, {0}};
+  configuration.plant = Plant::ResendAsNew;
+  return configuration;
+}
+
+// The error is found, and up to twice as many states without it are clean.
+Report checkPlanted(Configuration configuration, std::size_t states) {
+  const Report found = search(configuration, states);
+  CHECK_FALSE(found.broken.empty());
+  CHECK(found.schedule.size() == found.depth);
+  configuration.plant = Plant::None;
+  const Report clean = search(configuration, 2 * found.distinct);
+  CHECK(clean.broken.empty());
+  CHECK((clean.isExhausted || clean.distinct >= 2 * found.distinct));
+  return found;
+}
+
+CopySet setOf(std::uint64_t epoch, const std::vector<std::uint64_t>& stores) {
+  CopySet copies;
+  copies.epoch = Epoch{epoch};
+  for (const std::uint64_t store : stores) copies.members.push_back({StoreId{store}, {}});
+  return copies;
+}
+}  // namespace
+
+TEST_CASE("model: a race of two operators without faults is exhausted and holds") {
+  const Report report = search(withoutFaults(named("race")), 1'000'000);
+  CHECK(report.broken.empty());
+  CHECK(report.isExhausted);
+  CHECK(report.distinct > 5'000);
+  CHECK(report.depth >= 20);
+}
+
+TEST_CASE("model: every configuration holds as far as the bound reaches") {
+  constexpr std::size_t kStates = 60'000;
+  for (const Configuration& configuration : configurations()) {
+    const Report report = search(configuration, kStates);
+    INFO(configuration.name);
+    CHECK(report.broken.empty());
+    CHECK((report.isExhausted || report.distinct >= kStates));
+    CHECK(report.distinct > 5'000);
+  }
+}
+
+TEST_CASE("model: finds a promise that was answered before it was on the disk") {
+  const Report found = checkPlanted(unsyncedPromise(), 400'000);
+  CHECK(found.broken.find("without an acknowledged change") != std::string::npos);
+  Configuration unharmed = unsyncedPromise();
+  unharmed.budgets.restarts = 0;  // memory still knows what the disk does not
+  CHECK(search(unharmed, 1'000'000).broken.empty());
+}
+
+TEST_CASE("model: finds a replica set that follows one that is not settled") {
+  const Report found = checkPlanted(unsettledEpoch(), 400'000);
+  CHECK(found.broken.find("without an acknowledged change: epoch 3") != std::string::npos);
+}
+
+TEST_CASE("model: finds a read that asks a minority") {
+  const Report found = checkPlanted(minorityRead(), 100'000);
+  CHECK(found.broken.find("acknowledged before it began") != std::string::npos);
+}
+
+TEST_CASE("model: finds a change sent again that is judged as a new one") {
+  const Report found = checkPlanted(resendAsNew(), 100'000);
+  CHECK(found.broken.find("refused") != std::string::npos);
+}
+
+TEST_CASE("model: which majorities meet") {
+  CHECK(majoritiesMeet(setOf(1, {1, 2, 3}), setOf(2, {1, 2, 3, 4})));
+  CHECK(majoritiesMeet(setOf(1, {1, 2, 3, 4}), setOf(2, {1, 2, 3})));
+  CHECK_FALSE(majoritiesMeet(setOf(1, {1, 2, 3}), setOf(2, {2, 3, 4})));
+  CHECK_FALSE(majoritiesMeet(setOf(1, {1, 2, 3}), setOf(3, {1, 2, 3, 4, 5})));
+  CHECK_FALSE(majoritiesMeet(setOf(1, {1}), setOf(2, {2})));
+}
