Replicas: as many as the losses to bear need, spread over the zones

A member was taken out before a waiting store joined as long as three were left. Stores were chosen by their random id, so one zone could hold most replicas.

A waiting store joins before a lost member goes; without one a member is taken out only where fewer then make a majority (so 5 with one dead stay 5: four of them bear no more). Stores join from the zone with the fewest members that stay.

Weighed: to take the lost member out first. After the first step both bear as much (n even), or neither does (n odd), but the set then holds fewer disks while the lost one may come back with its own.

--- a/src/agent/agent.cpp
+++ b/src/agent/agent.cpp
@@ -25,6 +25,9 @@
                  boot.copiesWanted, boot.mayFound, boot.foundingWait, boot.leaseSpan};
   core.listEvery = boot.listEvery;
   core.listCallsPerS = boot.listCallsPerS;
+  core.losses = boot.losses;
+  core.topology = boot.topology;
+  core.catchUpSpan = boot.catchUp;
   return core;
 }
 }  // namespace
--- a/src/agent/core/agent_core.h
+++ b/src/agent/core/agent_core.h
@@ -14,6 +14,7 @@
 #include "agent/core/weights_named.h"
 #include "register/copy.h"
 #include "register/proposer.h"
+#include "register/replica_plan.h"
 
 namespace quayrill {
 
@@ -31,6 +32,11 @@
   Span leaseSpan{};  // two holders of one duty never act within this of each other
   std::chrono::milliseconds listEvery{400};
   double listCallsPerS = 50;  // for the platform's list, of all daemons together
+  LossesToBear losses{};      // that copiesWanted bear
+  Topology topology{};
+  // The next loss may come so long after a lost machine, or its successor, started; 0: not
+  // promised.
+  Span catchUpSpan{};
 };
 
 // One piece of work for the copy's disk: the writes are synced in order, then the answer leaves.
@@ -128,6 +134,25 @@
   bool isInTouch(StoreId store, Instant now) const;
   // Gone for certain, or silent for `span`.
   bool isLost(const CopyMember& member, Span span, Instant now) const;
+  // How long a member may be out of touch where a spare waits, and where none does.
+  Span silentSpan() const;
+  Span silentAloneSpan() const;
+  // A member that the set must give up: lost, or leaving by its own word.
+  std::optional<CopyMember> departing(bool spareWaits, Instant now) const;
+  bool isLeaving(const CopyMember& member) const;
+  // The one to give up where none departs and there are more than wanted.
+  CopyMember surplus(Instant now) const;
+  Site siteOf(const Address& address) const;
+  // Without a successor `member` leaves only where the rest bears no less for it.
+  bool mayShrink(const CopyMember& member, Instant now) const;
+  // Members in one place; regions count only where their loss is to be borne.
+  struct Crowd {
+    std::size_t inRegion = 0, inZone = 0;
+    auto operator<=>(const Crowd&) const = default;
+  };
+  Crowd crowdAt(const Site& site, const std::vector<CopyMember>& members) const;
+  // In place of the surplus member, `joining` would stand where at least two fewer stand.
+  bool spreadsBetter(const CopyMember& joining, Instant now) const;
   std::optional<CopyMember> candidate(Instant now) const;
   void tickSweep(Instant now, AgentEffects* effects);
   void begin(ChangeAsked change, Purpose purpose, Instant now, AgentEffects* effects);
--- a/src/agent/core/copy_set.cpp
+++ b/src/agent/core/copy_set.cpp
@@ -10,13 +10,15 @@
 
 namespace {
 constexpr Span kTouchSpan = 1500ms;
-constexpr Span kCandidateSpan = 1s;
 constexpr Span kSilentSpan = 4s;       // ours: before a silent member gives way to one that waits
 constexpr Span kSilentAloneSpan = 8s;  // ours: before it is taken out where none waits
 constexpr Span kKeepContact = 10s;
 constexpr Span kNextStepsInAfter = 700ms;
 }  // namespace
 
+Span AgentCore::silentSpan() const { return kSilentSpan; }
+Span AgentCore::silentAloneSpan() const { return kSilentAloneSpan; }
+
 void AgentCore::noteContact(const Address& from, const ConfirmAnswer& answer, Instant now) {
   contacts_[answer.store] = {from, now, answer.copies.fleet};
   replaced_.erase(answer.store);
@@ -34,42 +36,12 @@
   return silent != silentSince_.end() && now - silent->second >= span;
 }
 
-// A store that answered just now and waits to join; one at an address of its own before one that
-// stands where a lost member stood, which started last.
-std::optional<CopyMember> AgentCore::candidate(Instant now) const {
-  const CopySet& copies = freshness_.copies();
-  std::optional<CopyMember> found;
-  for (const auto& [store, contact] : contacts_) {
-    if (now - contact.at >= kCandidateSpan) continue;
-    // Of another fleet: it has not heard of this one yet.
-    if (contact.fleet != 0 && contact.fleet != copies.fleet) continue;
-    const auto item = news_.item(contact.address);
-    if (item && item->leaving) continue;
-    bool isIn = false, isSuccessor = false;
-    for (const CopyMember& member : copies.members) {
-      isIn = isIn || member.store == store;
-      isSuccessor = isSuccessor || member.address == contact.address;
-    }
-    if (isIn || (found && isSuccessor)) continue;
-    found = CopyMember{store, contact.address};
-    if (!isSuccessor) break;
-  }
-  return found;
-}
-
-// One machine at a time: a store that waits joins, one that is lost is taken out. At the least
-// number its successor joins first. No set is proposed whose majority is not in touch.
+// One machine at a time: a store that waits joins, then one that departs is taken out. While any
+// waits, the set never holds fewer than wanted. No set is proposed whose majority is not in touch.
 std::optional<CopySet> AgentCore::nextCopySet(Instant now) const {
   CopySet next = freshness_.copies();
   next.epoch = Epoch{next.epoch.value + 1};
   next.settled = false;
-  const auto whenReachable = [&]() -> std::optional<CopySet> {
-    const auto reached = static_cast<std::size_t>(
-        std::count_if(next.members.begin(), next.members.end(),
-                      [&](const CopyMember& member) { return isInTouch(member.store, now); }));
-    if (reached < majorityOf(next)) return std::nullopt;
-    return next;
-  };
   // A store that moved to another address stays the same voter: write its new address down.
   for (const NewsItem& item : news_.live(now)) {
     if (item.store.value == 0 || item.leaving) continue;
@@ -79,27 +51,30 @@
       return next;
     }
   }
-  const auto joining = candidate(now);
+  const auto ifReachable = [&](CopySet proposed) -> std::optional<CopySet> {
+    const auto reached = static_cast<std::size_t>(
+        std::count_if(proposed.members.begin(), proposed.members.end(),
+                      [&](const CopyMember& member) { return isInTouch(member.store, now); }));
+    if (reached < majorityOf(proposed)) return std::nullopt;
+    return proposed;
+  };
+  const auto without = [&](const CopyMember& member) {
+    CopySet smaller = next;
+    std::erase(smaller.members, member);
+    return ifReachable(std::move(smaller));
+  };
   const std::size_t wanted = std::max<std::size_t>(1, boot_.copiesWanted);
-  const std::size_t least = std::min<std::size_t>(3, wanted);
-  const Span patience = joining ? kSilentSpan : kSilentAloneSpan;
-  auto lost = std::find_if(next.members.begin(), next.members.end(),
-                           [&](const auto& member) { return isLost(member, patience, now); });
-  const bool anyLost = lost != next.members.end();
-  if (!anyLost && next.members.size() > wanted) {
-    // The lost one came back after its successor had joined.
-    lost = std::find_if(next.members.begin(), next.members.end(),
-                        [&](const auto& member) { return !isInTouch(member.store, now); });
-    if (lost == next.members.end()) --lost;
-  }
-  if (lost != next.members.end() && next.members.size() > least) {
-    next.members.erase(lost);
-    return whenReachable();
+  const auto joining = candidate(now);
+  const auto leaver = departing(joining.has_value(), now);
+  if (next.members.size() > wanted) return without(leaver ? *leaver : surplus(now));
+  if (joining && (leaver || next.members.size() < wanted || spreadsBetter(*joining, now))) {
+    CopySet larger = next;
+    larger.members.push_back(*joining);
+    std::sort(larger.members.begin(), larger.members.end());
+    if (auto reachable = ifReachable(std::move(larger))) return reachable;
   }
-  if (!joining || next.members.size() >= (anyLost ? least + 1 : wanted)) return std::nullopt;
-  next.members.push_back(*joining);
-  std::sort(next.members.begin(), next.members.end());
-  return whenReachable();
+  if (leaver && mayShrink(*leaver, now)) return without(*leaver);
+  return std::nullopt;
 }
 
 // Any member may take the copy set's next step: the register orders what they propose, by the
--- /dev/null
+++ b/src/agent/core/replica_choice.cpp
@@ -0,0 +1,121 @@
+// Which store joins the copy set next, and which member it gives up.
+#include <algorithm>
+#include <tuple>
+
+#include "agent/core/agent_core.h"
+
+namespace quayrill {
+
+using namespace std::chrono_literals;
+
+namespace {
+constexpr Span kCandidateSpan = 1s;
+constexpr std::size_t kFewestAlone = 3;  // replicas that stay where no spare waits
+}  // namespace
+
+// The zone is the daemon's own word; it is kept for some minutes after its last.
+Site AgentCore::siteOf(const Address& address) const {
+  const auto item = news_.item(address);
+  const std::string zone = item ? item->zone : "";
+  return {zone, boot_.topology.regionOf(zone)};
+}
+
+bool AgentCore::isLeaving(const CopyMember& member) const {
+  const auto item = news_.item(member.address);
+  return item && item->leaving && item->store == member.store;
+}
+
+// Those gone for certain come first, then the silent, then those that serve on while they leave.
+std::optional<CopyMember> AgentCore::departing(bool spareWaits, Instant now) const {
+  const std::vector<CopyMember>& members = freshness_.copies().members;
+  const auto first = [&](auto departs) -> std::optional<CopyMember> {
+    const auto member = std::find_if(members.begin(), members.end(), departs);
+    if (member == members.end()) return std::nullopt;
+    return *member;
+  };
+  const Span patience = spareWaits ? silentSpan() : silentAloneSpan();
+  if (auto gone = first([&](const auto& member) { return replaced_.contains(member.store); }))
+    return gone;
+  if (auto silent = first([&](const auto& member) { return isLost(member, patience, now); }))
+    return silent;
+  return first([&](const auto& member) { return isLeaving(member); });
+}
+
+// A dead member is taken out alone where fewer then make a majority. One that still serves leaves
+// alone only if the others, all but it, bear as many losses as the whole set did.
+bool AgentCore::mayShrink(const CopyMember& member, Instant now) const {
+  const std::vector<CopyMember>& members = freshness_.copies().members;
+  const auto others = static_cast<std::size_t>(
+      std::count_if(members.begin(), members.end(), [&](const CopyMember& other) {
+        return other.store != member.store && isInTouch(other.store, now);
+      }));
+  if (members.size() <= kFewestAlone) return false;
+  if (isLeaving(member) && isInTouch(member.store, now))
+    return lossesBorne(members.size() - 1, others) >= lossesBorne(members.size(), others + 1);
+  return lossesBorne(others, others) > lossesBorne(members.size(), others);
+}
+
+AgentCore::Crowd AgentCore::crowdAt(const Site& site,
+                                    const std::vector<CopyMember>& members) const {
+  Crowd crowd;
+  for (const CopyMember& member : members) {
+    const Site other = siteOf(member.address);
+    crowd.inRegion += boot_.losses.regions > 0 && other.region == site.region ? 1 : 0;
+    crowd.inZone += other.zone == site.zone ? 1 : 0;
+  }
+  return crowd;
+}
+
+// Where a lost member came back after its successor had joined, there is one too many: one out of
+// touch goes, else one from the fullest region and zone.
+CopyMember AgentCore::surplus(Instant now) const {
+  const std::vector<CopyMember>& members = freshness_.copies().members;
+  const auto rank = [&](const CopyMember& member) {
+    return std::tuple(!isInTouch(member.store, now), crowdAt(siteOf(member.address), members),
+                      member);
+  };
+  return *std::max_element(members.begin(), members.end(),
+                           [&](const auto& a, const auto& b) { return rank(a) < rank(b); });
+}
+
+// Each such exchange makes the numbers more equal, so they come to an end.
+bool AgentCore::spreadsBetter(const CopyMember& joining, Instant now) const {
+  const std::vector<CopyMember>& members = freshness_.copies().members;
+  const Crowd from = crowdAt(siteOf(surplus(now).address), members);
+  const Crowd to = crowdAt(siteOf(joining.address), members);
+  if (to.inRegion != from.inRegion) return to.inRegion + 2 <= from.inRegion;
+  return to.inZone + 2 <= from.inZone;
+}
+
+// A store that answered just now and waits to join: one from the region and the zone with the
+// fewest members that stay. Among these, one at an address of its own comes before one that stands
+// where a lost member stood, which started last.
+std::optional<CopyMember> AgentCore::candidate(Instant now) const {
+  const CopySet& copies = freshness_.copies();
+  std::vector<CopyMember> staying;
+  for (const CopyMember& member : copies.members) {
+    if (isInTouch(member.store, now) && !replaced_.contains(member.store) && !isLeaving(member))
+      staying.push_back(member);
+  }
+  std::optional<std::tuple<Crowd, bool, CopyMember>> best;
+  for (const auto& [store, contact] : contacts_) {
+    if (now - contact.at >= kCandidateSpan) continue;
+    // Of another fleet: it has not heard of this one yet.
+    if (contact.fleet != 0 && contact.fleet != copies.fleet) continue;
+    const auto item = news_.item(contact.address);
+    if (item && item->leaving) continue;
+    bool isIn = false, isSuccessor = false;
+    for (const CopyMember& member : copies.members) {
+      isIn = isIn || member.store == store;
+      isSuccessor = isSuccessor || member.address == contact.address;
+    }
+    if (isIn) continue;
+    const std::tuple rank(crowdAt(siteOf(contact.address), staying), isSuccessor,
+                          CopyMember{store, contact.address});
+    if (!best || rank < *best) best = rank;
+  }
+  if (!best) return std::nullopt;
+  return std::get<CopyMember>(*best);
+}
+
+}  // namespace quayrill
--- a/src/boot/boot.cpp
+++ b/src/boot/boot.cpp
@@ -28,7 +28,12 @@
     "disk_drag": {"type": "string"},
     "placement": {"type": "string", "enum": ["prefix", "least-burden", "round-robin"]},
     "fetch": {"type": "string", "enum": ["on", "off"]},
-    "copies_wanted": {"type": "integer", "minimum": 1, "maximum": 7},
+    "copies_wanted": {"type": "integer", "minimum": 1, "maximum": 9},
+    "bear_machines": {"type": "integer", "minimum": 0, "maximum": 4},
+    "bear_zones": {"type": "integer", "minimum": 0, "maximum": 4},
+    "bear_regions": {"type": "integer", "minimum": 0, "maximum": 4},
+    "region_of_zone": {"type": "object", "additionalProperties": {"type": "string"}},
+    "catch_up_ms": {"type": "integer", "minimum": 0, "maximum": 600000},
     "block_tokens": {"type": "integer", "minimum": 1, "maximum": 1024},
     "traffic_threads": {"type": "integer", "minimum": 1, "maximum": 64},
     "fresh_limit_ms": {"type": "integer", "minimum": 500, "maximum": 3000},
@@ -48,8 +53,9 @@
     for (std::string part; std::getline(parts, part, ',');) list.push_back(part);
     return list;
   }
-  static const std::set<std::string> kNumbers = {"copies_wanted", "block_tokens", "traffic_threads",
-                                                 "fresh_limit_ms", "grace_ms"};
+  static const std::set<std::string> kNumbers = {
+      "copies_wanted", "bear_machines",   "bear_zones",     "bear_regions", "catch_up_ms",
+      "block_tokens",  "traffic_threads", "fresh_limit_ms", "grace_ms"};
   if (kNumbers.contains(name)) {
     const Json number = Json::parse(text, nullptr, false);
     if (number.is_number_integer()) return number;
@@ -69,6 +75,35 @@
   return absl::OkStatus();
 }
 
+// The number of register copies and the losses that they must bear. Without a setting for the
+// losses of machines the copies bear as many as a majority of them allows.
+absl::Status readLosses(const Json& settings, Boot* boot) {
+  boot->copiesWanted = settings.value("copies_wanted", boot->copiesWanted);
+  boot->losses.machines = settings.value("bear_machines", (boot->copiesWanted - 1) / 2);
+  boot->losses.zones = settings.value("bear_zones", boot->losses.zones);
+  boot->losses.regions = settings.value("bear_regions", boot->losses.regions);
+  std::set<std::string> regions;
+  const Json zones = settings.value("region_of_zone", Json::object());
+  for (auto row = zones.begin(); row != zones.end(); ++row) {
+    const std::string region = row.value().get<std::string>();
+    boot->topology.regionOfZone[row.key()] = region;
+    regions.insert(region);
+  }
+  if (boot->losses.zones > 0 && boot->topology.regionOfZone.size() <= 2 * boot->losses.zones)
+    return bad("bear_zones", "name more than twice as many zones under region_of_zone");
+  if (boot->losses.regions > 0 && regions.size() <= 2 * boot->losses.regions)
+    return bad("bear_regions", "name more than twice as many regions under region_of_zone");
+  if (!settings.contains("bear_machines") && boot->losses.zones + boot->losses.regions == 0)
+    return absl::OkStatus();
+  const std::size_t needed = replicasWanted(boot->losses, boot->topology);
+  if (settings.contains("copies_wanted") && boot->copiesWanted < needed)
+    return bad("copies_wanted", std::to_string(boot->copiesWanted) +
+                                    " don't bear these losses: give at least " +
+                                    std::to_string(needed) + " or leave the field out");
+  boot->copiesWanted = std::max(boot->copiesWanted, needed);
+  return absl::OkStatus();
+}
+
 absl::Status checkAddresses(const Boot& boot) {
   const bool agent = boot.role != "proxy";
   struct Row {
@@ -140,7 +175,8 @@
   boot.cohortVia = Address{text("cohort_via")};
   boot.placement = settings.value("placement", boot.placement);
   boot.fetch = settings.value("fetch", "on") == "on";
-  boot.copiesWanted = settings.value("copies_wanted", boot.copiesWanted);
+  if (auto status = readLosses(settings, &boot); !status.ok()) return status;
+  boot.catchUp = std::chrono::milliseconds(settings.value("catch_up_ms", boot.catchUp.count()));
   boot.blockTokens = settings.value("block_tokens", boot.blockTokens);
   boot.trafficThreads = settings.value("traffic_threads", boot.trafficThreads);
   boot.freshLimit =
--- a/src/boot/boot.h
+++ b/src/boot/boot.h
@@ -9,6 +9,7 @@
 #include "base/clock.h"
 #include "base/defect.h"
 #include "base/types.h"
+#include "register/replica_plan.h"
 
 namespace quayrill {
 
@@ -27,6 +28,13 @@
   std::string placement = "prefix";  // prefix; least-burden and round-robin for comparisons
   bool fetch = true;                 // let servers pull missing prefixes from peers and the store
   std::size_t copiesWanted = 4;
+  // Losses to bear: what may be lost at once while the register must go on. copiesWanted is enough
+  // for them.
+  LossesToBear losses;
+  Topology topology;  // zones and their regions; needed where losses of these are to be borne
+  // A machine that was lost, or its successor, is whole again after so long, so the next loss may
+  // come then: repairs of the register must be done by that time. 0: no such bound is promised.
+  std::chrono::milliseconds catchUp{0};
   std::size_t blockTokens = 16;
   std::size_t trafficThreads = 2;
   std::chrono::milliseconds freshLimit{2000};
--- a/src/sim/scenario.cpp
+++ b/src/sim/scenario.cpp
@@ -10,6 +10,7 @@
     world.run(250ms);
     bool full = true;
     for (std::size_t i = 0; i < world.size(); ++i) {
+      if (!world.isUp(i)) continue;
       const CopySet& copies = world.core(i).freshness().copies();
       full = full && copies.members.size() == world.copiesWanted() && copies.settled;
     }
--- a/src/sim/world.cpp
+++ b/src/sim/world.cpp
@@ -14,12 +14,14 @@
 }  // namespace
 
 World::World(const WorldBoot& boot) : boot_(boot), random_(boot.seed), now_(Instant(1s)) {
-  const std::size_t count = boot.diskMachines + boot.edgeMachines;
+  const std::size_t atFirst = boot.diskMachines + boot.edgeMachines;
+  const std::size_t count = atFirst + boot.reserveMachines;
   for (std::size_t i = 0; i < count; ++i) {
     Machine machine;
     machine.address =
         Address{"127.0." + std::to_string(i / 200) + "." + std::to_string(1 + i % 200) + ":7000"};
-    machine.hasDisk = i < boot.diskMachines;
+    machine.isReserve = i >= atFirst;
+    machine.hasDisk = i < boot.diskMachines || machine.isReserve;
     machine.clockOffset = std::chrono::seconds(random_() % 100000);
     if (boot.plantFastClocks && i % 2 == 1) machine.clockRate = 6;
     byAddress_[machine.address] = i;
@@ -41,15 +43,17 @@
 
 void World::start(std::size_t index) {
   Machine& machine = machines_[index];
-  if (machine.core) return;
+  if (machine.core || machine.isReserve) return;
   ++machine.life;
   machine.highestSpec = 0;
   AgentBoot boot{machine.address, "zone" + std::to_string(zoneOf(index)),
                  machine.seeds,   {},
                  random_(),       boot_.copiesWanted ? boot_.copiesWanted : boot_.diskMachines};
   boot.leaseSpan = boot_.leaseSpan;
+  boot.losses = boot_.losses;
+  boot.catchUpSpan = boot_.catchUpSpan;
   if (boot_.bootstrap) {
-    boot.mayFound = machine.life == 1;
+    boot.mayFound = machine.life == 1 && index < boot_.diskMachines + boot_.edgeMachines;
     boot.foundingWait = Span{};
   }
   std::optional<std::map<std::string, std::string>> disk;
@@ -94,6 +98,17 @@
   start(index);
 }
 
+void World::join(std::size_t index) {
+  Machine& machine = machines_[index];
+  machine.isReserve = false;
+  machine.seeds.clear();
+  for (const Machine& other : machines_) {
+    if (other.core && other.hasDisk && machine.seeds.size() < 3)
+      machine.seeds.push_back(other.address);
+  }
+  start(index);
+}
+
 void World::freeze(std::size_t index, Span span) {
   machines_[index].frozenUntil = std::max(machines_[index].frozenUntil, now_ + span);
 }
--- a/src/sim/world.h
+++ b/src/sim/world.h
@@ -19,6 +19,9 @@
   std::size_t diskMachines = 4;
   std::size_t edgeMachines = 9;
   std::size_t copiesWanted = 0;  // 0: as many as there are disks
+  LossesToBear losses{};
+  Span catchUpSpan{};
+  std::size_t reserveMachines = 0;  // empty disks that join later; their indices come last
   // Only the first start of all is told that it may found, and need not wait; every later start is
   // told that it may not.
   bool bootstrap = false;
@@ -69,6 +72,10 @@
   // The machine is gone; an empty one at a new address takes its place. Only the new one is told
   // where the seeds are now.
   void replace(std::size_t machine);
+  // A reserve machine joins: it is told of the first three machines with a disk that are up.
+  void join(std::size_t machine);
+  // The machine was told to end, and serves on meanwhile.
+  void leave(std::size_t machine) { machines_[machine].core->setLeaving(true); }
   void freeze(std::size_t machine, Span span);
   void cutOneWay(std::size_t from, std::size_t to, bool cut);
   void cut(const std::set<std::size_t>& side, bool cut);
@@ -88,6 +95,7 @@
   }
   void wantDuty(const std::string& duty) { duties_.insert(duty); }
 
+  bool hasDisk(std::size_t machine) const { return machines_[machine].hasDisk; }
   bool isUp(std::size_t machine) const { return machines_[machine].core != nullptr; }
   AgentCore& core(std::size_t machine) { return *machines_[machine].core; }
   std::size_t size() const { return machines_.size(); }
@@ -118,6 +126,7 @@
     Address address;
     std::vector<Address> seeds;
     bool hasDisk = false;
+    bool isReserve = false;  // not started before it joins
     std::unique_ptr<AgentCore> core;
     std::map<std::string, std::string> synced;
     std::vector<DiskWrite> unsynced;  // lost at a power loss
