A lost or leaving replica is replaced well before the next loss may come

Cause: a silent member was dropped after 1.5 s + 4 s, while the next loss may come catchUpSpan (4 s) after the successor's start, that is 5 s after the loss. A member told to end stayed in the set until that silence.

Now: silence is judged after 2.25 s (catchUpSpan 4 s) or 3.25 s (6 s) without an answer; a leaving daemon says so at once, a waiting store joins and the leaver goes while it still votes; the process stays until then, for three quarters of its grace at most. With none waiting it leaves only if the rest bears as much. A daemon that did not run for 0.5 s judges nobody by it; a store that came back from a silence must be steady before it joins again.

Weighed: all four machines as replicas, one step a loss in place of two. Not taken: each change then waits for the third of four disks, and every loss costs a step, also that of the machine that is now a mere spare.

--- a/src/agent/agent.cpp
+++ b/src/agent/agent.cpp
@@ -147,6 +147,7 @@
     const Instant now = BootClock::now();
     AgentEffects effects;
     core_->onTick(now, &effects);
+    handingOver_ = core_->isHandingOver(now);
     if (effects.readList) asio::co_spawn(io_, readList(), asio::detached);
     apply(std::move(effects));
     takeList();
--- a/src/agent/agent.h
+++ b/src/agent/agent.h
@@ -32,6 +32,9 @@
   void run();  // on the calling thread, until stop
   void beginLeaving();
   void stop();
+  // Leaving, and the register copy's vote is about to pass to another machine: the process is still
+  // needed. From any thread; known a tick after beginLeaving.
+  bool isHandingOver() const { return handingOver_; }
   // Operator calls that were taken and not yet answered.
   // The data plane in this process, told each time that something changed and every 100 ms. Set it
   // before start; it is called on the control thread.
@@ -94,6 +97,7 @@
   Counters counters_;
   DecisionLog decisions_{20000};
   std::atomic<std::size_t> callsOpen_{0};
+  std::atomic<bool> handingOver_{false};
   std::map<OperationId, Waiter> waiters_;  // one for each operator call under way
   // servers_ holds exactly what the platform listed last.
   std::map<ServerName, Polled> servers_;
--- a/src/agent/core/agent_core.cpp
+++ b/src/agent/core/agent_core.cpp
@@ -285,20 +285,41 @@
   }
 }
 
+// Every second, and at once where this daemon begins to leave, has another store or was taken for
+// an earlier life of its own.
+void AgentCore::tickNews(Instant now, AgentEffects* effects) {
+  const StoreId store = copy_ && copy_->isVoting() ? copy_->store() : StoreId{};
+  const Told told{leaving_, store, news_.item(boot_.self)->version.incarnation};
+  const bool isUrgent = told != told_;
+  if (now < nextBeat_ && !isUrgent) return;
+  nextBeat_ = now + 1s;
+  told_ = told;
+  NewsItem own;
+  own.zone = boot_.zone;
+  own.proxyAddress = boot_.proxyAddress;
+  own.store = store;
+  own.specInForce = SpecVersion{freshness_.spec().value.version};
+  own.leaving = leaving_;
+  own.fleet = copy_ ? copy_->copies().fleet : 0;
+  news_.describeSelf(own);
+  news_.beat(now);
+  if (isUrgent && copy_) tellStoreHolders(now, effects);
+}
+
+void AgentCore::tellStoreHolders(Instant now, AgentEffects* effects) {
+  std::set<Address> holders(boot_.seeds.begin(), boot_.seeds.end());
+  for (const CopyMember& member : freshness_.copies().members) holders.insert(member.address);
+  for (const NewsItem& item : news_.live(now)) {
+    if (item.store.value != 0) holders.insert(item.source);
+  }
+  holders.erase(boot_.self);
+  const NewsAnswer told{{*news_.item(boot_.self)}};
+  for (const Address& holder : holders) effects->sends.push_back({boot_.self, holder, told});
+}
+
 void AgentCore::onTick(Instant now, AgentEffects* effects) {
   if (startedAt_ == Instant{}) startedAt_ = now;
-  if (now >= nextBeat_) {
-    nextBeat_ = now + 1s;
-    NewsItem own;
-    own.zone = boot_.zone;
-    own.proxyAddress = boot_.proxyAddress;
-    own.store = copy_ && copy_->isVoting() ? copy_->store() : StoreId{};
-    own.specInForce = SpecVersion{freshness_.spec().value.version};
-    own.leaving = leaving_;
-    own.fleet = copy_ ? copy_->copies().fleet : 0;
-    news_.describeSelf(own);
-    news_.beat(now);
-  }
+  tickNews(now, effects);
   membership_.onTick(now, &effects->sends);
   if (now >= nextPull_) {
     nextPull_ = now + 400ms;
--- a/src/agent/core/agent_core.h
+++ b/src/agent/core/agent_core.h
@@ -116,6 +116,8 @@
   bool isWritable() const { return copy_ && copy_->isVoting(); }
   bool isVoting() const { return copy_ && copy_->isVoting() && copy_->isMember(); }
   std::vector<Address> view() const { return membership_.view(); }
+  // This daemon leaves, its register copy is still a member, and the set can do without it soon.
+  bool isHandingOver(Instant now) const;
 
  private:
   enum class Purpose { Outside, Settle, Hold, Copies, Sweep };
@@ -167,6 +169,9 @@
   // it would take for its own would have to be watched out by the true owner.
   std::vector<Address> staying(Instant now) const;
   void tickList(Instant now, AgentEffects* effects);
+  void tickNews(Instant now, AgentEffects* effects);
+  // Who judges the copy set hears at once of what bears on it.
+  void tellStoreHolders(Instant now, AgentEffects* effects);
   void sendListAnswers(std::vector<Envelope> sends, Instant now, AgentEffects* effects);
 
   AgentBoot boot_;
@@ -188,6 +193,14 @@
   std::size_t copyBacklog_ = 0;
   bool leaving_ = false;
   Instant startedAt_{};  // of the first tick
+  // What this daemon last told of itself at once.
+  struct Told {
+    bool leaving = false;
+    StoreId store;
+    Incarnation incarnation;
+    bool operator==(const Told&) const = default;
+  };
+  Told told_;
   Instant nextBeat_{}, nextPull_{}, nextConfirm_{}, nextFounding_{}, nextCopies_{}, nextSweep_{},
       nextListPeers_{};
   Span settlePatience_{};
@@ -221,11 +234,15 @@
     Address address;
     Instant at;
     std::uint64_t fleet = 0;
+    // The last time that it answered again after a silence, and how often it did so lately.
+    Instant steadySince;
+    int returns = 0;
   };
   std::map<StoreId, Contact> contacts_;
   std::map<StoreId, Instant> silentSince_;
   // Members of the present copy set whose address answered as another store when asked for them.
   std::set<StoreId> replaced_;
+  Instant lastTick_{};
   Instant workSince_{};  // that the copy set has waited for its next step
   std::pair<Epoch, bool> workStep_;
 };
--- a/src/agent/core/copy_set.cpp
+++ b/src/agent/core/copy_set.cpp
@@ -10,17 +10,38 @@
 
 namespace {
 constexpr Span kTouchSpan = 1500ms;
-constexpr Span kSilentSpan = 4s;       // ours: before a silent member gives way to one that waits
+// A member is silent once it has been out of touch for so long more. Ours, where no bound for
+// repairs is given: before it gives way to one that waits.
+constexpr Span kSilentSpan = 4s;
+constexpr Span kLeastSilentSpan = 500ms;  // two rounds of questions
+constexpr Span kQuestionsEvery = 250ms;
+constexpr Span kTickGap = 500ms;  // a daemon that did not run for so long judges nobody by it
+constexpr Span kForgetReturns = 60s;
 constexpr Span kSilentAloneSpan = 8s;  // ours: before it is taken out where none waits
 constexpr Span kKeepContact = 10s;
 constexpr Span kNextStepsInAfter = 700ms;
 }  // namespace
 
-Span AgentCore::silentSpan() const { return kSilentSpan; }
+// Half of the time until the next loss is for noticing, half for the steps. What is noticed counts
+// from the last answer, which came up to one round of questions before the loss.
+Span AgentCore::silentSpan() const {
+  if (boot_.catchUpSpan == Span{}) return kSilentSpan;
+  return std::clamp<Span>(boot_.catchUpSpan / 2 + kQuestionsEvery - kTouchSpan, kLeastSilentSpan,
+                          kSilentSpan);
+}
 Span AgentCore::silentAloneSpan() const { return kSilentAloneSpan; }
 
 void AgentCore::noteContact(const Address& from, const ConfirmAnswer& answer, Instant now) {
-  contacts_[answer.store] = {from, now, answer.copies.fleet};
+  const auto [row, isNew] = contacts_.try_emplace(answer.store);
+  Contact& contact = row->second;
+  if (isNew) contact.steadySince = now;
+  if (!isNew && now - contact.at >= kTouchSpan) {
+    contact.returns = now - contact.steadySince > kForgetReturns ? 1 : contact.returns + 1;
+    contact.steadySince = now;
+  }
+  contact.address = from;
+  contact.at = now;
+  contact.fleet = answer.copies.fleet;
   replaced_.erase(answer.store);
   if (answer.asked != answer.store) replaced_.insert(answer.asked);
 }
@@ -80,6 +101,8 @@
 // Any member may take the copy set's next step: the register orders what they propose, by the
 // version each expects. The first in order does; the others step in one after the other.
 void AgentCore::tickCopies(Instant now, AgentEffects* effects) {
+  if (now - lastTick_ > kTickGap) silentSince_.clear();
+  lastTick_ = now;
   if (now < nextCopies_ || freshness_.copies().epoch.value == 0) return;
   nextCopies_ = now + 100ms;
   const CopySet& copies = freshness_.copies();
@@ -88,7 +111,8 @@
     if (isInTouch(member.store, now))
       silentSince_.erase(member.store);
     else
-      silentSince_.try_emplace(member.store, now);
+      silentSince_.try_emplace(member.store,
+                               contacts_.contains(member.store) ? now : now + kTouchSpan);
   }
   const auto isIn = [&](StoreId store) {
     return std::any_of(copies.members.begin(), copies.members.end(),
@@ -104,7 +128,7 @@
   if (!work || !copy_ || now - startedAt_ < 1s) return;
   std::vector<Address> able;
   for (const CopyMember& member : copies.members) {
-    if (isInTouch(member.store, now) && !replaced_.contains(member.store))
+    if (isInTouch(member.store, now) && !replaced_.contains(member.store) && !isLeaving(member))
       able.push_back(member.address);
   }
   const bool isAble = !leaving_ && std::find(able.begin(), able.end(), boot_.self) != able.end();
--- a/src/agent/core/replica_choice.cpp
+++ b/src/agent/core/replica_choice.cpp
@@ -10,6 +10,10 @@
 
 namespace {
 constexpr Span kCandidateSpan = 1s;
+// A store that was silent and came back waits so long for each time that it did so lately, so that
+// machines in trouble don't take turns in the set.
+constexpr Span kSteadyPerReturn = 500ms;
+constexpr int kMostReturns = 4;
 constexpr std::size_t kFewestAlone = 3;  // replicas that stay where no spare waits
 }  // namespace
 
@@ -41,6 +45,13 @@
   return first([&](const auto& member) { return isLeaving(member); });
 }
 
+bool AgentCore::isHandingOver(Instant now) const {
+  const CopySet& copies = freshness_.copies();
+  const bool isIn = copy_ && std::any_of(copies.members.begin(), copies.members.end(),
+                                         [&](const auto& m) { return m.store == copy_->store(); });
+  return leaving_ && isIn && (!copies.settled || nextCopySet(now).has_value());
+}
+
 // A dead member is taken out alone where fewer then make a majority. One that still serves leaves
 // alone only if the others, all but it, bear as many losses as the whole set did.
 bool AgentCore::mayShrink(const CopyMember& member, Instant now) const {
@@ -100,6 +111,8 @@
   std::optional<std::tuple<Crowd, bool, CopyMember>> best;
   for (const auto& [store, contact] : contacts_) {
     if (now - contact.at >= kCandidateSpan) continue;
+    const int returns = std::min(contact.returns, kMostReturns);
+    if (now - contact.steadySince < returns * kSteadyPerReturn) continue;
     // Of another fleet: it has not heard of this one yet.
     if (contact.fleet != 0 && contact.fleet != copies.fleet) continue;
     const auto item = news_.item(contact.address);
--- a/src/daemon/daemon.cpp
+++ b/src/daemon/daemon.cpp
@@ -30,6 +30,19 @@
     std::this_thread::sleep_for(20ms);
   plane.stop();
 }
+
+// Operators still call an agent that stands alone for a while. A register copy that another machine
+// is about to stand in for votes until then; where none can, it stays a member, for a restart
+// brings it back with its disk.
+void leaveRegister(const Agent& agent, const Boot& boot, Instant toldAt) {
+  const auto until = [&](Span span) {
+    return std::max<Span>(Span{}, toldAt + span - BootClock::now());
+  };
+  if (boot.role == "agent")
+    std::this_thread::sleep_for(until(std::min<std::chrono::milliseconds>(boot.grace, 3000ms)));
+  while (agent.isHandingOver() && until(boot.grace * 3 / 4) > Span{})
+    std::this_thread::sleep_for(20ms);
+}
 }  // namespace
 
 int runDaemon(const Boot& boot, const Dialect& dialect, const char* program) {
@@ -76,14 +89,14 @@
   LOG(INFO) << program << " " QUAYRILL_VERSION " serves as " << boot.role;
   int signal = 0;
   sigwait(&endings, &signal);
+  const Instant toldAt = BootClock::now();
   LOG(INFO) << "leaving: not ready, finishing what was accepted";
   if (agent) agent->beginLeaving();
   if (proxy) leave(*proxy, boot);
   if (relay) leave(*relay, boot);
-  // A proxy beside this agent finishes on its word that the spec still stands.
-  if (boot.role == "agent")
-    std::this_thread::sleep_for(std::min<std::chrono::milliseconds>(boot.grace, 3000ms));
   if (agent) {
+    // A proxy beside this agent finishes on its word that the spec still stands.
+    leaveRegister(*agent, boot, toldAt);
     // Each operator's call has a due of its own, so this ends by itself.
     while (agent->callsOpen() > 0) std::this_thread::sleep_for(20ms);
     agent->stop();
--- /dev/null
+++ b/src/sim/losses.cpp
@@ -0,0 +1,301 @@
+#include "sim/losses.h"
+
+#include <algorithm>
+
+#include "sim/scenario.h"
+
+namespace quayrill::sim {
+
+using namespace std::chrono_literals;
+
+namespace {
+constexpr Span kStep = 25ms;
+constexpr Span kSuccessorAfter = 1s;
+constexpr Span kCutFor = 5500ms;
+constexpr Span kLeaveAfterJoin = 2s;  // of a planned replacement
+constexpr Span kServesAtLeast = 3s;   // after it was told to end, as the daemon does
+constexpr Span kServesAtMost = 6s;
+
+WorldBoot worldOf(const LossesBoot& boot) {
+  WorldBoot world;
+  world.seed = boot.seed;
+  world.bootstrap = true;
+  world.diskMachines = boot.diskMachines;
+  world.edgeMachines = 4;
+  world.reserveMachines = boot.losses;
+  world.losses = {boot.tolerate, 0, 0};
+  world.copiesWanted = replicasWanted(world.losses, {});
+  world.catchUpSpan = boot.catchUpSpan;
+  return world;
+}
+
+class LossRun {
+ public:
+  explicit LossRun(const LossesBoot& boot)
+      : boot_(boot), world_(worldOf(boot)), nextReserve_(boot.diskMachines + 4) {}
+
+  LossesResult run() {
+    result_.founded = runUntilFounded(world_, 20s);
+    if (!result_.founded) return result_;
+    lastAckAt_ = world_.elapsed();
+    advance(2s);
+    for (std::size_t i = 0; i < boot_.losses; ++i) {
+      while (underWay() >= boot_.tolerate) step();
+      begin();
+    }
+    while (underWay() > 0) step();
+    advance(10s);
+    finish();
+    return result_;
+  }
+
+ private:
+  // One machine's way through its loss; the later steps are due at the instants named.
+  struct Loss {
+    LossKind kind{};
+    std::size_t machine = 0;
+    Span beganAt{};
+    std::optional<Span> startAt, joinAt, leaveAt, healAt;
+    std::optional<Span> leftAt;  // told to end then, and still serving
+    std::optional<Span> endsAt;  // it counts no longer
+    std::size_t successor = 0;
+    bool repaired = false;
+    std::size_t row = 0;
+    std::uint64_t epochBefore = 0;
+  };
+
+  std::size_t edge() { return boot_.diskMachines + world_.random()() % 4; }
+  const CopySet& copies() { return world_.core(boot_.diskMachines).freshness().copies(); }
+  Span within(int fromMs, int toMs) {
+    return std::chrono::milliseconds(
+        fromMs + static_cast<int>(world_.random()() % static_cast<unsigned>(toMs - fromMs)));
+  }
+  bool isHurt(std::size_t machine) const {
+    return std::any_of(losses_.begin(), losses_.end(),
+                       [&](const Loss& loss) { return loss.machine == machine && isOpen(loss); });
+  }
+  // A planned replacement counts from the moment the old machine is told to end.
+  bool isOpen(const Loss& loss) const { return !loss.endsAt || world_.elapsed() < *loss.endsAt; }
+  std::size_t underWay() const {
+    return static_cast<std::size_t>(std::count_if(losses_.begin(), losses_.end(),
+                                                  [&](const Loss& loss) { return isOpen(loss); }));
+  }
+  bool isMember(std::size_t machine) {
+    const StoreId store = world_.core(machine).store();
+    return std::any_of(copies().members.begin(), copies().members.end(),
+                       [&](const CopyMember& member) { return member.store == store; });
+  }
+
+  // Mostly members; by one draw in four the one whose disk is oldest.
+  std::size_t victim() {
+    std::vector<std::size_t> able, members;
+    for (std::size_t i = 0; i < world_.size(); ++i) {
+      if (!world_.hasDisk(i) || !world_.isUp(i) || isHurt(i)) continue;
+      const bool leaves = std::any_of(losses_.begin(), losses_.end(), [&](const Loss& loss) {
+        return loss.machine == i && loss.leftAt;
+      });
+      if (leaves) continue;
+      able.push_back(i);
+      if (isMember(i)) members.push_back(i);
+    }
+    const auto draw = world_.random()() % 4;
+    if (members.empty() || draw == 0) return able[world_.random()() % able.size()];
+    if (draw == 1) return oldest(members);
+    return members[world_.random()() % members.size()];
+  }
+  std::size_t oldest(const std::vector<std::size_t>& machines) {
+    return *std::min_element(machines.begin(), machines.end(), [&](std::size_t a, std::size_t b) {
+      return diskSince_[a] < diskSince_[b];
+    });
+  }
+
+  void begin() {
+    Loss loss;
+    const std::size_t kinds = std::size(kAllLosses);
+    loss.kind = boot_.kinds.empty() ? kAllLosses[world_.random()() % kinds]
+                                    : boot_.kinds[world_.random()() % boot_.kinds.size()];
+    loss.machine = victim();
+    loss.beganAt = world_.elapsed();
+    loss.row = result_.seen.size();
+    loss.epochBefore = copies().epoch.value;
+    result_.seen.push_back({loss.kind, {}, {}, 0});
+    const std::size_t m = loss.machine;
+    const Span now = world_.elapsed();
+    switch (loss.kind) {
+      case LossKind::Killed:
+        world_.crash(m, true);
+        loss.joinAt = now + kSuccessorAfter;
+        break;
+      case LossKind::Wiped:
+        world_.crash(m, true);
+        world_.wipeDisk(m);
+        diskSince_[m] = now;
+        loss.startAt = now + within(200, 2000);
+        break;
+      case LossKind::PowerOff:
+        world_.crash(m, true);
+        loss.startAt = now + within(3000, 4200);
+        break;
+      case LossKind::Restarted:
+        world_.crash(m, false);
+        loss.startAt = now + within(500, 1000);
+        break;
+      case LossKind::CutOff:
+        cutOff(m);
+        loss.healAt = now + kCutFor;
+        break;
+      case LossKind::Frozen: {
+        const Span span = within(3000, 6000);
+        world_.freeze(m, span);
+        loss.healAt = now + span;
+        break;
+      }
+      case LossKind::Replaced:
+        loss.joinAt = now;
+        loss.leaveAt = now + kLeaveAfterJoin;
+        break;
+    }
+    losses_.push_back(loss);
+  }
+
+  void cutOff(std::size_t machine) {
+    const auto way = world_.random()() % 3;
+    for (std::size_t other = 0; other < world_.size(); ++other) {
+      if (other == machine) continue;
+      if (way != 1) world_.cutOneWay(machine, other, true);
+      if (way != 2) world_.cutOneWay(other, machine, true);
+    }
+  }
+
+  void follow(Loss& loss) {
+    const Span now = world_.elapsed();
+    const auto due = [&](std::optional<Span>& at) {
+      if (!at || now < *at) return false;
+      at.reset();
+      return true;
+    };
+    if (due(loss.startAt)) {
+      world_.start(loss.machine);
+      loss.endsAt = now + boot_.catchUpSpan;
+    }
+    if (due(loss.healAt)) {
+      if (loss.kind == LossKind::CutOff) world_.cut({loss.machine}, false);
+      loss.endsAt = now + boot_.catchUpSpan;
+    }
+    if (due(loss.joinAt)) {
+      loss.successor = nextReserve_++;
+      world_.join(loss.successor);
+      diskSince_[loss.successor] = now;
+      loss.endsAt = now + boot_.catchUpSpan;
+    }
+    if (due(loss.leaveAt)) {
+      world_.leave(loss.machine);
+      loss.leftAt = now;
+    }
+    if (loss.leftAt && world_.isUp(loss.machine)) endWhenHandedOver(loss, now - *loss.leftAt);
+  }
+
+  void endWhenHandedOver(const Loss& loss, Span served) {
+    const bool needed = world_.core(loss.machine).isHandingOver(world_.localNow(loss.machine));
+    if (served >= kServesAtMost || (served >= kServesAtLeast && !needed))
+      world_.crash(loss.machine, false);
+  }
+
+  bool isRepaired() {
+    const CopySet& set = copies();
+    if (!set.settled || set.members.size() < world_.copiesWanted()) return false;
+    return std::all_of(set.members.begin(), set.members.end(), [&](const CopyMember& member) {
+      for (std::size_t i = 0; i < world_.size(); ++i) {
+        if (world_.isUp(i) && world_.core(i).store() == member.store) return !isAway(i);
+      }
+      return false;
+    });
+  }
+  // Cut off or frozen now, or told to end.
+  bool isAway(std::size_t machine) const {
+    return std::any_of(losses_.begin(), losses_.end(), [&](const Loss& loss) {
+      const bool away = loss.healAt || loss.leftAt || loss.leaveAt;
+      return loss.machine == machine && away;
+    });
+  }
+
+  void step() {
+    askChange();
+    world_.run(kStep);
+    for (Loss& loss : losses_) follow(loss);
+    const bool repaired = isRepaired();
+    for (Loss& loss : losses_) {
+      LossSeen& seen = result_.seen[loss.row];
+      if (isOpen(loss)) seen.epochs = copies().epoch.value - loss.epochBefore;
+      if (loss.endsAt) seen.allowedNextAfter = *loss.endsAt - loss.beganAt;
+      if (!repaired || loss.repaired || loss.leaveAt) continue;
+      loss.repaired = true;
+      if (isOpen(loss) || loss.kind == LossKind::Replaced)
+        seen.repairedAfter = world_.elapsed() - loss.leftAt.value_or(loss.beganAt);
+    }
+  }
+  void advance(Span span) {
+    const Span until = world_.elapsed() + span;
+    while (world_.elapsed() < until) step();
+  }
+
+  // One operator who asks an edge for the next change as soon as the last one was answered.
+  void askChange() {
+    if (asked_ != 0 && !world_.asked(asked_).done) return;
+    if (asked_ != 0 && world_.asked(asked_).done->result == ChangeResult::Chosen) {
+      const Span at = world_.asked(asked_).doneAt->time_since_epoch();
+      result_.longestGap = std::max(result_.longestGap, at - lastAckAt_);
+      lastAckAt_ = at;
+      ++result_.acknowledged;
+      newest_ = world_.asked(asked_).done->value.version;
+    }
+    const std::size_t machine = edge();
+    const auto known = world_.core(machine).freshness().spec().value.version;
+    asked_ = world_.change(machine, std::max(known, newest_), "body");
+  }
+
+  void finish() {
+    result_.longestGap = std::max(result_.longestGap, world_.elapsed() - lastAckAt_);
+    const std::uint64_t read = world_.read(boot_.diskMachines);
+    world_.run(4s);
+    const auto& done = world_.asked(read).done;
+    result_.majorityAtEnd = done && done->result == ChangeResult::Chosen;
+    result_.newestKept = result_.majorityAtEnd && done->value.version >= newest_;
+    world_.checkHistory();
+    result_.violations = world_.violations();
+  }
+
+  LossesBoot boot_;
+  World world_;
+  LossesResult result_;
+  std::vector<Loss> losses_;
+  std::map<std::size_t, Span> diskSince_;  // of disks emptied or new since the founding
+  std::size_t nextReserve_;
+  std::uint64_t asked_ = 0, newest_ = 0;
+  Span lastAckAt_{};
+};
+}  // namespace
+
+const char* nameOf(LossKind kind) {
+  switch (kind) {
+    case LossKind::Killed:
+      return "killed for good";
+    case LossKind::Wiped:
+      return "disk wiped";
+    case LossKind::PowerOff:
+      return "power off";
+    case LossKind::Restarted:
+      return "restarted";
+    case LossKind::CutOff:
+      return "cut off";
+    case LossKind::Frozen:
+      return "frozen";
+    case LossKind::Replaced:
+      return "replaced as planned";
+  }
+  return "";
+}
+
+LossesResult runLosses(const LossesBoot& boot) { return LossRun(boot).run(); }
+
+}  // namespace quayrill::sim
