--- a/src/agent/agent.cpp
+++ b/src/agent/agent.cpp
@@ -25,6 +25,9 @@
                  boot.copiesWanted, boot.mayFound, boot.foundingWait, boot.leaseSpan};
   core.listEvery = boot.listEvery;
   core.listCallsPerS = boot.listCallsPerS;
+  core.losses = boot.losses;
+  core.topology = boot.topology;
+  core.catchUpSpan = boot.catchUp;
   return core;
 }
 }  // namespace
@@ -152,6 +155,7 @@
     const Instant now = BootClock::now();
     AgentEffects effects;
     core_->onTick(now, &effects);
+    handingOver_ = core_->isHandingOver(now);
     if (effects.readList) asio::co_spawn(io_, readList(), asio::detached);
     apply(std::move(effects));
     takeList();
--- a/src/agent/core/agent_core.cpp
+++ b/src/agent/core/agent_core.cpp
@@ -34,6 +34,7 @@
   copy_.emplace(StoreId{random_() | 1});
   if (!disk->empty() && !copy_->restore(*disk)) copy_->stopVoting();
   if (copy_->copies().epoch.value > 0) freshness_.adopt(copy_->copies());
+  restoreGrant(*disk);
   // A founder that ends before it has founded may still do so with the disk it had.
   boot_.mayFound = boot_.mayFound || disk->contains(kMayFound);
 }
@@ -77,6 +78,8 @@
     effects->sends.push_back({boot_.self, member.address, std::move(message)});
 }
 
+bool AgentCore::isCopyFull() const { return copyBacklog_ >= kCopyBacklog; }
+
 void AgentCore::hand(CopyWork work, AgentEffects* effects) {
   ++copyBacklog_;
   effects->copyWork.push_back(std::move(work));
@@ -94,7 +97,7 @@
 }
 
 void AgentCore::handleCopy(const Envelope& envelope, Instant now, AgentEffects* effects) {
-  if (!copy_ || copyBacklog_ >= kCopyBacklog) return;
+  if (!copy_ || isCopyFull()) return;
   const auto* prepared = std::get_if<Prepare>(&envelope.body);
   const auto* accepted = std::get_if<Accept>(&envelope.body);
   if ((prepared && !mayAdopt(prepared->copies, now)) ||
@@ -291,20 +294,41 @@
   }
 }
 
+// Every second, and at once where this daemon begins to leave, has another store or was taken for
+// an earlier life of its own.
+void AgentCore::tickNews(Instant now, AgentEffects* effects) {
+  const StoreId store = copy_ && copy_->isVoting() ? copy_->store() : StoreId{};
+  const Told told{leaving_, store, news_.item(boot_.self)->version.incarnation};
+  const bool isUrgent = told != told_;
+  if (now < nextBeat_ && !isUrgent) return;
+  nextBeat_ = now + 1s;
+  told_ = told;
+  NewsItem own;
+  own.zone = boot_.zone;
+  own.proxyAddress = boot_.proxyAddress;
+  own.store = store;
+  own.specInForce = SpecVersion{freshness_.spec().value.version};
+  own.leaving = leaving_;
+  own.fleet = copy_ ? copy_->copies().fleet : 0;
+  news_.describeSelf(own);
+  news_.beat(now);
+  if (isUrgent && copy_) tellStoreHolders(now, effects);
+}
+
+void AgentCore::tellStoreHolders(Instant now, AgentEffects* effects) {
+  std::set<Address> holders(boot_.seeds.begin(), boot_.seeds.end());
+  for (const CopyMember& member : freshness_.copies().members) holders.insert(member.address);
+  for (const NewsItem& item : news_.live(now)) {
+    if (item.store.value != 0) holders.insert(item.source);
+  }
+  holders.erase(boot_.self);
+  const NewsAnswer told{{*news_.item(boot_.self)}};
+  for (const Address& holder : holders) effects->sends.push_back({boot_.self, holder, told});
+}
+
 void AgentCore::onTick(Instant now, AgentEffects* effects) {
   if (startedAt_ == Instant{}) startedAt_ = now;
-  if (now >= nextBeat_) {
-    nextBeat_ = now + 1s;
-    NewsItem own;
-    own.zone = boot_.zone;
-    own.proxyAddress = boot_.proxyAddress;
-    own.store = copy_ && copy_->isVoting() ? copy_->store() : StoreId{};
-    own.specInForce = SpecVersion{freshness_.spec().value.version};
-    own.leaving = leaving_;
-    own.fleet = copy_ ? copy_->copies().fleet : 0;
-    news_.describeSelf(own);
-    news_.beat(now);
-  }
+  tickNews(now, effects);
   membership_.onTick(now, &effects->sends);
   if (now >= nextPull_) {
     nextPull_ = now + 400ms;
--- a/src/agent/core/agent_core.h
+++ b/src/agent/core/agent_core.h
@@ -15,6 +15,7 @@
 #include "register/copy.h"
 #include "register/epoch_sweep.h"
 #include "register/proposer.h"
+#include "register/replica_plan.h"
 
 namespace quayrill {
 
@@ -32,6 +33,11 @@
   Span leaseSpan{};  // two holders of one duty never act within this of each other
   std::chrono::milliseconds listEvery{400};
   double listCallsPerS = 50;  // for the platform's list, of all daemons together
+  LossesToBear losses{};      // that copiesWanted bear
+  Topology topology{};
+  // The next loss may come so long after a lost machine, or its successor, started; 0: not
+  // promised.
+  Span catchUpSpan{};
 };
 
 // One piece of work for the copy's disk: the writes are synced in order, then the answer leaves.
@@ -115,15 +121,20 @@
   bool isWritable() const { return copy_ && copy_->isVoting(); }
   bool isVoting() const { return copy_ && copy_->isVoting() && copy_->isMember(); }
   std::vector<Address> view() const { return membership_.view(); }
+  // This daemon leaves, its register copy is still a member, and the set can do without it soon.
+  bool isHandingOver(Instant now) const;
 
  private:
   enum class Purpose { Outside, Settle, Hold, Copies, Sweep };
   void handleCopy(const Envelope& envelope, Instant now, AgentEffects* effects);
   void handleFounding(const Envelope& envelope, Instant now, AgentEffects* effects);
+  // Answers what a seed was asked; a grant is on the disk before its answer leaves.
+  void answerFounder(const Address& from, const FoundAsk& ask, Instant now, AgentEffects* effects);
   bool isFounder(Instant now) const;
   // Founding needs the grants of all seeds, so that any two founders ask one machine in common.
   // Lists that changed in between hold to this only while each keeps most of the first one.
   bool keepsMostFirstSeeds() const;
+  void restoreGrant(const std::map<std::string, std::string>& disk);
   void foundWhenGranted(Instant now, AgentEffects* effects);
   // False for a founding that is not the one this machine gave its grant to.
   bool mayAdopt(const CopySet& copies, Instant now) const;
@@ -136,6 +147,25 @@
   bool isInTouch(StoreId store, Instant now) const;
   // Gone for certain, or silent for `span`.
   bool isLost(const CopyMember& member, Span span, Instant now) const;
+  // How long a member may be out of touch where a spare waits, and where none does.
+  Span silentSpan() const;
+  Span silentAloneSpan() const;
+  // A member that the set must give up: lost, or leaving by its own word.
+  std::optional<CopyMember> departing(bool spareWaits, Instant now) const;
+  bool isLeaving(const CopyMember& member) const;
+  // The one to give up where none departs and there are more than wanted.
+  CopyMember surplus(Instant now) const;
+  Site siteOf(const Address& address) const;
+  // Without a successor `member` leaves only where the rest bears no less for it.
+  bool mayShrink(const CopyMember& member, Instant now) const;
+  // Members in one place; regions count only where their loss is to be borne.
+  struct Crowd {
+    std::size_t inRegion = 0, inZone = 0;
+    auto operator<=>(const Crowd&) const = default;
+  };
+  Crowd crowdAt(const Site& site, const std::vector<CopyMember>& members) const;
+  // In place of the surplus member, `joining` would stand where at least two fewer stand.
+  bool spreadsBetter(const CopyMember& joining, Instant now) const;
   std::optional<CopyMember> candidate(Instant now) const;
   void tickSweep(Instant now, AgentEffects* effects);
   void begin(ChangeAsked change, Purpose purpose, Instant now, AgentEffects* effects);
@@ -144,12 +174,16 @@
   // Writes the copy set in use down where this machine holds a copy and has an older one.
   void keepCopySet(AgentEffects* effects);
   void hand(CopyWork work, AgentEffects* effects);
+  bool isCopyFull() const;
   void sendAll(std::vector<std::pair<CopyMember, Message>> sends, AgentEffects* effects);
   std::optional<CopySet> nextCopySet(Instant now) const;
   // Those that a duty may fall to. Empty until this daemon has had time to hear of the others: what
   // it would take for its own would have to be watched out by the true owner.
   std::vector<Address> staying(Instant now) const;
   void tickList(Instant now, AgentEffects* effects);
+  void tickNews(Instant now, AgentEffects* effects);
+  // Who judges the copy set hears at once of what bears on it.
+  void tellStoreHolders(Instant now, AgentEffects* effects);
   void sendListAnswers(std::vector<Envelope> sends, Instant now, AgentEffects* effects);
 
   AgentBoot boot_;
@@ -172,12 +206,21 @@
   std::size_t copyBacklog_ = 0;
   bool leaving_ = false;
   Instant startedAt_{};  // of the first tick
+  // What this daemon last told of itself at once.
+  struct Told {
+    bool leaving = false;
+    StoreId store;
+    Incarnation incarnation;
+    bool operator==(const Told&) const = default;
+  };
+  Told told_;
   Instant nextBeat_{}, nextPull_{}, nextConfirm_{}, nextFounding_{}, nextCopies_{}, nextSweep_{},
       nextListPeers_{};
   Span settlePatience_{};
   std::uint64_t confirmRounds_ = 0;
   // Founding. A grant is for one fleet of one founder; the next waits until it has run out, unless
-  // it comes from the same address, whose earlier life is gone.
+  // it comes from the same address, whose earlier life is gone. One read back from the disk runs
+  // anew from the first tick: never shorter than it was promised.
   struct Grant {
     Address to;
     std::uint64_t fleet = 0;
@@ -203,11 +246,15 @@
     Address address;
     Instant at;
     std::uint64_t fleet = 0;
+    // The last time that it answered again after a silence, and how often it did so lately.
+    Instant steadySince;
+    int returns = 0;
   };
   std::map<StoreId, Contact> contacts_;
   std::map<StoreId, Instant> silentSince_;
   // Members of the present copy set whose address answered as another store when asked for them.
   std::set<StoreId> replaced_;
+  Instant lastTick_{};
   Instant workSince_{};  // that the copy set has waited for its next step
   std::pair<Epoch, bool> workStep_;
 };
