An answer or a further try is judged by what its connection proves

Now only a fresh connection's first answer may lack an id. - A send to the same server after a 421 went over the connection of the first, so a late 421 under the same id was judged as the second's. Ids go once over a connection; requests with no id have one of their own. - 408, 429 and 503 without the server's mark went out as promises; successes without a seal and heads with two ids went out at all. - A cut stream was taken up elsewhere behind events without ids (twice the same events); a first event with the id 0 was dropped; a stream with no length that ended within an event looked complete. - The answer was read only once the whole body was sent: with an early answer both ends waited until the deadline. RequestSender sends and asks again, right before each piece, whether the request may still run. - 421 and a departure let a request reach more servers than its route's tries. - Each further try counted as a request, and one budget served all services. Requests count once, each service has a row, a further try is taken when its bytes leave. A deadline or a key that lapsed before the send counted as the server's failure.

In src/proxy: 1xx ended a delivery as unknown, an early answer waited for the body, 'not run' was believed under another id.

--- a/src/agent/agent.cpp
+++ b/src/agent/agent.cpp
@@ -252,6 +252,8 @@
   const bool inForce = specVersion_ == core_->freshness().spec().value.version && specVersion_ > 0;
   snapshot.confirmedAgoMicros = inForce ? ago(core_->freshness().confirmedAt()) : -1;
   snapshot.listedAgoMicros = ago(takenList_);
+  for (const NewsItem& item : core_->live(now))
+    snapshot.proxies += item.proxyAddress.empty() ? 0 : 1;
   for (const auto& [name, row] : servers_) {
     if (row.state) snapshot.servers.push_back(toSnapshot(stateOf(row, now), now));
   }
--- a/src/agent/snapshot.h
+++ b/src/agent/snapshot.h
@@ -33,8 +33,9 @@
   // Since the spec's weights of each model were named: never less than it truly is, and a day where
   // that is not known.
   std::vector<std::pair<ModelName, std::int64_t>> weightsNamedAgoMicros;
+  std::uint32_t proxies = 0;  // live daemons that take requests, as far as is known; this one too
   QUAYRILL_FIELDS(specVersion, specBody, confirmedAgoMicros, listedAgoMicros, servers,
-                  weightsNamedAgoMicros)
+                  weightsNamedAgoMicros, proxies)
 };
 
 SnapshotServer toSnapshot(const ServerState& state, Instant now);
--- /dev/null
+++ b/src/net/request_sender.cpp
@@ -0,0 +1,62 @@
+#include "net/request_sender.h"
+
+#include <array>
+
+namespace quayrill {
+
+RequestSender::RequestSender(Tcp::socket& socket, std::string head, std::string_view body,
+                             std::function<bool()> mayGoOn)
+    : socket_(socket),
+      head_(std::move(head)),
+      body_(body),
+      mayGoOn_(std::move(mayGoOn)),
+      wake_(socket.get_executor()) {}
+
+void RequestSender::begin() {
+  sendPiece();
+  if (code_ || isWhole()) return;
+  isRunning_ = true;
+  asio::co_spawn(socket_.get_executor(), sendRest(), asio::detached);
+}
+
+// One call of the system, with nothing awaited between the question and the bytes.
+void RequestSender::sendPiece() {
+  if (!mayGoOn_()) {
+    code_ = asio::error::operation_aborted;
+    return;
+  }
+  const std::string_view head = std::string_view(head_).substr(std::min(sent_, head_.size()));
+  const std::size_t bodySent = sent_ > head_.size() ? sent_ - head_.size() : 0;
+  const std::string_view body = body_.substr(bodySent);
+  const std::array<asio::const_buffer, 2> bytes{asio::buffer(head.data(), head.size()),
+                                                asio::buffer(body.data(), body.size())};
+  ErrorCode code;
+  sent_ += socket_.write_some(bytes, code);
+  if (code != asio::error::would_block) code_ = code;
+}
+
+awaitable<void> RequestSender::sendRest() {
+  while (!code_ && !isWhole()) {
+    ErrorCode code;
+    co_await socket_.async_wait(Tcp::socket::wait_write, into(code));
+    if (code) {
+      code_ = code;
+      break;
+    }
+    sendPiece();
+    // No answer may come to a request that stays without its end.
+    if (code_ == asio::error::operation_aborted) socket_.close(code);
+  }
+  isRunning_ = false;
+  wake_.cancel();
+}
+
+awaitable<void> RequestSender::ended() {
+  while (isRunning_) {
+    wake_.expires_at(std::chrono::steady_clock::time_point::max());
+    ErrorCode code;
+    co_await wake_.async_wait(into(code));
+  }
+}
+
+}  // namespace quayrill
--- a/src/placement/admission.cpp
+++ b/src/placement/admission.cpp
@@ -14,6 +14,7 @@
   std::erase_if(tenants_, [&](const auto& row) {
     return row.second.inside == 0 && now - row.second.lastEntered > kPresent;
   });
+  budgets_.forgetIdle(now);
   Presence& presence = tenants_[tenant];
   presence.lastEntered = now;
   std::size_t& inContract = contracts_[contract];
@@ -21,8 +22,7 @@
   ++presence.inside;
   ++inContract;
   ++inside_;
-  return {true, presence.inside * tenants_.size() > inside_ + tenants_.size() - 1,
-          budget_.couldTakeExtra(now)};
+  return {true, presence.inside * tenants_.size() > inside_ + tenants_.size() - 1, false};
 }
 
 void Admission::leave(const TenantName& tenant, const ContractName& contract) {
--- a/src/placement/admission.h
+++ b/src/placement/admission.h
@@ -21,8 +21,16 @@
   Entered enter(const TenantName& tenant, std::size_t tenantLimit, const ContractName& contract,
                 std::size_t contractLimit, Instant now);
   void leave(const TenantName& tenant, const ContractName& contract);
-  void countFirst(Instant now) { budget_.countFirst(now); }
-  bool takeExtra(Instant now) { return budget_.takeExtra(now); }
+  // Requests and extra tries are counted by model: each has servers of its own.
+  void countFirst(const ModelName& model, Instant now) {
+    budgets_.countRequest(serviceOf(model), now);
+  }
+  bool couldTakeExtra(const ModelName& model, Instant now) const {
+    return budgets_.couldTakeExtra(serviceOf(model), now);
+  }
+  bool takeExtra(const ModelName& model, Instant now) {
+    return budgets_.takeExtra(serviceOf(model), now);
+  }
 
  private:
   struct Presence {
@@ -34,7 +42,9 @@
   std::map<TenantName, Presence> tenants_;
   std::map<ContractName, std::size_t> contracts_;
   std::size_t inside_ = 0;
-  TryBudget budget_;
+  static ServiceName serviceOf(const ModelName& model) { return ServiceName{model.value}; }
+  // Over all daemons at most a fifth of the traffic in any ten seconds.
+  TryBudgets budgets_{0.2, std::chrono::seconds(10)};
 };
 
 }  // namespace quayrill
--- a/src/placement/try_budget.cpp
+++ b/src/placement/try_budget.cpp
@@ -10,6 +10,8 @@
 // A window that starts between a burst of traffic and the tries it paid for would see the tries
 // alone. Asking shorter windows too spaces the tries out with the traffic.
 constexpr int kDivisors[] = {1, 2, 5};
+// Ours: how many times more daemons there may be than one of them knows of.
+constexpr double kUnknownDaemons = 2;
 }  // namespace
 
 std::size_t TryBudget::count(const std::deque<Instant>& times, Instant now, Span window) {
@@ -31,8 +33,8 @@
 bool TryBudget::couldTakeExtra(Instant now) const {
   return std::all_of(std::begin(kDivisors), std::end(kDivisors), [&](int divisor) {
     const Span window = window_ / divisor;
-    const double allowed = share_ * static_cast<double>(count(firsts_, now, window)) +
-                           static_cast<double>(slack_) / divisor;
+    const double allowed =
+        share_ * static_cast<double>(count(firsts_, now, window)) + slack_ / divisor;
     return static_cast<double>(count(extras_, now, window) + 1) <= allowed + 1e-9;
   });
 }
@@ -44,4 +46,41 @@
   return true;
 }
 
+TryBudget& TryBudgets::rowOf(const ServiceName& service) {
+  return rows_.try_emplace(service, share_, slack_, window_).first->second;
+}
+
+void TryBudgets::setSlack(double slack) {
+  slack_ = slack;
+  for (auto& [service, row] : rows_) row.setSlack(slack);
+}
+
+void TryBudgets::countRequest(const ServiceName& service, Instant now) {
+  rowOf(service).countFirst(now);
+}
+
+bool TryBudgets::couldTakeExtra(const ServiceName& service, Instant now) const {
+  const auto row = rows_.find(service);
+  return row != rows_.end() && row->second.couldTakeExtra(now);
+}
+
+bool TryBudgets::takeExtra(const ServiceName& service, Instant now) {
+  return rowOf(service).takeExtra(now);
+}
+
+void TryBudgets::forgetIdle(Instant now) {
+  std::erase_if(rows_, [&](const auto& row) { return row.second.isIdle(now); });
+}
+
+void SlackShare::note(std::size_t daemons, Instant now) {
+  if (daemons <= most_) return;
+  most_ = daemons;
+  grewAt_ = now;
+}
+
+double SlackShare::of(double wholeSlack, Instant now) const {
+  if (most_ == 0 || now - grewAt_ < window_) return 0;
+  return wholeSlack / (kUnknownDaemons * static_cast<double>(most_));
+}
+
 }  // namespace quayrill
--- a/src/proxy/deliver.cpp
+++ b/src/proxy/deliver.cpp
@@ -1,5 +1,9 @@
 #include "proxy/deliver.h"
 
+#include <sstream>
+
+#include "net/request_sender.h"
+
 namespace quayrill {
 
 using namespace std::chrono_literals;
@@ -39,8 +43,8 @@
 
 Span left(Instant due) { return std::max<Span>(due - BootClock::now(), Span(1)); }
 
-http::request<http::string_body> requestFor(const Delivery& delivery) {
-  http::request<http::string_body> request(http::verb::post, wire::kGenerate, 11);
+std::string requestHead(const Delivery& delivery) {
+  http::request<http::empty_body> request(http::verb::post, wire::kGenerate, 11);
   request.set(http::field::host, delivery.server.name.value);
   request.set(http::field::connection, "close");
   request.set(http::field::content_type, "application/json");
@@ -49,9 +53,10 @@
   request.set(wire::kWeights, delivery.server.weights.value);
   request.set(wire::kSalt, delivery.salt.value);
   request.set(wire::kPrefix, delivery.prefixHeader);
-  request.body() = delivery.body;
-  request.prepare_payload();
-  return request;
+  request.content_length(delivery.body.size());
+  std::ostringstream head;
+  head << request.base();
+  return head.str();
 }
 
 awaitable<bool> sendChunk(Circuit& caller, const std::string& bytes) {
@@ -60,47 +65,33 @@
   co_await asio::async_write(caller, http::make_chunk(asio::buffer(bytes)), into(code));
   co_return !code;
 }
-}  // namespace
-
-const char* deliveryEndName(DeliveryEnd end) {
-  static constexpr const char* kNames[] = {"never sent", "not run", "unknown",    "due passed",
-                                           "done",       "cut",     "caller gone"};
-  return kNames[static_cast<std::size_t>(end)];
-}
-
-awaitable<DeliveryResult> deliver(Delivery delivery, Circuit& caller,
-                                  std::function<bool()> mayStart) {
-  const Instant begun = BootClock::now();
-  Circuit server(co_await asio::this_coro::executor);
+// The server's answer, and its pieces on their way to the caller.
+awaitable<DeliveryResult> passBack(const Delivery& delivery, Circuit& server, Circuit& caller,
+                                   Instant begun) {
   ErrorCode code;
-  server.expires_after(std::min<Span>(left(delivery.firstPieceDue), 1s));
-  const Tcp::endpoint endpoint = endpointOf(Address{delivery.server.name.value});
-  co_await server.async_connect(endpoint, into(code));
-  if (code) co_return DeliveryResult{DeliveryEnd::NeverSent, "connect: " + code.message()};
-  if (BootClock::now() >= delivery.due)
-    co_return DeliveryResult{DeliveryEnd::NeverSent, "the due passed before anything left"};
-  if (!mayStart())
-    co_return DeliveryResult{DeliveryEnd::NeverSent, "no longer confirmed at the point of use"};
-
-  const auto request = requestFor(delivery);
-  server.expires_after(left(delivery.firstPieceDue));
-  co_await http::async_write(server, request, into(code));
   const auto afterSend = [&](const std::string& what) {
     const bool late = code == beast::error::timeout || BootClock::now() >= delivery.firstPieceDue;
     return DeliveryResult{late ? DeliveryEnd::DuePassed : DeliveryEnd::Unknown,
                           what + ": " + code.message()};
   };
-  if (code) co_return afterSend("send");
+  server.expires_after(left(delivery.firstPieceDue));
   beast::flat_buffer buffer;
-  http::response_parser<http::buffer_body> parser;
-  // Streams have no limit of their own. (Boost 1.74 takes 'none' for a limit below every length.)
-  parser.body_limit(std::numeric_limits<std::uint64_t>::max());
-  parser.header_limit(16 << 10);
-  co_await http::async_read_header(server, buffer, parser, into(code));
-  if (code) co_return afterSend("answer");
+  std::optional<http::response_parser<http::buffer_body>> answered;
+  do {
+    answered.emplace();
+    // Streams have no limit of their own. (Boost 1.74 takes 'none' for a limit below every length.)
+    answered->body_limit(std::numeric_limits<std::uint64_t>::max());
+    answered->header_limit(16 << 10);
+    co_await http::async_read_header(server, buffer, *answered, into(code));
+    if (code) co_return afterSend("answer");
+  } while (answered->get().result_int() / 100 == 1);
+  auto& parser = *answered;
   const auto& head = parser.get();
   if (head.result_int() != 200) {
-    const bool notRun = head[wire::kNotRun] == "true";
+    // The connection carries nothing else, so an answer without an id is this request's.
+    const auto id = head.find(wire::kRequestId);
+    const bool isOurs = id == head.end() || id->value() == delivery.request.value;
+    const bool notRun = isOurs && head[wire::kNotRun] == "true";
     co_return DeliveryResult{notRun ? DeliveryEnd::NotRun : DeliveryEnd::Unknown,
                              "the server answered " + std::to_string(head.result_int())};
   }
@@ -163,5 +154,43 @@
   result.end = marked && !code ? DeliveryEnd::Done : DeliveryEnd::CallerGone;
   co_return result;
 }
+}  // namespace
+
+const char* deliveryEndName(DeliveryEnd end) {
+  static constexpr const char* kNames[] = {"never sent", "not run", "unknown",    "due passed",
+                                           "done",       "cut",     "caller gone"};
+  return kNames[static_cast<std::size_t>(end)];
+}
+
+awaitable<DeliveryResult> deliver(Delivery delivery, Circuit& caller,
+                                  std::function<bool()> mayStart) {
+  const Instant begun = BootClock::now();
+  Circuit server(co_await asio::this_coro::executor);
+  ErrorCode code;
+  server.expires_after(std::min<Span>(left(delivery.firstPieceDue), 1s));
+  const Tcp::endpoint endpoint = endpointOf(Address{delivery.server.name.value});
+  co_await server.async_connect(endpoint, into(code));
+  if (code) co_return DeliveryResult{DeliveryEnd::NeverSent, "connect: " + code.message()};
+  server.socket().non_blocking(true, code);
+  if (BootClock::now() >= delivery.due)
+    co_return DeliveryResult{DeliveryEnd::NeverSent, "the due passed before anything left"};
+
+  bool isAsked = false;
+  RequestSender sender(server.socket(), requestHead(delivery), delivery.body, [&] {
+    if (BootClock::now() >= delivery.due) return false;
+    if (isAsked) return true;
+    isAsked = true;
+    return mayStart();
+  });
+  sender.begin();
+  if (sender.isUntouched() && sender.isEnded())
+    co_return DeliveryResult{DeliveryEnd::NeverSent, "no longer confirmed at the point of use"};
+  const DeliveryResult result = co_await passBack(delivery, server, caller, begun);
+  if (!sender.isWhole()) {
+    server.close();
+    co_await sender.ended();
+  }
+  co_return result;
+}
 
 }  // namespace quayrill
--- a/src/proxy/run.cpp
+++ b/src/proxy/run.cpp
@@ -54,8 +54,11 @@
   const Tenant& tenant = seen->spec->tenants.at(job.tenant);
   const std::function<Entered(Admission&)> enter =
       [name = job.tenant, contract = job.contractName, tenantLimit = tenant.concurrency,
-       contractLimit = job.contract.concurrency](Admission& admission) {
-        return admission.enter(name, tenantLimit, contract, contractLimit, BootClock::now());
+       contractLimit = job.contract.concurrency, model = job.contract.model](Admission& admission) {
+        const Instant now = BootClock::now();
+        Entered entered = admission.enter(name, tenantLimit, contract, contractLimit, now);
+        entered.couldTryAgain = admission.couldTakeExtra(model, now);
+        return entered;
       };
   const auto entered = co_await admission_.ask<Entered>(enter);
   Trace trace;
@@ -104,8 +107,9 @@
     });
     // An extra try is one more send; where nothing was sent before, this is still the first.
     if (wasSent) {
-      const std::function<bool(Admission&)> pay = [](Admission& admission) {
-        return admission.takeExtra(BootClock::now());
+      const std::function<bool(Admission&)> pay = [model =
+                                                       job.contract.model](Admission& admission) {
+        return admission.takeExtra(model, BootClock::now());
       };
       const auto paid = co_await admission_.ask<bool>(pay);
       if (!paid || !*paid) break;
@@ -124,7 +128,9 @@
     const std::function<bool()> mayStart = [this, &job, chosenName, wasSent] {
       if (!mayRun(job, chosenName)) return false;
       if (!wasSent)
-        admission_.mustPost([](Admission& admission) { admission.countFirst(BootClock::now()); });
+        admission_.mustPost([model = job.contract.model](Admission& admission) {
+          admission.countFirst(model, BootClock::now());
+        });
       return true;
     };
     DeliveryResult result{DeliveryEnd::NeverSent, "a fetch left cache of doubtful weights there"};
--- /dev/null
+++ b/src/relay/answer.cpp
@@ -0,0 +1,188 @@
+// A server's answer to one try: whose it is, what it says, and its events on their way back.
+#include <charconv>
+
+#include "relay/answer_owner.h"
+#include "relay/attempt.h"
+#include "relay/header_text.h"
+
+namespace quayrill {
+
+using namespace std::chrono_literals;
+
+namespace {
+constexpr std::size_t kAnswerLimit = 16 << 20;
+constexpr std::size_t kEventLimit = 1 << 20;
+constexpr int kStrayAnswers = 16;  // ours: more that aren't the request's show a server out of step
+
+std::string chunkOf(std::string_view bytes) {
+  char size[24];
+  const auto [end, defect] = std::to_chars(size, size + sizeof size, bytes.size(), 16);
+  (void)defect;
+  std::string chunk(size, end);
+  return chunk.append("\r\n").append(bytes).append("\r\n");
+}
+}  // namespace
+
+void Relay::noteHead(const ServerState& server, const http::response_header<>& head) {
+  const Instant now = BootClock::now();
+  const auto load = numbersOf(view(head[names_.load]));
+  if (load.size() == 3) placement_.noteLoad(server.name, load[0], load[1], load[2], now);
+  const auto weights = numbersOf(view(head[names_.weights]));
+  if (!weights.empty())
+    placement_.noteWeights(server.name, server.identity,
+                           WeightsVersion{std::to_string(weights.back())});
+}
+
+// The rest of an answer that is no stream of events; an error where it breaks off.
+awaitable<absl::StatusOr<std::string>> Relay::readBody(Attempt& attempt) {
+  auto& parser = *attempt.parser;
+  std::string body;
+  char block[8192];
+  while (!parser.is_done()) {
+    ErrorCode code;
+    parser.get().body().data = block;
+    parser.get().body().size = sizeof block;
+    co_await http::async_read_some(attempt.connection->socket, attempt.connection->buffer, parser,
+                                   into(code));
+    if (code == http::error::need_buffer) code = {};
+    if (code) co_return absl::UnavailableError("answer: " + code.message());
+    body.append(block, sizeof block - parser.get().body().size);
+    if (body.size() > kAnswerLimit) co_return absl::ResourceExhaustedError("an endless answer");
+  }
+  co_return body;
+}
+
+TryResult Relay::judgeNotRun(const Attempt& attempt, const http::response_header<>& head) {
+  const ServerState& server = attempt.placed.chosenServer;
+  const unsigned status = head.result_int();
+  TryResult result{TryEnd::NotRun, "the server answered " + std::to_string(status)};
+  // Other weights than asked for, and it said which it has now: ask again for those.
+  const bool isSameServer = head.find(names_.identity) == head.end() ||
+                            view(head[names_.identity]) == server.identity.value;
+  result.retrySame = status == 421 && isSameServer && head.find(names_.weights) != head.end();
+  if (status == 421 && !isSameServer) placement_.noteFailure(server.name, BootClock::now());
+  if (status != 421) placement_.noteRefusal(server.name, BootClock::now());
+  return result;
+}
+
+// Answers to earlier requests may stand before this one's; their ids tell. What nobody can be told
+// to own is passed over as theirs.
+awaitable<TryResult> Relay::readAnswer(Attempt& attempt) {
+  Tcp::socket& socket = attempt.connection->socket;
+  beast::flat_buffer& buffer = attempt.connection->buffer;
+  ErrorCode code;
+  for (int passed = 0; passed < kStrayAnswers; ++passed) {
+    attempt.parser.emplace();
+    auto& parser = *attempt.parser;
+    parser.body_limit(std::numeric_limits<std::uint64_t>::max());
+    parser.header_limit(32 << 10);
+    co_await http::async_read_header(socket, buffer, parser, into(code));
+    if (code) co_return TryResult{TryEnd::Unknown, "answer: " + code.message()};
+    const auto& head = parser.get();
+    const unsigned status = head.result_int();
+    if (status / 100 == 1) continue;
+    const bool isFirst = attempt.connection->served == 0 && attempt.strays == 0;
+    const AnswerOwner owner = ownerOf(head, names_, attempt.job.id, isFirst);
+    const bool isOurs = owner == AnswerOwner::Request;
+    if (isOurs) noteHead(attempt.placed.chosenServer, head);
+    const bool isSuccess = status / 100 == 2;
+    if (isOurs && isSuccess && head.find(names_.seal) == head.end())
+      co_return TryResult{TryEnd::Unknown, "a success without a seal"};
+    if (isOurs && isSuccess && attempt.job.contract.isStream)
+      co_return co_await passEvents(attempt);
+    // Anything else is read whole before it is judged.
+    auto body = co_await readBody(attempt);
+    if (!body.ok()) co_return TryResult{TryEnd::Unknown, std::string(body.status().message())};
+    const bool isNotRun = owner != AnswerOwner::Somebody && saysNotRun(head, names_);
+    if (isNotRun) co_return judgeNotRun(attempt, head);
+    if (!isOurs) {
+      ++attempt.strays;
+      if (!parser.keep_alive()) break;
+      continue;
+    }
+    HttpResponse response;
+    response.result(status);
+    for (const auto& field : head) {
+      if (!isOfConnection(view(field.name_string())))
+        response.insert(field.name_string(), field.value());
+    }
+    response.body() = std::move(*body);
+    if (isSuccess) {
+      const bool written = co_await answer(attempt.caller, std::move(response), attempt.keepAlive);
+      co_return TryResult{written ? TryEnd::Done : TryEnd::CallerGone, "whole"};
+    }
+    TryResult result{TryEnd::Unknown, "the server answered " + std::to_string(status)};
+    // Without the server's mark nobody knows that it did not run.
+    if (!promisesNotRun(status)) result.failure = std::move(response);
+    co_return result;
+  }
+  co_return TryResult{TryEnd::Unknown, "answers of others only"};
+}
+
+awaitable<TryResult> Relay::passEvents(Attempt& attempt) {
+  Tcp::socket& socket = attempt.connection->socket;
+  auto& parser = *attempt.parser;
+  AnswerSoFar& soFar = *attempt.soFar;
+  EventSplitter splitter(soFar.lastEventId);
+  const bool hasNoLength = parser.need_eof();
+  TryResult result{TryEnd::Cut, ""};
+  ErrorCode code;
+  char block[16384];
+  while (!parser.is_done()) {
+    parser.get().body().data = block;
+    parser.get().body().size = sizeof block;
+    co_await http::async_read_some(socket, attempt.connection->buffer, parser, into(code));
+    if (code == http::error::need_buffer) code = {};
+    if (code) break;
+    *attempt.watch->signs = BootClock::now();
+    const std::size_t got = sizeof block - parser.get().body().size;
+    const EventBatch batch = splitter.take({block, got});
+    if (splitter.rest().size() > kEventLimit) break;
+    const bool isEnd = parser.is_done();
+    // A server that ended within an event broke off, unless it framed that end itself.
+    if (isEnd && hasNoLength && !splitter.rest().empty()) {
+      code = http::error::partial_message;
+      break;
+    }
+    std::string events = batch.bytes;
+    if (isEnd) events += splitter.rest();
+    if (events.empty() && !isEnd) continue;
+    std::string bytes;
+    if (!soFar.headSent) {
+      bytes = "HTTP/1.1 " + std::to_string(parser.get().result_int()) + " " +
+              std::string(view(parser.get().reason())) + "\r\n";
+      for (const auto& field : parser.get()) {
+        if (!isOfConnection(view(field.name_string())))
+          addHeader(&bytes, view(field.name_string()), view(field.value()));
+      }
+      addHeader(&bytes, "Transfer-Encoding", "chunked");
+      if (!attempt.keepAlive) addHeader(&bytes, "Connection", "close");
+      bytes += "\r\n";
+      result.firstAfter = BootClock::now() - attempt.begun;
+    }
+    if (!events.empty()) bytes += chunkOf(events);
+    if (isEnd) bytes += "0\r\n\r\n";
+    soFar.headSent = true;
+    // From here on only the route's own deadline ends the answer.
+    attempt.watch->hasBegun = true;
+    attempt.watch->deadline = attempt.job.deadline + 1s;
+    setDeadline(attempt.caller, BootClock::now() + 10s);
+    ErrorCode written;
+    co_await asio::async_write(attempt.caller->socket, asio::buffer(bytes), into(written));
+    attempt.caller->deadline = Instant::max();
+    if (written) co_return TryResult{TryEnd::CallerGone, written.message()};
+    soFar.events += batch.events;
+    soFar.lastEventId = splitter.lastId();
+    soFar.isPlaced = splitter.isPlaced();
+  }
+  if (!code && parser.is_done()) {
+    result.end = TryEnd::Done;
+    result.detail = std::to_string(soFar.events) + " events";
+    co_return result;
+  }
+  result.detail = code ? code.message() : "an endless event";
+  result.end = soFar.headSent ? TryEnd::Cut : TryEnd::Unknown;
+  co_return result;
+}
+
+}  // namespace quayrill
--- /dev/null
+++ b/src/relay/answer_owner.cpp
@@ -0,0 +1,44 @@
+#include "relay/answer_owner.h"
+
+#include <algorithm>
+
+namespace quayrill {
+
+namespace {
+constexpr std::string_view kProtocol = "HTTP/1.";
+constexpr unsigned kMisdirected = 421;
+
+std::string_view view(beast::string_view text) { return {text.data(), text.size()}; }
+
+bool holdsHead(beast::string_view text) { return view(text).find(kProtocol) != std::string::npos; }
+}  // namespace
+
+AnswerOwner ownerOf(const ResponseHead& head, const HeaderNames& names, const RequestId& id,
+                    bool isFirst) {
+  if (isSpliced(head)) return AnswerOwner::Somebody;
+  const auto ids = head.count(names.requestId);
+  if (ids > 1) return AnswerOwner::Somebody;
+  if (ids == 1) {
+    const bool isOurs = !id.value.empty() && view(head[names.requestId]) == id.value;
+    return isOurs ? AnswerOwner::Request : AnswerOwner::Somebody;
+  }
+  if (!isFirst) return AnswerOwner::Somebody;
+  return id.value.empty() ? AnswerOwner::Request : AnswerOwner::Unnamed;
+}
+
+bool isSpliced(const ResponseHead& head) {
+  return holdsHead(head.reason()) || std::any_of(head.begin(), head.end(), [](const auto& field) {
+           return holdsHead(field.value());
+         });
+}
+
+bool promisesNotRun(unsigned status) {
+  return status == 408 || status == kMisdirected || status == 429 || status == 503;
+}
+
+bool saysNotRun(const ResponseHead& head, const HeaderNames& names) {
+  if (head.result_int() / 100 == 2) return false;
+  return head.result_int() == kMisdirected || head.find(names.notRun) != head.end();
+}
+
+}  // namespace quayrill
--- a/src/relay/connection_pool.cpp
+++ b/src/relay/connection_pool.cpp
@@ -19,12 +19,16 @@
 }
 }  // namespace
 
-std::unique_ptr<ServerConnection> ConnectionPool::takeIdle(const ServerName& server, Instant now) {
+std::unique_ptr<ServerConnection> ConnectionPool::takeIdle(const ServerName& server, Instant now,
+                                                           const RequestId& request) {
   const auto row = idle_.find(server);
   if (row == idle_.end()) return nullptr;
-  while (!row->second.empty()) {
-    auto connection = std::move(row->second.back());
-    row->second.pop_back();
+  auto& idle = row->second;
+  for (auto at = idle.end(); at != idle.begin();) {
+    --at;
+    if (!request.value.empty() && (*at)->lastRequest == request) continue;
+    auto connection = std::move(*at);
+    at = idle.erase(at);
     if (now < connection->usableUntil && isQuiet(connection->socket)) return connection;
   }
   return nullptr;
@@ -48,7 +52,10 @@
   *ended = true;
   timer.cancel();
   if (code) co_return absl::UnavailableError("connect: " + code.message());
+  // It came up and the time passed in one turn of the loop.
+  if (!socket.is_open()) co_return absl::UnavailableError("connect: too late");
   socket.set_option(Tcp::no_delay(true), code);
+  socket.non_blocking(true, code);
   const int userTimeout = kUserTimeoutMs;
   ::setsockopt(socket.native_handle(), IPPROTO_TCP, TCP_USER_TIMEOUT, &userTimeout,
                sizeof userTimeout);
--- a/src/relay/connection_pool.h
+++ b/src/relay/connection_pool.h
@@ -18,6 +18,7 @@
   beast::flat_buffer buffer;
   std::size_t served = 0;  // answers read to their end on it
   Instant usableUntil{};   // idle past this it may be closed at the other end
+  RequestId lastRequest;   // the one answered last; "" where it was none of a caller's
 };
 
 class ConnectionPool {
@@ -27,8 +28,10 @@
   ConnectionPool(asio::io_context& io, std::size_t mostIdle, Span idleSpan)
       : io_(io), mostIdle_(mostIdle), idleSpan_(idleSpan) {}
 
-  // The idle connection used last, if the other end has neither closed it nor sent anything.
-  std::unique_ptr<ServerConnection> takeIdle(const ServerName& server, Instant now);
+  // The idle connection used last, if the other end has neither closed it nor sent anything. One
+  // that answered `request` before is passed over: a late answer would bear the same id.
+  std::unique_ptr<ServerConnection> takeIdle(const ServerName& server, Instant now,
+                                             const RequestId& request = {});
   // A new one; the error says why it did not come up within `due`.
   awaitable<absl::StatusOr<std::unique_ptr<ServerConnection>>> connect(const ServerName& server,
                                                                        Span due);
--- a/src/relay/event_splitter.cpp
+++ b/src/relay/event_splitter.cpp
@@ -29,6 +29,10 @@
   }
   return std::nullopt;
 }
+
+bool hasData(std::string_view event) {
+  return event.substr(0, 4) == "data" || event.find("\ndata") != std::string_view::npos;
+}
 }  // namespace
 
 EventBatch EventSplitter::take(std::string_view bytes) {
@@ -39,10 +43,11 @@
   for (std::size_t end; (end = eventEnd(left)) != std::string_view::npos;) {
     const std::string_view event = left.substr(0, end);
     const auto id = idOf(event);
-    if (id && *id <= lastId_) {
+    if (id && lastId_ && *id <= *lastId_) {
       ++batch.repeated;
     } else {
       if (id) lastId_ = *id;
+      if (id || hasData(event)) isPlaced_ = id.has_value();
       batch.bytes.append(event);
       ++batch.events;
     }
--- a/src/relay/event_splitter.h
+++ b/src/relay/event_splitter.h
@@ -15,16 +15,20 @@
 
 class EventSplitter {
  public:
-  // Events with ids up to `after` were passed on already; 0: none were.
-  explicit EventSplitter(std::uint64_t after) : lastId_(after) {}
+  // Events with ids up to `after` were passed on already; nothing: none were.
+  explicit EventSplitter(std::optional<std::uint64_t> after) : lastId_(after) {}
   EventBatch take(std::string_view bytes);
   // The id of the newest event handed out. Never falls.
-  std::uint64_t lastId() const { return lastId_; }
+  std::optional<std::uint64_t> lastId() const { return lastId_; }
+  // False once an event with data but no id was handed out behind the newest id: a further run
+  // could not be told where to go on.
+  bool isPlaced() const { return isPlaced_; }
   // What follows the newest whole event; an answer that ends with some was not cut into events.
   const std::string& rest() const { return rest_; }
 
  private:
-  std::uint64_t lastId_;
+  std::optional<std::uint64_t> lastId_;
+  bool isPlaced_ = true;
   std::string rest_;  // holds no whole event
 };
 
--- a/src/relay/front.cpp
+++ b/src/relay/front.cpp
@@ -22,7 +22,8 @@
       names_(dialect_.relayNames.value()),
       callers_(io_),
       placement_({boot_.blockTokens, PlacementRule::LongestPrefix, kSpreadRequests, kSpreadFactor}),
-      budget_(boot_.extraShare * 0.7, boot_.extraSlack / 16, boot_.extraWindow),
+      budgets_(boot_.extraShare, boot_.extraWindow),
+      slackShare_(boot_.extraWindow),
       pool_(io_, 32, 4s) {}
 
 Relay::~Relay() {
--- a/src/relay/relay.cpp
+++ b/src/relay/relay.cpp
@@ -43,11 +43,19 @@
     viewRows_.clear();
     for (std::size_t i = 0; i < view_->servers.size(); ++i) viewRows_[view_->servers[i].name] = i;
     placement_.setServers(view_->servers);
-    pool_.sweep(BootClock::now());
+    const Instant now = BootClock::now();
+    pool_.sweep(now);
+    keepBudgets(told.proxies, now);
     std::erase_if(signs_, [this](const auto& row) { return !viewRows_.contains(row.first); });
   });
 }
 
+void Relay::keepBudgets(std::size_t daemons, Instant now) {
+  slackShare_.note(daemons, now);
+  budgets_.setSlack(slackShare_.of(static_cast<double>(boot_.extraSlack), now));
+  budgets_.forgetIdle(now);
+}
+
 std::shared_ptr<Instant> Relay::signsOf(const ServerName& server) {
   auto& signs = signs_[server];
   if (!signs) signs = std::make_shared<Instant>();
@@ -100,11 +108,16 @@
     case TryEnd::CallerGone:
       if (result.end == TryEnd::Done) placement_.noteAnswer(server.name, now);
       break;
-    case TryEnd::NeverSent:
     case TryEnd::Silent:
       placement_.noteFailure(server.name, now);
       pool_.forget(server.name);
       break;
+    case TryEnd::NeverSent:
+      // Where a connection came up, what stopped the request was not the server.
+      if (!result.isUnreachable) break;
+      placement_.noteFailure(server.name, now);
+      pool_.forget(server.name);
+      break;
     case TryEnd::NotRun:
     case TryEnd::Unknown:
     case TryEnd::Cut:
@@ -114,35 +127,38 @@
 
 awaitable<std::optional<HttpResponse>> Relay::run(const std::shared_ptr<Caller>& caller,
                                                   const RelayRequest& job, bool keepAlive) {
-  std::set<ServerName> tried;
+  std::set<ServerName> tried, sentTo;
   AnswerSoFar soFar;
-  soFar.lastEventId = job.resumesAfter;
+  if (job.resumesAfter > 0) soFar.lastEventId = job.resumesAfter;
   // arrivals: sends that may have reached a server. mayHaveRun only rises: while it is false,
   // refusing the request is the truth.
-  std::size_t servers = 0, arrivals = 0, neverSent = 0;
-  bool mayHaveRun = false;
+  std::size_t arrivals = 0, neverSent = 0;
+  bool mayHaveRun = false, isCounted = false;
   std::string lastDetail = "no server is free", trail;
   std::optional<HttpResponse> failure;
   TryEnd lastEnd = TryEnd::NeverSent;
   const std::size_t most = std::max<std::size_t>(1, job.contract.tries);
-  while (BootClock::now() < job.deadline && servers < most && neverSent < 4) {
+  while (BootClock::now() < job.deadline && neverSent < 4) {
     const auto placed = place(job, tried);
     if (!placed) break;
     const ServerState& server = placed->chosenServer;
-    bool ran = true;
+    bool ran = false;
     AtEnd release([this, alive = alive_, ticket = placed->ticket, &ran] {
       if (*alive) placement_.release(ticket, ran, BootClock::now());
     });
-    if (arrivals > 0) {
-      if (!budget_.takeExtra(BootClock::now())) break;
-      ++counters_.extraTries;
-    }
+    // One that said what it lacked may be asked again; each other one counts.
+    if (sentTo.size() >= most && !sentTo.contains(server.name)) break;
     Instant firstDeadline = job.deadline;
     const Instant now = BootClock::now();
-    if (job.contract.repeatable && servers + 1 < most && budget_.couldTakeExtra(now))
+    if (!isCounted) budgets_.countRequest(server.service, now);
+    isCounted = true;
+    if (arrivals > 0 && !budgets_.couldTakeExtra(server.service, now)) break;
+    if (job.contract.repeatable && sentTo.size() + 1 < most &&
+        budgets_.couldTakeExtra(server.service, now))
       firstDeadline = std::min(firstDeadline, now + Span(job.contract.target) + kSilentSlack);
-    const std::uint64_t eventsBefore = soFar.events;
-    TryResult result = co_await attempt(caller, job, *placed, &soFar, firstDeadline, keepAlive);
+    ran = true;
+    TryResult result = co_await attempt(caller, job, *placed, &soFar,
+                                        TryAsked{firstDeadline, keepAlive, arrivals > 0});
     lastEnd = result.end;
     lastDetail = result.detail;
     ran = result.end != TryEnd::NeverSent && result.end != TryEnd::NotRun;
@@ -154,24 +170,26 @@
                  std::chrono::duration_cast<std::chrono::milliseconds>(result.firstAfter).count()) +
              " ms";
     if (result.end == TryEnd::Done || result.end == TryEnd::CallerGone) break;
+    if (result.isOverBudget) break;
     if (result.end == TryEnd::NeverSent) {
       ++neverSent;
       tried.insert(server.name);
       continue;
     }
+    if (arrivals > 0) ++counters_.extraTries;
     ++arrivals;
+    sentTo.insert(server.name);
     if (result.end == TryEnd::NotRun && result.retrySame) {
       if (++neverSent >= 3) break;
       continue;  // the same server, by what it just said
     }
-    ++servers;
     tried.insert(server.name);
     failure = std::move(result.failure);
     if (result.end == TryEnd::NotRun) continue;
     mayHaveRun = true;
     if (!job.contract.repeatable) break;
-    if (result.end == TryEnd::Cut && !job.contract.isResumable) break;
-    (void)eventsBefore;
+    const bool canGoOn = job.contract.isResumable && soFar.isPlaced;
+    if (soFar.headSent && !canGoOn) break;
   }
   if (lastEnd == TryEnd::Done) {
     ++counters_.done;
--- a/src/relay/relay.h
+++ b/src/relay/relay.h
@@ -57,7 +57,8 @@
 // What reached the caller so far, over all tries.
 struct AnswerSoFar {
   bool headSent = false;
-  std::uint64_t lastEventId = 0;
+  std::optional<std::uint64_t> lastEventId;
+  bool isPlaced = true;  // a further run can be told where to go on
   std::uint64_t events = 0;
 };
 
@@ -78,6 +79,15 @@
   Span firstAfter{};                      // to the first event
   std::optional<HttpResponse> failure{};  // the server's own failure, whole, for where it stands
   bool retrySame = false;                 // the server said what it lacked: ask it again
+  bool isUnreachable = false;             // no connection came up
+  bool isOverBudget = false;              // the budget bore no extra try when it was to leave
+};
+
+// How one try is to be made.
+struct TryAsked {
+  Instant firstDeadline{};  // by when the answer must have begun
+  bool keepAlive = false;   // the caller's connection stays open behind the answer
+  bool isExtra = false;     // the request reached a server before: the budget has to bear this
 };
 
 class Relay {
@@ -113,6 +123,7 @@
   // relay.cpp: one request over its tries
   awaitable<std::optional<HttpResponse>> run(const std::shared_ptr<Caller>& caller,
                                              const RelayRequest& job, bool keepAlive);
+  void keepBudgets(std::size_t daemons, Instant now);
   std::optional<Placed> place(const RelayRequest& job, const std::set<ServerName>& tried);
   bool mayRun(const RelayRequest& job, const ServerState& server) const;
   void noteOutcome(const ServerState& server, const TryResult& result);
@@ -126,12 +137,20 @@
   // attempt.cpp: one try at one server
   struct Attempt;
   awaitable<TryResult> attempt(const std::shared_ptr<Caller>& caller, const RelayRequest& job,
-                               const Placed& placed, AnswerSoFar* soFar, Instant firstDeadline,
-                               bool keepAlive);
-  awaitable<TryResult> readAnswer(Attempt& attempt);
-  awaitable<TryResult> passEvents(Attempt& attempt);
+                               const Placed& placed, AnswerSoFar* soFar, const TryAsked& asked);
+  std::string whyNot(const Caller& caller, const RelayRequest& job, const ServerState& server,
+                     Instant now) const;
+  void keepConnection(Attempt& attempt, const TryResult& result);
+
+  // request_head.cpp
   std::string requestHead(const RelayRequest& job, const Placed& placed, Instant now,
                           const AnswerSoFar& soFar) const;
+
+  // answer.cpp: what comes back
+  awaitable<absl::StatusOr<std::string>> readBody(Attempt& attempt);
+  TryResult judgeNotRun(const Attempt& attempt, const http::response_header<>& head);
+  awaitable<TryResult> readAnswer(Attempt& attempt);
+  awaitable<TryResult> passEvents(Attempt& attempt);
   void noteHead(const ServerState& server, const http::response_header<>& head);
 
   Boot boot_;
@@ -142,7 +161,8 @@
   std::unique_ptr<HttpServer> ready_;
   std::shared_ptr<const ProxyView> view_ = std::make_shared<ProxyView>();
   Placement placement_;
-  TryBudget budget_;
+  TryBudgets budgets_;
+  SlackShare slackShare_;
   ConnectionPool pool_;
   std::map<ServerName, std::size_t> viewRows_;  // row of each server in view_
   std::list<std::weak_ptr<Caller>> open_;
--- /dev/null
+++ b/tests/boundary.h
@@ -0,0 +1,51 @@
+#pragma once
+// What the tests at every byte boundary share: answers as callers read them, and how the case that
+// failed is named.
+#include "byte_server.h"
+
+namespace quayrill::tests {
+
+// An answer as a caller may take it, by HTTP's own framing.
+struct ReadAnswer {
+  bool isWhole = false;
+  unsigned status = 0;
+  std::string body;         // as far as it came
+  std::size_t surplus = 0;  // bytes behind its end
+  std::string id, seal;
+};
+
+inline ReadAnswer readAnswer(const std::string& bytes, const std::string& idName,
+                             const std::string& sealName) {
+  http::response_parser<http::string_body> parser;
+  parser.body_limit(std::numeric_limits<std::uint64_t>::max());
+  parser.eager(true);
+  ErrorCode code;
+  ReadAnswer answer;
+  std::size_t used = 0;
+  while (used < bytes.size() && !parser.is_done() && !code) {
+    const std::size_t took =
+        parser.put(asio::buffer(bytes.data() + used, bytes.size() - used), code);
+    used += took;
+    if (took == 0) break;
+  }
+  if (!parser.is_header_done()) return answer;
+  if (!code && !parser.is_done()) parser.put_eof(code);
+  answer.isWhole = !code && parser.is_done();
+  if (answer.isWhole) answer.surplus = bytes.size() - used;
+  answer.status = parser.get().result_int();
+  answer.body = parser.get().body();
+  answer.id = std::string(parser.get()[idName]);
+  answer.seal = std::string(parser.get()[sealName]);
+  return answer;
+}
+
+inline bool isPromise(unsigned status) {
+  return status == 408 || status == 421 || status == 429 || status == 503;
+}
+
+inline const char* breakName(Break breaks) {
+  static constexpr const char* kNames[] = {"split", "closed", "reset", "garbled"};
+  return kNames[static_cast<std::size_t>(breaks)];
+}
+
+}  // namespace quayrill::tests
--- /dev/null
+++ b/tests/byte_server.h
@@ -0,0 +1,170 @@
+#pragma once
+// A server on loopback that answers byte for byte as scripted, for the tests of both data paths.
+#include <sys/ioctl.h>
+
+#include <linux/sockios.h>
+
+#include <catch2/catch.hpp>
+#include <sstream>
+#include <thread>
+
+#include "net/http.h"
+
+namespace quayrill::tests {
+
+using namespace std::chrono_literals;
+
+// What follows a reply's cut.
+enum class Break { Not, Closes, Resets, Garbles };
+
+// What a server sends for a request; afterwards it closes or waits for the next.
+struct Reply {
+  std::string bytes;
+  bool closes = false;
+  bool hangs = false;  // says nothing more until the other end closes
+  // Where the bytes stop until they were delivered and `ByteServer::pause` has returned.
+  std::size_t cut = std::string::npos;
+  Break breaks = Break::Not;
+};
+
+// Bytes that no answer of HTTP holds anywhere.
+inline const std::string kGarbage = "\x01\x02{]garbage[}\x7f\r\n\x03";
+
+inline std::string headerIn(const std::string& head, const std::string& name) {
+  const auto at = head.find("\r\n" + name + ": ");
+  if (at == std::string::npos) return "";
+  const auto start = at + name.size() + 4;
+  return head.substr(start, head.find("\r\n", start) - start);
+}
+
+inline std::string chunked(const std::vector<std::string>& parts, bool ends = true) {
+  std::ostringstream out;
+  for (const std::string& part : parts) out << std::hex << part.size() << "\r\n" << part << "\r\n";
+  if (ends) out << "0\r\n\r\n";
+  return out.str();
+}
+inline std::string event(int id) {
+  return "id: " + std::to_string(id) + "\ndata: d" + std::to_string(id) + "\n\n";
+}
+inline std::string streamHead(const std::string& request, const std::string& seal = "s1") {
+  return "HTTP/1.1 200 OK\r\nX-Id: " + headerIn(request, "X-Id") + "\r\nX-Seal: " + seal +
+         "\r\nContent-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n";
+}
+inline std::string plain(const std::string& request, int status, const std::string& more = "") {
+  return "HTTP/1.1 " + std::to_string(status) + " X\r\nX-Id: " + headerIn(request, "X-Id") +
+         "\r\n" + more + "Content-Length: 2\r\n\r\nno";
+}
+
+struct ByteServer {
+  using Script = std::function<Reply(int arrival, const std::string& request)>;
+  asio::io_context& io;
+  Address address;
+  Tcp::acceptor acceptor;
+  std::mutex mutex;
+  Script script;
+  std::vector<std::string> requests;
+  std::atomic<int> connections{0}, closed{0};
+  // By the order of arrival: the number of the connection that each request came on.
+  std::vector<int> carriedBy;
+  // Answers once the head is in, and reads the body on when `readsOn` is set. What came then goes
+  // into `lateBytes`, until the connection ends.
+  std::atomic<bool> answersEarly{false}, readsOn{false};
+  std::string lateBytes;
+  // Called in the middle of a reply that has a cut.
+  std::function<void()> pause = [] {};
+
+  ByteServer(asio::io_context& context, Address at)
+      : io(context), address(std::move(at)), acceptor(context) {
+    REQUIRE(listenAt(acceptor, address, 16).ok());
+    asio::co_spawn(io, accept(), asio::detached);
+  }
+  awaitable<void> accept() {
+    for (;;) {
+      Tcp::socket socket(io);
+      ErrorCode code;
+      co_await acceptor.async_accept(socket, into(code));
+      if (code) co_return;
+      socket.set_option(Tcp::no_delay(true), code);
+      asio::co_spawn(io, serve(std::move(socket), ++connections), asio::detached);
+    }
+  }
+  static awaitable<ErrorCode> readBody(Tcp::socket& socket, std::string* held, std::size_t size) {
+    ErrorCode code;
+    if (held->size() < size)
+      co_await asio::async_read(socket, asio::dynamic_buffer(*held),
+                                asio::transfer_exactly(size - held->size()), into(code));
+    co_return code;
+  }
+  // The bytes up to the cut, and how the rest fares. False: the connection is over.
+  awaitable<bool> send(Tcp::socket& socket, const Reply& reply) {
+    ErrorCode code;
+    const std::size_t cut = std::min(reply.cut, reply.bytes.size());
+    co_await asio::async_write(socket, asio::buffer(reply.bytes.data(), cut), into(code));
+    if (code) co_return false;
+    if (reply.cut == std::string::npos) co_return true;
+    int unsent = 1;
+    while (::ioctl(socket.native_handle(), SIOCOUTQ, &unsent) == 0 && unsent > 0)
+      std::this_thread::yield();
+    // The end of a connection stays behind its bytes; a reset or a next piece need not.
+    if (reply.breaks == Break::Not || reply.breaks == Break::Resets) pause();
+    const std::string rest = reply.breaks == Break::Garbles ? kGarbage : reply.bytes.substr(cut);
+    if (reply.breaks == Break::Resets) {
+      socket.set_option(asio::socket_base::linger(true, 0), code);
+      socket.close(code);
+    }
+    if (reply.breaks == Break::Not || reply.breaks == Break::Garbles)
+      co_await asio::async_write(socket, asio::buffer(rest), into(code));
+    co_return !code && reply.breaks == Break::Not;
+  }
+  awaitable<void> serve(Tcp::socket socket, int number) {
+    std::string held;
+    for (;;) {
+      ErrorCode code;
+      const auto size = co_await asio::async_read_until(socket, asio::dynamic_buffer(held),
+                                                        "\r\n\r\n", into(code));
+      if (code) break;
+      std::string request = held.substr(0, size);
+      held.erase(0, size);
+      const std::string length = headerIn(request, "Content-Length");
+      const std::size_t body = length.empty() ? 0 : std::stoul(length);
+      const bool early = answersEarly;
+      if (!early) {
+        code = co_await readBody(socket, &held, body);
+        if (code) break;
+        request += held.substr(0, body);
+        held.erase(0, body);
+      }
+      Reply reply;
+      {
+        std::lock_guard lock(mutex);
+        requests.push_back(request);
+        carriedBy.push_back(number);
+        reply = script(static_cast<int>(requests.size()), request);
+      }
+      if (!co_await send(socket, reply) || reply.closes) break;
+      if (reply.hangs) {
+        char byte;
+        co_await asio::async_read(socket, asio::buffer(&byte, 1), into(code));
+        break;
+      }
+      if (early) {
+        while (!readsOn) co_await pauseFor(1ms);
+        co_await asio::async_read(socket, asio::dynamic_buffer(held), into(code));
+        std::lock_guard lock(mutex);
+        lateBytes += held;
+        break;
+      }
+    }
+    ++closed;
+  }
+  std::vector<std::string> seen() {
+    std::lock_guard lock(mutex);
+    return requests;
+  }
+  void answer(Script next) {
+    std::lock_guard lock(mutex);
+    script = std::move(next);
+  }
+};
+
+}  // namespace quayrill::tests
--- /dev/null
+++ b/tests/request_sender_tests.cpp
@@ -0,0 +1,78 @@
+// A request's bytes: what leaves, and what does not once it may no longer run.
+#include "net/request_sender.h"
+
+#include <catch2/catch.hpp>
+
+using namespace quayrill;
+
+namespace {
+struct Ends {
+  asio::io_context io;
+  Tcp::acceptor acceptor{io, {asio::ip::make_address("127.0.0.1"), 0}};
+  Tcp::socket near{io}, far{io};
+  Ends() {
+    near.connect(acceptor.local_endpoint());
+    acceptor.accept(far);
+    near.non_blocking(true);
+  }
+  std::string readAll() {
+    std::string bytes;
+    ErrorCode code;
+    asio::read(far, asio::dynamic_buffer(bytes), code);
+    return bytes;
+  }
+};
+const std::string kHead = "POST / HTTP/1.1\r\n\r\n";
+}  // namespace
+
+TEST_CASE("request sender: all of head and body leaves, in pieces as room comes") {
+  Ends ends;
+  const std::string body(20 << 20, 'b');
+  RequestSender sender(ends.near, kHead, body, [] { return true; });
+  sender.begin();
+  CHECK_FALSE(sender.isWhole());  // more than the system holds
+  std::string bytes;
+  asio::async_read(ends.far, asio::dynamic_buffer(bytes),
+                   asio::transfer_exactly(kHead.size() + body.size()),
+                   [](const ErrorCode&, std::size_t) {});
+  ends.io.run();
+  CHECK(sender.isWhole());
+  CHECK(sender.isEnded());
+  CHECK(bytes == kHead + body);
+}
+
+TEST_CASE("request sender: what may not run any more sends no byte") {
+  Ends ends;
+  RequestSender sender(ends.near, kHead, "{}", [] { return false; });
+  sender.begin();
+  CHECK(sender.isUntouched());
+  CHECK(sender.isEnded());
+  ends.near.close();
+  CHECK(ends.readAll().empty());
+}
+
+TEST_CASE("request sender: a body stops where the request lapses, and its connection ends") {
+  Ends ends;
+  const std::string body(20 << 20, 'b');
+  bool mayGoOn = true;
+  RequestSender sender(ends.near, kHead, body, [&] { return mayGoOn; });
+  sender.begin();
+  REQUIRE_FALSE(sender.isEnded());
+  mayGoOn = false;  // as for a process that stood still with the rest in hand
+  std::string bytes;
+  asio::async_read(ends.far, asio::dynamic_buffer(bytes), [](const ErrorCode&, std::size_t) {});
+  bool hasEnded = false;
+  asio::co_spawn(
+      ends.io,
+      [&]() -> asio::awaitable<void> {
+        co_await sender.ended();
+        hasEnded = true;
+      },
+      asio::detached);
+  ends.io.run();
+  CHECK(hasEnded);
+  CHECK_FALSE(ends.near.is_open());
+  CHECK_FALSE(sender.isWhole());
+  CHECK(bytes.size() < kHead.size() + body.size());
+  CHECK(bytes.rfind(kHead, 0) == 0);
+}
