A conflict is told only once what stands in the way was chosen

Found by the model check: three replicas, two operators, one round given up (19 events). A change whose Accept was sent is tried again; the promises of its second round show a rival's value that stands on one replica only. That was told as Conflict, 'never takes effect'. But the rival's value was not chosen: a read that misses that one replica finds the first round's Accept, which came late on another, and makes it the register's value. The operator was answered 409 (or, where no time was left for the read that follows a conflict, 503 'not taken') for a change that then took effect. What the proposer relied on, that a ballot promised by a majority keeps lower accepts from being chosen, holds for their own ballot only: a later proposer may still bring their value up again.

Now whatever is found is proposed again also where it is in the way, and the result is told when a majority has accepted it. One round of accepts more on a conflict.

--- a/src/register/proposer.cpp
+++ b/src/register/proposer.cpp
@@ -15,6 +15,15 @@
   return value.writeId == write || std::find(value.priorWrites.begin(), value.priorWrites.end(),
                                              write) != value.priorWrites.end();
 }
+
+RegisterValue ownValue(const ChangeAsked& change, const RegisterValue& current) {
+  RegisterValue own{current.version + 1, change.writeId, {}, change.body};
+  own.priorWrites.push_back(current.writeId);
+  for (const WriteId& prior : current.priorWrites) {
+    if (own.priorWrites.size() < kPriorWrites) own.priorWrites.push_back(prior);
+  }
+  return own;
+}
 }  // namespace
 
 bool Proposer::isBusy(const RegisterKey& key) const {
@@ -56,8 +65,7 @@
   return sends;
 }
 
-Proposer::Sends Proposer::startAccept(Operation& operation, Instant now,
-                                      std::vector<ChangeDone>* done) {
+Proposer::Sends Proposer::startAccept(Operation& operation, Instant now) {
   RegisterValue current;
   Ballot highest;
   for (const auto& [store, answer] : operation.granted) {
@@ -67,27 +75,12 @@
     }
   }
   const ChangeAsked& change = operation.change;
-  operation.proposesOwn = false;
-  if (change.isRead || names(current, change.writeId)) {
-    operation.proposal = current;
-  } else if (current.version == change.expectedVersion) {
-    operation.proposal = {current.version + 1, change.writeId, {}, change.body};
-    operation.proposal.priorWrites.push_back(current.writeId);
-    for (const WriteId& prior : current.priorWrites) {
-      if (operation.proposal.priorWrites.size() < kPriorWrites)
-        operation.proposal.priorWrites.push_back(prior);
-    }
-    operation.proposesOwn = true;
-  } else {
-    // The value found has a ballot that a majority promised, so an earlier accept of ours can no
-    // longer be chosen unless this value's history names it; beyond that history nobody can tell.
-    const bool historyCovers =
-        current.version <= change.expectedVersion + 1 + current.priorWrites.size();
-    const bool certain =
-        !operation.acceptSent || (current.version > change.expectedVersion && historyCovers);
-    finish(operation, certain ? ChangeResult::Conflict : ChangeResult::Unknown, current, done);
-    return {};
-  }
+  operation.proposesOwn = !change.isRead && !names(current, change.writeId) &&
+                          current.version == change.expectedVersion;
+  // What is found may stand on a minority. It is proposed again also where it is in the way: until
+  // a majority has accepted it, a proposer that misses it may still bring another value up, also
+  // one of this operation's earlier rounds.
+  operation.proposal = operation.proposesOwn ? ownValue(change, current) : current;
   operation.phase = Phase::Accepting;
   operation.granted.clear();
   operation.turnedAway.clear();
@@ -97,6 +90,19 @@
   return ask(operation);
 }
 
+// What the proposal, now chosen, makes of the operation. A later value builds on it, so a change
+// that its history covers and does not name can't be chosen any more; beyond that history nobody
+// can tell.
+ChangeResult Proposer::resultOf(const Operation& operation) {
+  const ChangeAsked& change = operation.change;
+  const RegisterValue& chosen = operation.proposal;
+  if (change.isRead || names(chosen, change.writeId)) return ChangeResult::Chosen;
+  const bool historyCovers =
+      chosen.version > change.expectedVersion &&
+      chosen.version <= change.expectedVersion + 1 + chosen.priorWrites.size();
+  return !operation.acceptSent || historyCovers ? ChangeResult::Conflict : ChangeResult::Unknown;
+}
+
 void Proposer::rest(Operation& operation, Instant now) {
   operation.phase = Phase::Resting;
   operation.phaseDue = now + std::chrono::milliseconds(10 + random_() % 90);
@@ -129,9 +135,8 @@
   }
   operation.granted[answer.store] = answer;
   if (operation.granted.size() < majorityOf(operation.copies)) return {};
-  if (operation.phase == Phase::Preparing) return startAccept(operation, now, done);
-  if (!operation.change.isRead && !names(operation.proposal, operation.change.writeId)) return {};
-  finish(operation, ChangeResult::Chosen, operation.proposal, done);
+  if (operation.phase == Phase::Preparing) return startAccept(operation, now);
+  finish(operation, resultOf(operation), operation.proposal, done);
   return {};
 }
 
--- a/src/register/proposer.h
+++ b/src/register/proposer.h
@@ -24,7 +24,7 @@
 
 enum class ChangeResult {
   Chosen,    // in the register; for a read, the value read
-  Conflict,  // the expected version was not there: never takes effect
+  Conflict,  // another value than expected was chosen: never takes effect
   NotTried,  // no copy was asked to accept it: never takes effect
   Unknown,   // some copy may hold it: a read settles it
 };
@@ -33,7 +33,7 @@
   OperationId operation;
   RegisterKey key;
   ChangeResult result{};
-  RegisterValue value;  // what was chosen or what stood in the way
+  RegisterValue value;  // what was chosen; on a conflict, what was chosen in its place
   Ballot ballot;        // at which it was chosen
   CopySet copies;       // a newer copy set that was met on the way, if any
 };
@@ -59,8 +59,9 @@
 
  private:
   enum class Phase { Preparing, Accepting, Resting };
-  // acceptSent never turns false again: once any copy was asked to accept, only a value that names
-  // this write, or one that rules it out, can end the operation as anything but Unknown.
+  // acceptSent: of a value of its own. It never turns false again: once any copy was asked to
+  // accept one, only a chosen value that names this write, or one that rules it out, can end the
+  // operation as anything but Unknown.
   struct Operation {
     ChangeAsked change;
     CopySet copies;
@@ -79,7 +80,8 @@
   static std::string bytesHeardFrom(const Operation& operation, StoreId store);
   Sends startRound(Operation& operation, Instant now);
   Sends ask(const Operation& operation) const;
-  Sends startAccept(Operation& operation, Instant now, std::vector<ChangeDone>* done);
+  Sends startAccept(Operation& operation, Instant now);
+  static ChangeResult resultOf(const Operation& operation);
   void rest(Operation& operation, Instant now);
   void finish(Operation& operation, ChangeResult result, const RegisterValue& value,
               std::vector<ChangeDone>* done);
--- a/tests/register_tests.cpp
+++ b/tests/register_tests.cpp
@@ -114,6 +114,77 @@
   CHECK(done[0].value.body == "b");
 }
 
+TEST_CASE("register: a conflict is told only once what stands in the way is chosen") {
+  Bench bench(3);
+  Proposer mine(ProposerId{1}, 1), rival(ProposerId{2}, 2), reader(ProposerId{3}, 3);
+  std::vector<ChangeDone> done;
+  const auto promised = [&](Proposer& proposer, const Bench::Sends& prepares,
+                            const std::vector<std::size_t>& reach) {
+    Bench::Sends accepts;
+    for (const std::size_t index : reach) {
+      const auto answer = bench.at(index, prepares[index].second);
+      REQUIRE(answer);
+      for (auto& send : proposer.onAnswer(*answer, bench.now, &done)) accepts.push_back(send);
+    }
+    return accepts;
+  };
+  // Mine is promised by the first two and asked to be accepted; nobody has heard of that yet.
+  const auto late =
+      promised(mine, mine.begin(bench.change(1, 0, "a"), bench.set, bench.now), {0, 1});
+  REQUIRE(late.size() == 3);
+  // Its time passes. A rival is promised by the same two, and mine is accepted by the third.
+  bench.now += 1s;
+  mine.onTick(bench.set, bench.now, &done);
+  bench.now += 200ms;
+  const auto again = mine.onTick(bench.set, bench.now, &done);
+  REQUIRE(again.size() == 3);
+  const auto rivals =
+      promised(rival, rival.begin(bench.change(2, 0, "b"), bench.set, bench.now), {0, 1});
+  REQUIRE(rivals.size() == 3);
+  REQUIRE(bench.at(2, late[2].second)->granted);
+  // The rival's value stands on the second alone, where mine finds it.
+  REQUIRE(bench.at(1, rivals[1].second)->granted);
+  auto settling = promised(mine, again, {0, 1});
+  CHECK(done.empty());  // the third may yet bring mine up: nobody may call it dead
+  SECTION("a read that misses the rival's value ends in mine") {
+    const auto read = [&] {
+      auto sends = reader.begin(bench.read(3), bench.set, bench.now);
+      auto ended = bench.carry(reader, sends, {0, 2});
+      while (ended.empty() && bench.now < Instant{10s}) {
+        bench.now += 200ms;
+        sends = reader.onTick(bench.set, bench.now, &ended);
+        if (ended.empty()) ended = bench.carry(reader, sends, {0, 2});
+      }
+      return ended;
+    }();
+    REQUIRE(read.size() == 1);
+    REQUIRE(read[0].result == ChangeResult::Chosen);
+    CHECK(read[0].value.body == "a");
+    bench.now = Instant{10s};
+    mine.onTick(bench.set, bench.now, &done);
+    REQUIRE(done.size() == 1);
+    CHECK(done[0].result == ChangeResult::Unknown);
+  }
+  SECTION("once a majority accepted the rival's value, no read can show mine") {
+    done = bench.carry(mine, settling, {0, 1});
+    REQUIRE(done.size() == 1);
+    CHECK(done[0].result == ChangeResult::Conflict);
+    CHECK(done[0].value.body == "b");
+    for (const std::vector<std::size_t>& reach : {std::vector<std::size_t>{0, 2}, {1, 2}}) {
+      Proposer each(ProposerId{4 + reach[0]}, 1);
+      std::vector<ChangeDone> ended;
+      auto sends = each.begin(bench.read(10 + reach[0]), bench.set, bench.now);
+      for (int round = 0; ended.empty() && round < 10; ++round) {
+        ended = bench.carry(each, sends, reach);
+        bench.now += 200ms;
+        if (ended.empty()) sends = each.onTick(bench.set, bench.now, &ended);
+      }
+      REQUIRE(ended.size() == 1);
+      CHECK(ended[0].value.body == "b");
+    }
+  }
+}
+
 TEST_CASE("register: a copy of an emptied disk is no voter, and an old epoch is turned away") {
   Bench bench(3);
   Prepare prepare{OperationId{1}, kSpecKey, {Epoch{1}, 1, ProposerId{1}}, StoreId{1}, bench.set};
