The data folder keeps what was synced through losses of power, and stays small

Cause: LevelDB syncs its folder only before a manifest is synced. A log made when the buffer was full, and the renaming of CURRENT, could be taken back by a loss of power while removals lasted: the folder then showed an older state as a whole one, under the old store id.

- Folders are synced when a log, a table or a folder was made in them and when a file was renamed.
- A batch of more than one log block that was under way left a hole, which LevelDB's strict opening calls corruption: the daemon did not start.
Now such a folder is read past the hole, and a sum of all rows, synced with each batch, tells whether anything else is missing.
- The sum also finds rows that are gone under a database that opens well (seen to fail without it).

--- a/src/net/disk.cpp
+++ b/src/net/disk.cpp
@@ -3,17 +3,26 @@
 #include <leveldb/db.h>
 #include <leveldb/write_batch.h>
 
+#include "base/digest.h"
 #include "net/dragged_env.h"
 
 namespace quayrill {
 
 namespace {
 constexpr std::chrono::seconds kOpeningDue{1};
+constexpr char kProbeRow[] = "probe";
+constexpr char kSumRow[] = "sum";  // of all others; synced with each batch
+
+absl::Status damaged(const std::string& what) {
+  return absl::DataLossError("data folder: " + what +
+                             ": start with an empty folder; the machine joins as a new member");
 }
+}  // namespace
 
 Disk::Disk(DiskBoot boot, ReadAnew readAnew)
     : boot_(std::move(boot)), readAnew_(std::move(readAnew)) {
-  if (!boot_.dragFile.empty()) env_ = draggedEnv(boot_.dragFile);
+  env_ = syncedFolderEnv(boot_.files.env ? boot_.files : systemFiles());
+  if (!boot_.dragFile.empty()) dragged_ = draggedEnv(boot_.dragFile, env_.get());
 }
 
 Disk::~Disk() {
@@ -28,26 +37,71 @@
 // Opening writes: LevelDB rewrites its log into a table and syncs it, so what is read afterwards is
 // on the disk, whatever became of the write that failed.
 absl::Status Disk::openFolder() {
+  absl::Status status = openDatabase(true);
+  if (status.ok()) status = readRows();
+  if (absl::IsDataLoss(status)) {
+    // A loss of power may leave a hole in the last batch of a log, which was not synced then.
+    // Read past it; the sum tells whether anything else is missing.
+    status = openDatabase(false);
+    if (status.ok()) status = readRows();
+    if (status.ok()) status = openDatabase(true);
+  }
+  if (status.ok()) status = probe();
+  if (!status.ok()) db_.reset();
+  return status;
+}
+
+absl::Status Disk::openDatabase(bool strictly) {
+  db_.reset();
   leveldb::Options options;
   options.create_if_missing = true;
-  options.paranoid_checks = true;
-  if (env_) options.env = env_.get();
+  options.paranoid_checks = strictly;
+  options.write_buffer_size = boot_.writeBuffer;
+  options.env = dragged_ ? dragged_.get() : env_.get();
   leveldb::DB* db = nullptr;
   auto status = leveldb::DB::Open(options, boot_.folder + "/register", &db);
-  if (status.IsCorruption())
-    return absl::DataLossError("data folder: " + status.ToString() +
-                               ": start with an empty folder; the machine joins as a new member");
+  if (status.IsCorruption()) return damaged(status.ToString());
   if (!status.ok() && status.ToString().find("lock") != std::string::npos)
     return absl::FailedPreconditionError("data folder: " + status.ToString() +
                                          ": end the other process or name another folder");
   if (!status.ok()) return absl::UnavailableError(status.ToString());
   db_.reset(db);
+  return absl::OkStatus();
+}
+
+absl::Status Disk::probe() {
   leveldb::WriteOptions synced;
   synced.sync = true;
-  status = db_->Put(synced, "probe", "");
-  if (status.ok()) return absl::OkStatus();
-  db_.reset();
-  return absl::UnavailableError(status.ToString());
+  const auto status = db_->Put(synced, kProbeRow, "");
+  return status.ok() ? absl::OkStatus() : absl::UnavailableError(status.ToString());
+}
+
+absl::Status Disk::readRows() {
+  leveldb::ReadOptions options;
+  options.verify_checksums = true;
+  options.fill_cache = false;
+  rows_.clear();
+  rowHashes_.clear();
+  rowSum_ = 0;
+  std::unique_ptr<leveldb::Iterator> row(db_->NewIterator(options));
+  for (row->SeekToFirst(); row->Valid(); row->Next())
+    rows_[row->key().ToString()] = row->value().ToString();
+  if (row->status().IsCorruption()) return damaged(row->status().ToString());
+  if (!row->status().ok()) return absl::UnavailableError(row->status().ToString());
+  rows_.erase(kProbeRow);
+  std::optional<std::string> sum;
+  if (auto kept = rows_.extract(kSumRow)) sum = std::move(kept.mapped());
+  for (const auto& [key, bytes] : rows_) countRow({key, bytes});
+  // A folder of an earlier build has no sum yet.
+  if (sum && *sum != std::to_string(rowSum_)) return damaged("rows are missing");
+  return absl::OkStatus();
+}
+
+void Disk::countRow(const DiskWrite& write) {
+  const std::uint64_t hash = mixHash(stableHash(write.key), stableHash(write.bytes));
+  std::uint64_t& row = rowHashes_[write.key];
+  rowSum_ += hash - row;
+  row = hash;
 }
 
 absl::StatusOr<std::optional<Disk::Rows>> Disk::open() {
@@ -66,7 +120,7 @@
 void Disk::openFirst() {
   const absl::Status status = openFolder();
   std::optional<Rows> rows;
-  if (status.ok()) rows = readAll();
+  if (status.ok()) rows = std::move(rows_);
   bool waits = false;
   {
     std::lock_guard lock(mutex_);
@@ -86,16 +140,7 @@
   nextOpening_ = BootClock::now() + boot_.retryEvery;
   db_.reset();
   told_ = openFolder().ok();
-  if (told_) readAnew_(readAll());
-}
-
-Disk::Rows Disk::readAll() const {
-  Rows rows;
-  std::unique_ptr<leveldb::Iterator> row(db_->NewIterator({}));
-  for (row->SeekToFirst(); row->Valid(); row->Next())
-    rows[row->key().ToString()] = row->value().ToString();
-  rows.erase("probe");
-  return rows;
+  if (told_) readAnew_(std::move(rows_));
 }
 
 void Disk::write(std::vector<DiskWrite> writes, Done done) {
@@ -109,24 +154,28 @@
 void Disk::resume() { write({}, nullptr); }
 
 void Disk::sync(const std::deque<Job>& batch) {
+  if (defect_.ok()) put(batch);
+  for (const Job& job : batch) job.done(defect_);
+}
+
+void Disk::put(const std::deque<Job>& batch) {
   leveldb::WriteBatch changes;
   bool any = false;
   for (const Job& job : batch) {
     for (const DiskWrite& write : job.writes) {
       changes.Put(write.key, write.bytes);
+      countRow(write);
       any = true;
     }
   }
-  if (any && defect_.ok()) {
-    leveldb::WriteOptions options;
-    options.sync = true;
-    const auto status = db_->Write(options, &changes);
-    if (!status.ok()) {
-      defect_ = absl::DataLossError(status.ToString());
-      told_ = false;
-    }
-  }
-  for (const Job& job : batch) job.done(defect_);
+  if (!any) return;
+  changes.Put(kSumRow, std::to_string(rowSum_));
+  leveldb::WriteOptions options;
+  options.sync = true;
+  const auto status = db_->Write(options, &changes);
+  if (status.ok()) return;
+  defect_ = absl::DataLossError(status.ToString());
+  told_ = false;
 }
 
 void Disk::work() {
--- a/src/net/disk.h
+++ b/src/net/disk.h
@@ -15,19 +15,26 @@
 #include <vector>
 
 #include "base/clock.h"
+#include "net/synced_folder_env.h"
 #include "register/copy.h"
 
 namespace leveldb {
 class DB;
-class Env;
 }  // namespace leveldb
 
 namespace quayrill {
 
+// Ours, in bytes: a log that has grown past it is turned into a table. LevelDB lets writes wait
+// when twelve tables are not compacted yet, so with batches of up to 1 MB the folder holds at most
+// about 13 tables and two logs of up to 2 MB each; and an opening has little to read.
+inline constexpr std::size_t kWriteBuffer = 1 << 20;
+
 struct DiskBoot {
   std::string folder;
   std::string dragFile;                        // "" but in runs with a slow disk
   std::chrono::milliseconds retryEvery{1000};  // how often a defective disk is opened anew
+  FolderFiles files{};                         // none: the system's
+  std::size_t writeBuffer = kWriteBuffer;
 };
 
 class Disk {
@@ -56,13 +63,20 @@
   void openFirst();
   void openAnew();
   void sync(const std::deque<Job>& batch);
+  void put(const std::deque<Job>& batch);
   absl::Status openFolder();
-  Rows readAll() const;
+  absl::Status openDatabase(bool strictly);
+  absl::Status probe();
+  // Reads all rows and checks them against the sum that was synced with the last of them.
+  absl::Status readRows();
+  // Adds a row's hash to the sum, in place of that of the row it replaces.
+  void countRow(const DiskWrite& write);
 
   DiskBoot boot_;
   ReadAnew readAnew_;
-  std::unique_ptr<leveldb::Env> env_;  // null: LevelDB's own
-  std::unique_ptr<leveldb::DB> db_;    // null while the folder can't be opened
+  std::unique_ptr<leveldb::Env> env_;
+  std::unique_ptr<leveldb::Env> dragged_;  // null but in runs with a slow disk
+  std::unique_ptr<leveldb::DB> db_;        // null while the folder can't be opened
   std::mutex mutex_;
   std::condition_variable wake_;
   std::deque<Job> jobs_;  // bounded by the core's limit on copy work
@@ -71,7 +85,11 @@
   std::optional<absl::Status> firstOpening_;
   std::optional<Rows> firstRows_;
   bool openWaits_ = true;
-  // Of the disk's thread. Once set, nothing is written until a resume; told_ says that the rows of
+  // Of the disk's thread.
+  Rows rows_;  // of the present opening, until they are handed over
+  std::map<std::string, std::uint64_t> rowHashes_;
+  std::uint64_t rowSum_ = 0;
+  // Once set, nothing is written until a resume; told_ says that the rows of
   // the present opening were handed over.
   absl::Status defect_;
   bool told_ = false;
--- a/src/net/dragged_env.cpp
+++ b/src/net/dragged_env.cpp
@@ -28,8 +28,8 @@
 
 class DraggedEnv : public leveldb::EnvWrapper {
  public:
-  explicit DraggedEnv(std::string dragFile)
-      : leveldb::EnvWrapper(leveldb::Env::Default()), dragFile_(std::move(dragFile)) {}
+  DraggedEnv(std::string dragFile, leveldb::Env* target)
+      : leveldb::EnvWrapper(target), dragFile_(std::move(dragFile)) {}
   leveldb::Status NewWritableFile(const std::string& name, leveldb::WritableFile** made) override {
     return wrapped(target()->NewWritableFile(name, made), made);
   }
@@ -47,8 +47,8 @@
 };
 }  // namespace
 
-std::unique_ptr<leveldb::Env> draggedEnv(std::string dragFile) {
-  return std::make_unique<DraggedEnv>(std::move(dragFile));
+std::unique_ptr<leveldb::Env> draggedEnv(std::string dragFile, leveldb::Env* target) {
+  return std::make_unique<DraggedEnv>(std::move(dragFile), target);
 }
 
 }  // namespace quayrill
--- a/src/net/dragged_env.h
+++ b/src/net/dragged_env.h
@@ -8,6 +8,7 @@
 
 namespace quayrill {
 
-std::unique_ptr<leveldb::Env> draggedEnv(std::string dragFile);
+// `target` outlives it.
+std::unique_ptr<leveldb::Env> draggedEnv(std::string dragFile, leveldb::Env* target);
 
 }  // namespace quayrill
--- /dev/null
+++ b/tests/power_loss_env.cpp
@@ -0,0 +1,283 @@
+#include "power_loss_env.h"
+
+#include <algorithm>
+#include <cstring>
+
+namespace quayrill {
+
+using leveldb::Status;
+
+namespace {
+Status noPower() { return Status::IOError("the power is lost"); }
+
+class Bytes : public leveldb::SequentialFile, public leveldb::RandomAccessFile {
+ public:
+  explicit Bytes(std::string bytes) : bytes_(std::move(bytes)) {}
+  Status Read(std::size_t n, leveldb::Slice* result, char* scratch) override {
+    const Status status = Read(at_, n, result, scratch);
+    at_ += result->size();
+    return status;
+  }
+  Status Skip(std::uint64_t n) override {
+    at_ = std::min<std::size_t>(bytes_.size(), at_ + n);
+    return Status::OK();
+  }
+  Status Read(std::uint64_t offset, std::size_t n, leveldb::Slice* result,
+              char* scratch) const override {
+    const std::size_t from = std::min<std::size_t>(bytes_.size(), offset);
+    const std::size_t count = std::min(n, bytes_.size() - from);
+    std::memcpy(scratch, bytes_.data() + from, count);
+    *result = leveldb::Slice(scratch, count);
+    return Status::OK();
+  }
+
+ private:
+  std::string bytes_;
+  std::size_t at_ = 0;
+};
+
+class Lock : public leveldb::FileLock {};
+}  // namespace
+
+class PowerLossFile : public leveldb::WritableFile {
+ public:
+  PowerLossFile(PowerLossEnv& env, std::string name, std::shared_ptr<PowerLossEnv::File> file)
+      : env_(env), name_(std::move(name)), file_(std::move(file)) {}
+  ~PowerLossFile() override { Flush(); }
+  // What comes between two flushes is one write, as with LevelDB's own files.
+  Status Append(const leveldb::Slice& bytes) override {
+    waiting_.append(bytes.data(), bytes.size());
+    return waiting_.size() < kWriteBytes ? Status::OK() : Flush();
+  }
+  Status Close() override { return Flush(); }
+  Status Flush() override {
+    if (waiting_.empty()) return Status::OK();
+    const std::string bytes = std::move(waiting_);
+    waiting_.clear();
+    return env_.append(*file_, bytes);
+  }
+  Status Sync() override {
+    const Status status = Flush();
+    return status.ok() ? env_.sync(name_, *file_) : status;
+  }
+
+ private:
+  static constexpr std::size_t kWriteBytes = 64 << 10;
+  std::string waiting_;
+  PowerLossEnv& env_;
+  std::string name_;
+  std::shared_ptr<PowerLossEnv::File> file_;
+};
+
+FolderFiles PowerLossEnv::files() {
+  return {this, [this](const std::string&) {
+            std::lock_guard lock(mutex_);
+            return syncFolder();
+          }};
+}
+
+FolderFiles PowerLossEnv::unsyncedFiles() {
+  return {this, [](const std::string&) { return Status::OK(); }};
+}
+
+std::size_t PowerLossEnv::operations() const {
+  std::lock_guard lock(mutex_);
+  return operations_;
+}
+
+void PowerLossEnv::setFull(bool full) {
+  std::lock_guard lock(mutex_);
+  full_ = full;
+}
+
+bool PowerLossEnv::hasPower() const {
+  std::lock_guard lock(mutex_);
+  return operations_ < lossAt_;
+}
+
+std::size_t PowerLossEnv::peakBytes() const {
+  std::lock_guard lock(mutex_);
+  return peakBytes_;
+}
+
+void PowerLossEnv::losePowerAt(std::size_t operation) {
+  std::lock_guard lock(mutex_);
+  lossAt_ = operation;
+}
+
+void PowerLossEnv::restore(std::uint64_t seed) {
+  std::lock_guard lock(mutex_);
+  std::mt19937_64 random(seed);
+  const auto draw = [&](std::uint64_t fates) { return seed > 1 ? random() % fates : seed; };
+  now_ = lasting_;
+  for (const NameChange& change : pending_) {
+    if (draw(2) == 1) make(change, &now_);
+  }
+  for (const auto& [name, file] : now_) {
+    for (const Append& append : file->later) {
+      std::string bytes = append.bytes;
+      const std::uint64_t fate = draw(3);
+      if (fate == 0) continue;
+      if (fate == 2) bytes.resize(random() % (bytes.size() + 1));
+      if (file->synced.size() < append.offset + bytes.size())
+        file->synced.resize(append.offset + bytes.size());
+      file->synced.replace(append.offset, bytes.size(), bytes);
+    }
+    file->later.clear();
+    file->now = file->synced;
+  }
+  bytes_ = 0;
+  for (const auto& [name, file] : now_) bytes_ += file->now.size();
+  lasting_ = now_;
+  pending_.clear();
+  operations_ = 0;
+  lossAt_ = SIZE_MAX;
+}
+
+Status PowerLossEnv::counted() {
+  ++operations_;
+  return operations_ >= lossAt_ ? noPower() : Status::OK();
+}
+
+std::shared_ptr<PowerLossEnv::File> PowerLossEnv::find(const std::string& name) const {
+  const auto row = now_.find(name);
+  return row == now_.end() ? nullptr : row->second;
+}
+
+void PowerLossEnv::make(const NameChange& change, Names* names) {
+  const auto from = names->find(change.from);
+  if (from != names->end() && from->second == change.file) names->erase(from);
+  if (!change.to.empty()) (*names)[change.to] = change.file;
+}
+
+void PowerLossEnv::change(NameChange change) {
+  const auto replaced = now_.find(change.to);
+  if (replaced != now_.end()) bytes_ -= replaced->second->now.size();
+  if (change.to.empty()) bytes_ -= change.file->now.size();
+  make(change, &now_);
+  pending_.push_back(std::move(change));
+}
+
+Status PowerLossEnv::append(File& file, const leveldb::Slice& bytes) {
+  std::lock_guard lock(mutex_);
+  if (operations_ >= lossAt_) return noPower();
+  if (full_) return Status::IOError("no space is left");
+  file.later.push_back({file.now.size(), bytes.ToString()});
+  file.now.append(bytes.data(), bytes.size());
+  bytes_ += bytes.size();
+  peakBytes_ = std::max(peakBytes_, bytes_);
+  return counted();
+}
+
+Status PowerLossEnv::syncFolder() {
+  if (Status status = counted(); !status.ok()) return status;
+  lasting_ = now_;
+  pending_.clear();
+  return Status::OK();
+}
+
+Status PowerLossEnv::sync(const std::string& name, File& file) {
+  std::lock_guard lock(mutex_);
+  if (name.find("/MANIFEST") != std::string::npos) {
+    if (Status status = syncFolder(); !status.ok()) return status;
+  }
+  if (Status status = counted(); !status.ok()) return status;
+  file.synced = file.now;
+  file.later.clear();
+  return Status::OK();
+}
+
+Status PowerLossEnv::NewSequentialFile(const std::string& name, leveldb::SequentialFile** made) {
+  std::lock_guard lock(mutex_);
+  const auto file = find(name);
+  if (!file) return Status::NotFound(name);
+  *made = new Bytes(file->now);
+  return Status::OK();
+}
+
+Status PowerLossEnv::NewRandomAccessFile(const std::string& name,
+                                         leveldb::RandomAccessFile** made) {
+  std::lock_guard lock(mutex_);
+  const auto file = find(name);
+  if (!file) return Status::NotFound(name);
+  *made = new Bytes(file->now);
+  return Status::OK();
+}
+
+Status PowerLossEnv::NewWritableFile(const std::string& name, leveldb::WritableFile** made) {
+  std::lock_guard lock(mutex_);
+  if (operations_ >= lossAt_) return noPower();
+  auto file = std::make_shared<File>();
+  change({{}, name, file});
+  if (Status status = counted(); !status.ok()) return status;
+  *made = new PowerLossFile(*this, name, std::move(file));
+  return Status::OK();
+}
+
+Status PowerLossEnv::NewAppendableFile(const std::string& name, leveldb::WritableFile** made) {
+  {
+    std::lock_guard lock(mutex_);
+    if (operations_ >= lossAt_) return noPower();
+    if (auto file = find(name)) {
+      *made = new PowerLossFile(*this, name, std::move(file));
+      return Status::OK();
+    }
+  }
+  return NewWritableFile(name, made);
+}
+
+bool PowerLossEnv::FileExists(const std::string& name) {
+  std::lock_guard lock(mutex_);
+  return find(name) != nullptr;
+}
+
+Status PowerLossEnv::GetChildren(const std::string& folder, std::vector<std::string>* children) {
+  std::lock_guard lock(mutex_);
+  children->clear();
+  for (const auto& [name, file] : now_) {
+    if (name.rfind(folder + "/", 0) == 0) children->push_back(name.substr(folder.size() + 1));
+  }
+  return Status::OK();
+}
+
+Status PowerLossEnv::RemoveFile(const std::string& name) {
+  std::lock_guard lock(mutex_);
+  if (operations_ >= lossAt_) return noPower();
+  const auto file = find(name);
+  if (!file) return Status::NotFound(name);
+  change({name, {}, file});
+  return counted();
+}
+
+Status PowerLossEnv::RenameFile(const std::string& from, const std::string& to) {
+  std::lock_guard lock(mutex_);
+  if (operations_ >= lossAt_) return noPower();
+  const auto file = find(from);
+  if (!file) return Status::NotFound(from);
+  change({from, to, file});
+  return counted();
+}
+
+Status PowerLossEnv::GetFileSize(const std::string& name, std::uint64_t* size) {
+  std::lock_guard lock(mutex_);
+  const auto file = find(name);
+  if (!file) return Status::NotFound(name);
+  *size = file->now.size();
+  return Status::OK();
+}
+
+Status PowerLossEnv::CreateDir(const std::string&) { return Status::OK(); }
+Status PowerLossEnv::RemoveDir(const std::string&) { return Status::OK(); }
+Status PowerLossEnv::LockFile(const std::string&, leveldb::FileLock** lock) {
+  *lock = new Lock;
+  return Status::OK();
+}
+Status PowerLossEnv::UnlockFile(leveldb::FileLock* lock) {
+  delete lock;
+  return Status::OK();
+}
+Status PowerLossEnv::NewLogger(const std::string& name, leveldb::Logger**) {
+  return Status::NotSupported(name);
+}
+
+}  // namespace quayrill
--- /dev/null
+++ b/tests/power_loss_tests.cpp
@@ -0,0 +1,316 @@
+// The data folder through losses of power at every write and sync: what a register copy was told is
+// synced must be there under its store id, and nothing that was lost may vote under it.
+#include <catch2/catch.hpp>
+
+#include <leveldb/db.h>
+
+#include <future>
+
+#include "net/disk.h"
+#include "power_loss_env.h"
+#include "register/copy.h"
+
+using namespace quayrill;
+using namespace std::chrono_literals;
+
+namespace {
+constexpr char kFolder[] = "/data";
+constexpr std::size_t kSmallBuffer = 64 << 10;  // the least that LevelDB takes
+constexpr std::size_t kBodyBytes = 40 << 10;    // more than one block of a log
+constexpr std::size_t kChanges = 10;
+constexpr auto kLateStep = 20ms;
+constexpr auto kLateLimit = 10s;  // of a machine that has much else to do
+
+// What a copy was told is synced, and what it went on to try.
+struct Acknowledged {
+  StoreId store;  // 0: none was
+  std::uint64_t round = 0;
+  std::uint64_t tried = 0;
+};
+enum class Found { All, Older, Emptied, Damaged, NoPower, Unopened };
+
+CopySet ownSet(StoreId store) {
+  CopySet set;
+  set.fleet = 5;
+  set.epoch = Epoch{1};
+  set.settled = true;
+  set.members = {{store, Address{"m"}}};
+  return set;
+}
+
+std::uint64_t storesMade = 0;  // each folder that is empty gets a new identity
+
+// One life of a copy and its disk, until its changes are made or the power goes.
+class Life {
+ public:
+  Life(PowerLossEnv& env, FolderFiles files, Acknowledged* acknowledged)
+      : env_(env),
+        acknowledged_(acknowledged),
+        copy_(StoreId{++storesMade}),
+        disk_({kFolder, "", 1h, std::move(files), kSmallBuffer},
+              [this](Disk::Rows rows) { late_.set_value(std::move(rows)); }) {}
+
+  Found open() {
+    auto opened = disk_.open();
+    if (!opened.ok()) return Found::Damaged;
+    if (!*opened) {
+      if (!env_.hasPower()) return Found::NoPower;
+      auto late = late_.get_future();
+      for (auto waited = 0ms; late.wait_for(kLateStep) != std::future_status::ready;
+           waited += kLateStep) {
+        if (!env_.hasPower()) return Found::NoPower;
+        if (waited > kLateLimit) return Found::Unopened;
+      }
+      *opened = late.get();
+      disk_.resume();
+    }
+    return judge(**opened);
+  }
+  bool change(std::size_t changes) {
+    for (std::size_t i = 0; i < changes; ++i) {
+      if (!change()) return false;
+    }
+    return true;
+  }
+
+ private:
+  Found judge(const Disk::Rows& rows) {
+    const bool emptied = rows.empty();
+    if (!emptied && !copy_.restore(rows)) return Found::Damaged;
+    const Found found = emptied ? Found::Emptied : compare();
+    if (!emptied && found != Found::All) return found;
+    auto writes = copy_.identityWrites();
+    for (auto& write : copy_.adopt(ownSet(copy_.store()))) writes.push_back(std::move(write));
+    if (!write(std::move(writes))) return Found::NoPower;
+    const bool wasThere = acknowledged_->store.value > 0;
+    if (emptied) acknowledged_->round = 0;
+    acknowledged_->store = copy_.store();
+    return emptied && !wasThere ? Found::All : found;
+  }
+  // The old identity, and all that it promised and accepted, or more.
+  Found compare() {
+    if (acknowledged_->store.value > 0 && copy_.store() != acknowledged_->store)
+      return Found::Older;
+    if (acknowledged_->round == 0) return Found::All;
+    const auto value = copy_.valueOf(kSpecKey);
+    if (!value || value->version < acknowledged_->round) return Found::Older;
+    // A ballot of an earlier round must find the promise kept.
+    const Ballot earlier{Epoch{1}, acknowledged_->round - 1, ProposerId{9}};
+    const auto made = copy_.onPrepare({{}, kSpecKey, earlier, copy_.store(), copy_.copies()});
+    const bool refuses = made.answer && !std::get<CopyAnswer>(*made.answer).granted;
+    return refuses && value->body.size() == kBodyBytes ? Found::All : Found::Older;
+  }
+  bool change() {
+    const std::uint64_t round = ++acknowledged_->tried;
+    const Ballot ballot{Epoch{1}, round, ProposerId{9}};
+    const CopySet& set = copy_.copies();
+    if (!write(copy_.onPrepare({{}, kSpecKey, ballot, copy_.store(), set}).writes)) return false;
+    std::string body(kBodyBytes, static_cast<char>('a' + round % 26));
+    const RegisterValue value{round, WriteId{round}, {}, std::move(body)};
+    if (!write(copy_.onAccept({{}, kSpecKey, ballot, copy_.store(), set, value}).writes))
+      return false;
+    acknowledged_->round = round;
+    return true;
+  }
+  bool write(std::vector<DiskWrite> writes) {
+    REQUIRE_FALSE(writes.empty());
+    std::promise<absl::Status> answered;
+    disk_.write(std::move(writes), [&](absl::Status status) { answered.set_value(status); });
+    return answered.get_future().get().ok();
+  }
+
+  PowerLossEnv& env_;
+  Acknowledged* acknowledged_;
+  RegisterCopy copy_;
+  std::promise<Disk::Rows> late_;
+  Disk disk_;
+};
+
+struct Tally {
+  std::size_t runs = 0, older = 0, emptied = 0, damaged = 0, unopened = 0;
+  std::size_t bad() const { return older + emptied + damaged + unopened; }
+};
+
+// `before` lives end well, but for the loss of power after them; the next one loses it at `at`.
+void run(bool syncsFolders, std::size_t before, std::size_t at, std::uint64_t seed, Tally* tally) {
+  PowerLossEnv env;
+  const auto files = [&] { return syncsFolders ? env.files() : env.unsyncedFiles(); };
+  Acknowledged acknowledged;
+  Found found = Found::All;
+  for (std::size_t life = 0; life < before + 3 && found == Found::All; ++life) {
+    if (life == before) env.losePowerAt(at);
+    {
+      Life machine(env, files(), &acknowledged);
+      found = machine.open();
+      if (found == Found::All) machine.change(life > before ? 2 : kChanges);
+    }
+    if (found == Found::NoPower) found = Found::All;
+    env.restore(seed + (seed > 1 ? life : 0));
+  }
+  ++tally->runs;
+  tally->older += found == Found::Older;
+  tally->emptied += found == Found::Emptied;
+  tally->damaged += found == Found::Damaged;
+  tally->unopened += found == Found::Unopened;
+  if (syncsFolders && found != Found::All)
+    FAIL_CHECK("lives before " << before << ", power lost at " << at << ", seed " << seed
+                               << ": found " << static_cast<int>(found));
+}
+
+std::size_t operationsOfALife() {
+  PowerLossEnv env;
+  Acknowledged acknowledged;
+  {
+    Life machine(env, env.files(), &acknowledged);
+    REQUIRE(machine.open() == Found::All);
+    REQUIRE(machine.change(kChanges));
+  }
+  return env.operations();
+}
+
+Tally runAll(bool syncsFolders, std::size_t step) {
+  Tally tally;
+  const std::size_t operations = operationsOfALife();
+  for (std::size_t before : {0U, 1U}) {
+    for (std::size_t at = 1; at <= operations + 10; at += step) {
+      for (std::uint64_t seed : {std::uint64_t{0}, std::uint64_t{1}, 1000 + at, 2000 + at})
+        run(syncsFolders, before, at, seed, &tally);
+    }
+  }
+  return tally;
+}
+}  // namespace
+
+TEST_CASE("power loss: at each write and sync, all that was acknowledged is there") {
+  const Tally tally = runAll(true, 2);
+  WARN(tally.runs << " runs: " << tally.older << " older, " << tally.emptied << " emptied, "
+                  << tally.damaged << " damaged");
+  CHECK(tally.runs > 400);
+  CHECK(tally.bad() == 0);
+}
+
+TEST_CASE("power loss: folders that are not synced are found out") {
+  const Tally tally = runAll(false, 8);
+  WARN(tally.runs << " runs: " << tally.older << " older, " << tally.emptied << " emptied, "
+                  << tally.damaged << " damaged");
+  CHECK(tally.bad() > 0);
+}
+
+TEST_CASE(
+    "power loss: a folder whose CURRENT or manifest is gone never shows a part as the whole") {
+  for (const char* gone : {"/CURRENT", "/MANIFEST"}) {
+    INFO("gone: " << gone);
+    PowerLossEnv env;
+    Acknowledged acknowledged;
+    {
+      Life machine(env, env.files(), &acknowledged);
+      REQUIRE(machine.open() == Found::All);
+      REQUIRE(machine.change(kChanges));
+    }
+    env.restore(1);
+    const std::string folder = std::string(kFolder) + "/register";
+    std::vector<std::string> names;
+    REQUIRE(env.GetChildren(folder, &names).ok());
+    for (const std::string& name : names) {
+      if (("/" + name).rfind(gone, 0) == 0) REQUIRE(env.RemoveFile(folder + "/" + name).ok());
+    }
+    const StoreId old = acknowledged.store;
+    Life machine(env, env.files(), &acknowledged);
+    const Found found = machine.open();
+    CHECK((found == Found::Emptied || found == Found::Damaged));
+    if (found == Found::Emptied) CHECK(acknowledged.store != old);
+  }
+}
+
+TEST_CASE("power loss: rows that are missing under a whole database are noticed") {
+  PowerLossEnv env;
+  const auto files = env.files();
+  const auto rowsOf = [&] {
+    Disk disk({kFolder, "", 1h, files, kSmallBuffer}, [](Disk::Rows) {});
+    return disk.open();
+  };
+  {
+    Disk disk({kFolder, "", 1h, files, kSmallBuffer}, [](Disk::Rows) {});
+    REQUIRE(disk.open().ok());
+    std::promise<absl::Status> answered;
+    disk.write({{"a", "1"}, {"b", "2"}}, [&](absl::Status status) { answered.set_value(status); });
+    REQUIRE(answered.get_future().get().ok());
+  }
+  REQUIRE(rowsOf().ok());
+  {
+    leveldb::Options options;
+    options.env = files.env;
+    leveldb::DB* opened = nullptr;
+    REQUIRE(leveldb::DB::Open(options, std::string(kFolder) + "/register", &opened).ok());
+    const std::unique_ptr<leveldb::DB> db(opened);
+    REQUIRE(db->Delete({}, "a").ok());
+  }
+  const auto opened = rowsOf();
+  REQUIRE_FALSE(opened.ok());
+  CHECK(opened.status().message().find("start with an empty folder") != std::string::npos);
+}
+
+namespace {
+absl::Status put(Disk& disk, const std::string& key, std::string bytes) {
+  std::promise<absl::Status> answered;
+  disk.write({{key, std::move(bytes)}}, [&](absl::Status status) { answered.set_value(status); });
+  return answered.get_future().get();
+}
+}  // namespace
+
+TEST_CASE("disk: full while a compaction is due, and at the next start, it loses nothing") {
+  PowerLossEnv env;
+  std::uint64_t synced = 0;
+  const auto body = [](std::uint64_t n) { return std::to_string(n) + std::string(300 << 10, 'x'); };
+  const auto numberIn = [](const Disk::Rows& rows) { return std::stoull(rows.at("a")); };
+  for (int round = 0; round < 4; ++round) {
+    std::promise<Disk::Rows> readAnew;
+    Disk disk({kFolder, "", 5ms, env.files()},
+              [&](Disk::Rows rows) { readAnew.set_value(std::move(rows)); });
+    env.setFull(round > 0);
+    const auto opened = disk.open();
+    REQUIRE(opened.ok());
+    CHECK(opened->has_value() == (round == 0));
+    env.setFull(false);
+    if (round > 0) {
+      CHECK(numberIn(readAnew.get_future().get()) >= synced);
+      disk.resume();
+      readAnew = {};
+    }
+    for (int i = 0; i < 12; ++i) REQUIRE(put(disk, "a", body(++synced)).ok());
+    env.setFull(true);
+    CHECK_FALSE(put(disk, "a", body(synced + 1)).ok());
+    env.setFull(false);
+    CHECK(numberIn(readAnew.get_future().get()) >= synced);
+    disk.resume();
+    REQUIRE(put(disk, "a", body(++synced)).ok());
+    env.setFull(true);
+  }
+  CHECK(env.peakBytes() < (32 << 20));
+}
+
+TEST_CASE("disk: 600 changes of a body of 1 MB stay far below what a machine has") {
+  constexpr std::size_t kMegabyte = 1 << 20;
+  constexpr std::size_t kBound = 32 * kMegabyte;
+  PowerLossEnv env;
+  std::size_t written = 0;
+  Span longestOpening{};
+  for (int life = 0; life < 60; ++life) {  // each opening rewrites the log
+    Disk disk({kFolder, "", 1h, env.files()}, [](Disk::Rows) {});
+    const Instant begun = BootClock::now();
+    const auto opened = disk.open();
+    longestOpening = std::max(longestOpening, BootClock::now() - begun);
+    REQUIRE(opened.ok());
+    REQUIRE(opened->has_value());
+    if (life > 0) CHECK((**opened).at("slot/spec").back() == 'a' + (written - 1) % 26);
+    for (int i = 0; i < 10; ++i) {
+      std::string body(kMegabyte, static_cast<char>('a' + written % 26));
+      REQUIRE(put(disk, "slot/spec", std::move(body)).ok());
+      ++written;
+    }
+  }
+  using Millis = std::chrono::duration<double, std::milli>;
+  WARN("longest opening " << Millis(longestOpening).count() << " ms");
+  WARN(written << " MB written, at most " << env.peakBytes() / 1024 << " KB at once");
+  CHECK(env.peakBytes() < kBound);
+}
