mawson runs named scenarios: a machine cut off, racing operators, 600 changes

Each brings about one kind of trouble by seed, over the product's own control logic: a control machine cut off for 20 s in four ways with an operator at it; two operators under one number with 7 of 10 answers lost and all sent again to other daemons; 600 changes while copies are killed, lose power, are emptied, slow, stalled and failing. Each has a planted defect that it must find.

A first form of the cut-off scenario left the machine in touch with another copy, which is a majority of three; it rightly took orders there, so that cut now spares only machines without a copy.

--- a/src/register/amending.h
+++ b/src/register/amending.h
@@ -16,6 +16,7 @@
   std::optional<ChangeAsked> next(Instant now);
   void onAnswer(const ChangeDone& answer);
   const std::optional<AmendDone>& done() const { return done_; }
+  Instant due() const { return due_; }
 
  private:
   enum class Step { Reading, Proposing, Settling };
--- a/src/sim/mawson.cpp
+++ b/src/sim/mawson.cpp
@@ -1,9 +1,11 @@
 // mawson: the deterministic simulator. A failing seed replays exactly.
 #include <docopt/docopt.h>
 
+#include <algorithm>
 #include <iostream>
 
 #include "sim/scenario.h"
+#include "sim/scenarios.h"
 
 namespace {
 constexpr char kUsage[] = R"(mawson: runs the control logic on fake clocks, networks and disks.
@@ -12,6 +14,7 @@
   mawson [--seed=N] [--seeds=COUNT] [--seconds=S] [--disks=N] [--edges=N] [--plant=DEFECT]
   mawson --steady [--seed=N] [--seconds=S] [--disks=N] [--edges=N] [--zones=N] [--body=BYTES]
          [--duties=N] [--part=S]
+  mawson --scenario=NAME [--seed=N] [--seeds=COUNT] [--plant=DEFECT]
   mawson --help | --version
 
 Options:
@@ -25,6 +28,7 @@
   --body=BYTES    Size of the configuration that each change brings [default: 6].
   --duties=N      So many duties, each with a hold [default: 0].
   --part=S        At the end two regions lose each other for so many seconds [default: 0].
+  --scenario=NAME  One kind of trouble: cut-off, racing-operators or many-changes.
   --plant=DEFECT  Plant a defect that a checker must find: unsynced, reused, clocks or stale.
   -h --help       Show this text.
   --version       Show the version.
@@ -61,6 +65,36 @@
 }
 }  // namespace
 
+namespace {
+// The number of seeds with something broken; each of them is named.
+std::size_t runNamed(const quayrill::sim::NamedScenario& scenario, std::uint64_t first,
+                     std::uint64_t count, bool plant) {
+  using Millis = std::chrono::duration<double, std::milli>;
+  quayrill::sim::NamedResult total;
+  std::size_t broken = 0;
+  for (auto seed = first; seed < first + count; ++seed) {
+    const quayrill::sim::NamedResult result = scenario.run(seed, plant);
+    total.confirmed += result.confirmed;
+    total.refused += result.refused;
+    total.unclear += result.unclear;
+    total.resends += result.resends;
+    total.incidents += result.incidents;
+    total.slowestCatchUp = std::max(total.slowestCatchUp, result.slowestCatchUp);
+    total.slowestVote = std::max(total.slowestVote, result.slowestVote);
+    broken += result.broken.empty() ? 0 : 1;
+    for (const std::string& what : result.broken)
+      std::cout << "seed " << seed << ": " << what << "\n";
+  }
+  std::cout << scenario.name << ": seeds " << count << " troubles " << total.incidents
+            << "; orders confirmed " << total.confirmed << " refused " << total.refused
+            << " unclear " << total.unclear << " resent " << total.resends
+            << "; slowest to catch up ms " << Millis(total.slowestCatchUp).count()
+            << ", to vote again ms " << Millis(total.slowestVote).count() << "; seeds broken "
+            << broken << "\n";
+  return broken;
+}
+}  // namespace
+
 int main(int argc, char** argv) {
   using namespace quayrill::sim;
   auto flags = docopt::docopt(kUsage, {argv + 1, argv + argc}, true, "mawson " QUAYRILL_VERSION);
@@ -78,6 +112,13 @@
     const auto first = std::stoull(flags["--seed"].asString());
     const auto count = std::stoull(flags["--seeds"].asString());
     const std::chrono::seconds span(std::stoul(flags["--seconds"].asString()));
+    if (flags["--scenario"]) {
+      for (const NamedScenario& scenario : namedScenarios()) {
+        if (scenario.name == flags["--scenario"].asString())
+          return runNamed(scenario, first, count, !plant.empty()) == 0 ? 0 : 1;
+      }
+      throw std::invalid_argument("--scenario names none that is known");
+    }
     if (flags["--steady"].asBool()) {
       boot.seed = first;
       boot.zones = static_cast<std::size_t>(std::stoul(flags["--zones"].asString()));
--- /dev/null
+++ b/src/sim/scenarios_operators.cpp
@@ -0,0 +1,198 @@
+// Scenarios about orders: a control machine that is cut off, and operators that race.
+#include <algorithm>
+
+#include "sim/operators.h"
+#include "sim/scenario.h"
+#include "sim/scenarios.h"
+
+namespace quayrill::sim {
+
+using namespace std::chrono_literals;
+
+namespace {
+constexpr Span kFoundingLimit = 60s;
+constexpr Span kCutSpan = 20s;
+constexpr Span kServedWithin = 2s;  // a proxy's limit on an unconfirmed configuration
+constexpr Span kCatchUpLimit = 5s;
+constexpr double kAnswersLost = 0.7;
+
+WorldBoot smallCore(std::uint64_t seed) {
+  WorldBoot boot;
+  boot.seed = seed;
+  boot.diskMachines = 4;
+  boot.copiesWanted = 3;
+  boot.edgeMachines = 3;
+  boot.bootstrap = true;
+  return boot;
+}
+
+enum class Cut { BothWays, Inward, Outward, FromCopies };
+
+void cutOff(World& world, std::size_t machine, Cut kind) {
+  for (std::size_t other = 0; other < world.size(); ++other) {
+    if (other == machine) continue;
+    if (kind == Cut::FromCopies && other >= world.diskMachines()) continue;
+    if (kind != Cut::Outward) world.cutOneWay(other, machine, true);
+    if (kind != Cut::Inward) world.cutOneWay(machine, other, true);
+  }
+}
+
+// Versions of the register as they were acknowledged, to judge what a machine serves.
+struct Served {
+  std::vector<std::pair<Span, std::uint64_t>> acknowledged;
+  void note(Span at, std::uint64_t number) {
+    if (acknowledged.empty() || number > acknowledged.back().second)
+      acknowledged.emplace_back(at, number);
+  }
+  std::uint64_t newestBefore(Span at) const {
+    std::uint64_t newest = 0;
+    for (const auto& [when, number] : acknowledged) {
+      if (when < at) newest = number;
+    }
+    return newest;
+  }
+};
+
+std::uint64_t numberAt(World& world, std::size_t machine) {
+  return readChain(world.core(machine).freshness().spec().value.body).number;
+}
+
+void note(const Operators& operators, NamedResult* result) {
+  for (const Order& order : operators.orders()) {
+    if (order.confirmed)
+      ++result->confirmed;
+    else if (order.refused)
+      ++result->refused;
+    else
+      ++result->unclear;
+  }
+}
+
+// A settled read through any machine.
+std::string standing(World& world, std::vector<std::string>* broken) {
+  for (int tries = 0; tries < 20; ++tries) {
+    const std::uint64_t id = world.read(static_cast<std::size_t>(tries) % world.size());
+    world.run(3500ms);
+    if (id == 0) continue;
+    const auto& done = world.asked(id).done;
+    if (done && done->result == ChangeResult::Chosen) return done->value.body;
+  }
+  broken->push_back("the register did not answer after all was healed");
+  return {};
+}
+
+void finish(World& world, const Operators& operators, NamedResult* result) {
+  const std::string body = standing(world, &result->broken);
+  for (std::string& what : operators.broken(body)) result->broken.push_back(std::move(what));
+  world.checkHistory();
+  for (const Violation& violation : world.violations()) result->broken.push_back(violation.what);
+  note(operators, result);
+}
+}  // namespace
+
+NamedResult runCutOff(std::uint64_t seed, bool plant) {
+  NamedResult result;
+  WorldBoot boot = smallCore(seed);
+  boot.plantStaleConfirm = plant;
+  World world(boot);
+  if (!runUntilFounded(world, kFoundingLimit)) result.broken.push_back("not founded");
+  Operators operators(world);
+  Served served;
+  for (const Cut kind : {Cut::BothWays, Cut::Inward, Cut::Outward, Cut::FromCopies}) {
+    const std::size_t machine = world.random()() % world.diskMachines();
+    const std::size_t elsewhere = (machine + 2) % world.diskMachines();
+    ++result.incidents;
+    cutOff(world, machine, kind);
+    std::vector<std::size_t> there;  // orders that were sent to the machine cut off
+    for (Span past{}; past < kCutSpan; past += 500ms) {
+      const std::uint64_t basis = operators.newestConfirmed();
+      operators.send(operators.make(basis, basis + 1 + world.random()() % 3), elsewhere, false);
+      if (past % 2s == Span{}) {
+        there.push_back(operators.make(basis, basis + 1 + world.random()() % 3));
+        operators.send(there.back(), machine, false);
+      }
+      for (int step = 0; step < 10; ++step) {
+        operators.run(50ms);
+        served.note(world.elapsed(), operators.newestConfirmed());
+        if (!world.isConfirmed(machine, kServedWithin)) continue;
+        if (numberAt(world, machine) < served.newestBefore(world.elapsed() - kServedWithin))
+          result.broken.push_back("the machine cut off serves a configuration past the bound");
+      }
+    }
+    operators.run(8s);
+    for (const std::size_t order : there) {
+      const Order& asked = operators.order(order);
+      // What it was asked just as it was cut off may have been settled.
+      if (order == there.front()) continue;
+      if (asked.confirmed) result.broken.push_back("a machine cut off confirmed an order");
+      if (asked.refused) result.broken.push_back("a machine cut off refused an order for good");
+    }
+    world.healAll();
+    const Span healed = world.elapsed();
+    const auto isCaughtUp = [&] {
+      return world.isConfirmed(machine, 500ms) &&
+             numberAt(world, machine) >= operators.newestConfirmed();
+    };
+    while (!isCaughtUp() && world.elapsed() - healed < 60s) world.run(50ms);
+    result.slowestCatchUp = std::max(result.slowestCatchUp, world.elapsed() - healed);
+    // What had no clear answer there is sent again elsewhere and gets one.
+    for (const std::size_t order : there) {
+      if (operators.order(order).heard) continue;
+      operators.send(order, elsewhere, false);
+      ++result.resends;
+      operators.run(4s);
+      if (!operators.order(order).heard) result.broken.push_back("an order stayed unclear");
+    }
+  }
+  if (result.slowestCatchUp > kCatchUpLimit)
+    result.broken.push_back("a machine that was cut off caught up too late");
+  finish(world, operators, &result);
+  return result;
+}
+
+NamedResult runRacingOperators(std::uint64_t seed, bool plant) {
+  NamedResult result;
+  WorldBoot boot = smallCore(seed);
+  boot.lossRate = 0.05;
+  boot.duplicateRate = 0.05;
+  World world(boot);
+  if (!runUntilFounded(world, kFoundingLimit)) result.broken.push_back("not founded");
+  Operators operators(world);
+  const auto isLost = [&] {
+    return std::uniform_real_distribution<>(0, 1)(world.random()) < kAnswersLost;
+  };
+  const auto anyMachine = [&] { return world.random()() % world.size(); };
+  operators.plantForgetting(plant);
+  std::vector<std::size_t> all;
+  for (int round = 0; round < 40; ++round) {
+    const std::uint64_t basis = operators.newestConfirmed();
+    const std::uint64_t number = basis + 1 + world.random()() % 3;
+    const std::size_t pair[] = {operators.make(basis, number), operators.make(basis, number)};
+    for (int tries = 0; tries < 6; ++tries) {
+      for (const std::size_t order : pair) {
+        all.push_back(order);
+        if (operators.order(order).heard) continue;
+        operators.send(order, anyMachine(), isLost());
+        if (world.random()() % 4 == 0) operators.send(order, anyMachine(), isLost());
+        result.resends += tries > 0;
+      }
+      operators.run(std::chrono::milliseconds(5 * (1 + world.random()() % 200)));
+    }
+    // An order of long ago comes again.
+    operators.send(all[world.random()() % all.size()], anyMachine(), isLost());
+    ++result.resends;
+    ++result.incidents;
+  }
+  operators.run(10s);
+  world.healAll();
+  for (std::size_t order = 0; order < operators.orders().size(); ++order) {
+    operators.send(order, anyMachine(), false);
+    if (order % 8 == 7) operators.run(4s);
+    ++result.resends;
+  }
+  operators.run(8s);
+  finish(world, operators, &result);
+  return result;
+}
+
+}  // namespace quayrill::sim
--- /dev/null
+++ b/tests/scenario_tests.cpp
@@ -0,0 +1,42 @@
+// The named scenarios of the simulator, tens of seeds each; `mawson --scenario` runs thousands.
+#include <catch2/catch.hpp>
+
+#include "sim/scenarios.h"
+
+using namespace quayrill;
+using namespace quayrill::sim;
+
+namespace {
+void runSeeds(NamedResult (*run)(std::uint64_t, bool), std::uint64_t seeds) {
+  for (std::uint64_t seed = 1; seed <= seeds; ++seed) {
+    INFO("seed " << seed);
+    const NamedResult result = run(seed, false);
+    CHECK(result.incidents > 0);
+    CHECK(result.confirmed > 0);
+    for (const std::string& what : result.broken) FAIL_CHECK(what);
+  }
+}
+// Some seed finds the planted defect.
+bool isFound(NamedResult (*run)(std::uint64_t, bool), std::uint64_t seeds) {
+  for (std::uint64_t seed = 1; seed <= seeds; ++seed) {
+    if (!run(seed, true).broken.empty()) return true;
+  }
+  return false;
+}
+}  // namespace
+
+TEST_CASE("scenario: a control machine is cut off while changes go on") { runSeeds(runCutOff, 10); }
+
+TEST_CASE("scenario: operators race under one number and lose their answers") {
+  runSeeds(runRacingOperators, 20);
+}
+
+TEST_CASE("scenario: 600 changes while copies restart and disks fail") {
+  runSeeds(runManyChanges, 3);
+}
+
+TEST_CASE("scenario: planted defects are found") {
+  CHECK(isFound(runCutOff, 2));
+  CHECK(isFound(runRacingOperators, 2));
+  CHECK(isFound(runManyChanges, 4));
+}
