--- a/src/daemon/daemon.cpp
+++ b/src/daemon/daemon.cpp
@@ -87,13 +87,13 @@
     }
   }
   LOG(INFO) << program << " " QUAYRILL_VERSION " serves as " << boot.role;
-  SettingsWatch settings(std::move(source), boot, [&agent](const Boot& changed) {
+  SettingsWatch watch(std::move(source), boot, [&agent](const Boot& changed) {
     if (agent) agent->takeSettings(changed);
   });
   int signal = 0;
-  while (sigwait(&awaited, &signal) == 0 && signal == SIGHUP) settings.onHup();
+  while (sigwait(&awaited, &signal) == 0 && signal == SIGHUP) watch.onHup();
   const Instant toldAt = BootClock::now();
-  boot = settings.stop();
+  boot = watch.stop();
   LOG(INFO) << "leaving: not ready, finishing what was accepted";
   if (agent) agent->beginLeaving();
   if (proxy) leave(*proxy, boot);
--- a/src/model/orders.cpp
+++ b/src/model/orders.cpp
@@ -1,10 +1,14 @@
 #include "model/orders.h"
 
+#include <algorithm>
 #include <sstream>
 
 namespace quayrill::model {
 
 namespace {
+// The model's days are short: every change is remembered.
+constexpr std::uint64_t kNoneForgotten = 0;
+
 std::string digestOf(const Order& order) { return changeDigest("order", order.basis, order.name); }
 
 TakenChanges readBody(const std::string& body) {
@@ -27,8 +31,11 @@
              const std::string& standing) -> absl::StatusOr<std::optional<std::string>> {
     TakenChanges taken = readBody(standing);
     const std::string digest = digestOf(order);
-    if (!judgesResendsAsNew && hasTaken(taken, digest)) return std::optional<std::string>{};
     const std::uint64_t number = taken.empty() ? 0 : taken.front().number;
+    const SentChange sent{order.basis + 1, order.basis, digest};
+    const ChangeStanding standingOfOrder = standingOf(sent, taken, kNoneForgotten, number);
+    if (!judgesResendsAsNew && standingOfOrder == ChangeStanding::Taken)
+      return std::optional<std::string>{};
     if (number != order.basis)
       return absl::FailedPreconditionError("number " + std::to_string(number) + " stands");
     addTaken(&taken, {number + 1, digest});
@@ -40,7 +47,8 @@
   const TakenChanges taken = readBody(body);
   OrderSet found = 0;
   for (std::size_t i = 0; i < orders.size(); ++i) {
-    if (hasTaken(taken, digestOf(orders[i]))) found |= bitOf(i);
+    const TakenChange made{orders[i].basis + 1, digestOf(orders[i])};
+    if (std::find(taken.begin(), taken.end(), made) != taken.end()) found |= bitOf(i);
   }
   return found;
 }
--- a/src/register/amending.h
+++ b/src/register/amending.h
@@ -19,6 +19,7 @@
   // The state but for the deadline and the amendment, which never change, as bytes: two of equal
   // bytes and the same amendment take the same steps from here on. For the model check.
   std::string stateBytes() const;
+  Instant due() const { return due_; }
 
  private:
   enum class Step { Reading, Proposing, Settling };
