--- /dev/null
+++ b/tests/caller_limit_tests.cpp
@@ -0,0 +1,128 @@
+// What callers may send and how long they may rest, and what the relay's own failures look like.
+#include "relay_stage.h"
+
+using namespace quayrill;
+using namespace quayrill::tests;
+
+namespace {
+void tellAnew(RelayStage& stage) {
+  ++stage.told.specVersion;
+  stage.tell();
+}
+
+std::string withBody(const std::string& id, const std::string& body) {
+  return "POST /once/ HTTP/1.1\r\nHost: h.example\r\nX-Id: " + id +
+         "\r\nX-Model: m\r\nX-Key: key\r\nConnection: close\r\n" + body;
+}
+}  // namespace
+
+TEST_CASE("limits: a daemon that knows no configuration turns everything away unrun") {
+  RelayStage stage(1, 60s, false);
+  stage.waitReady(503);
+  for (const char* path : {"/once/", "/nowhere/"}) {
+    for (const char* key : {"X-Key: key\r\n", "X-Key: none\r\n", ""}) {
+      const std::string answer = stage.post(path, "r1", key);
+      CHECK(statusOf(answer) == 503);
+      CHECK_FALSE(headerIn(answer, "Retry-After").empty());
+      CHECK(headerIn(answer, "X-Id") == "r1");
+    }
+  }
+  CHECK(stage.arrivals() == 0);
+}
+
+TEST_CASE("limits: a body comes with a length or in chunks, up to its limit to the byte") {
+  RelayStage stage(1);
+  stage.spec.callerLimits.bodyBytes = 10;
+  tellAnew(stage);
+  const std::string counted = withBody("r1", "Content-Length: 10\r\n\r\n0123456789");
+  const std::string chunks =
+      withBody("r2", "Transfer-Encoding: chunked\r\n\r\n3\r\n012\r\n7\r\n3456789\r\n0\r\n\r\n");
+  CHECK(statusOf(RelayStage::ask(stage.callers, counted)) == 200);
+  CHECK(statusOf(RelayStage::ask(stage.callers, chunks)) == 200);
+  for (const std::string& request : stage.servers[0]->seen()) {
+    CHECK(headerIn(request, "Content-Length") == "10");
+    CHECK(headerIn(request, "Transfer-Encoding").empty());
+    CHECK(request.substr(request.size() - 14) == "\r\n\r\n0123456789");
+  }
+  const std::string over =
+      withBody("r3", "Transfer-Encoding: chunked\r\n\r\n3\r\n012\r\n8\r\n34567890\r\n0\r\n\r\n");
+  CHECK(statusOf(RelayStage::ask(stage.callers, over)) == 413);
+  CHECK(stage.arrivals() == 2);
+}
+
+TEST_CASE("limits: a refusal arrives although its caller goes on sending the body") {
+  RelayStage stage(1);
+  stage.spec.callerLimits.bodyBytes = 10;
+  tellAnew(stage);
+  const std::string body(900000, 'x');
+  for (int i = 0; i < 5; ++i) {
+    const std::string answer =
+        RelayStage::ask(stage.callers, withBody("r", "Content-Length: 900000\r\n\r\n" + body));
+    CHECK(statusOf(answer) == 413);
+  }
+  CHECK(stage.arrivals() == 0);
+}
+
+TEST_CASE("limits: a connection rests as long as the configuration of the day says") {
+  RelayStage stage(1);
+  stage.spec.callerLimits.idleDue = 1500ms;
+  stage.addRoute("/last/", false, 1);
+  tellAnew(stage);
+  asio::io_context own;
+  Tcp::socket socket(own);
+  socket.connect(endpointOf(stage.callers));
+  std::string bytes;
+  const auto askAgain = [&](const char* id) {
+    asio::write(socket, asio::buffer(RelayStage::request("/once/", id, "X-Key: key\r\n", false)));
+    ErrorCode code;
+    asio::read_until(socket, asio::dynamic_buffer(bytes), "\r\n0\r\n\r\n", code);
+    const bool isHere = !code && headerIn(bytes, "X-Id") == id;
+    bytes.clear();
+    return isHere;
+  };
+  CHECK(askAgain("r1"));
+  stage.spec.callerLimits.idleDue = 120s;  // while it rests
+  tellAnew(stage);
+  // Until the former limit is long over.
+  stage.all([](int, const std::string& request) {
+    if (headerIn(request, "X-Id") == "last") return Reply{"", false, true};
+    return Reply{streamHead(request) + chunked({event(1)})};
+  });
+  CHECK(statusOf(stage.post("/last/", "last", "X-Key: key\r\nX-Due: 2500\r\n")) == 504);
+  stage.tell();  // the configuration is to be confirmed lately
+  CHECK(askAgain("r2"));
+  stage.spec.callerLimits.idleDue = 300ms;
+  tellAnew(stage);
+  CHECK(askAgain("r3"));
+  ErrorCode code;
+  asio::read(socket, asio::dynamic_buffer(bytes), code);
+  CHECK(code == asio::error::eof);
+  CHECK(bytes.empty());
+}
+
+TEST_CASE("limits: no failure of the relay's own bears a seal, a server's own keeps its") {
+  RelayStage stage(1);
+  stage.spec.contracts.at(ContractName{"/once/"}).due = 200ms;
+  tellAnew(stage);
+  stage.all([](int arrival, const std::string& request) {
+    const std::string seal = "X-Seal: s" + std::to_string(arrival) + "\r\n";
+    if (arrival == 1) return Reply{plain(request, 500, seal)};
+    if (arrival == 2) return Reply{plain(request, 503, "X-Not-Run: 1\r\n" + seal)};
+    if (arrival == 3) return Reply{"", true};
+    return Reply{"", false, true};
+  });
+  const std::string own = stage.post("/once/", "r1");
+  CHECK(statusOf(own) == 500);
+  CHECK(headerIn(own, "X-Seal") == "s1");
+  const std::vector<std::pair<int, std::string>> failures{
+      {503, stage.post("/once/", "r2")},
+      {502, stage.post("/once/", "r3")},
+      {504, stage.post("/once/", "r4")},
+      {401, stage.post("/once/", "r5", "X-Key: none\r\n")},
+      {404, stage.post("/nowhere/", "r6")},
+      {400, RelayStage::ask(stage.callers, "nonsense\r\n\r\n")}};
+  for (const auto& [status, answer] : failures) {
+    CHECK(statusOf(answer) == status);
+    CHECK(headerIn(answer, "X-Seal").empty());
+  }
+}
