Orders: a version that a server doesn't know yet is ordered again; release behind open orders

- A server answers 400 for a version that was not named.
It was then never ordered again in its life, although it may learn of the version a moment later, when the operator's acknowledgement has come.
It is now ordered again after 0.5 s, doubling to 4 s. 421 still ends it for that life.
- A hold that was fenced off was released at once, though orders under it could still be sent for 1.5 s, while a rival counts its lease from the release.
It is released once no order is open.

No other fault was found in reading orders, holds and roll-out: an order is sent at most 1.5 s after the hold was seen to last 1.8 s more, also after a freeze, up to the few instructions before the write; a next holder waits a lease from the release or from the term's end.

--- a/src/agent/core/rollout.cpp
+++ b/src/agent/core/rollout.cpp
@@ -14,6 +14,7 @@
 constexpr Span kFirstQuestion = 1200ms;
 constexpr Span kReportLag = 600ms;  // a report may be as old as that when it comes
 constexpr Span kOrderAgain = 500ms;
+constexpr Span kNotKnownLongest = 4s;  // ours: between orders of a version that is not known there
 constexpr Span kNoteEvery = 1s;
 constexpr Span kStuckSpan = 10s;   // no word of its new weights for so long: its place goes on
 constexpr double kPlanned = 0.75;  // of the bound: the rest is for what goes wrong
@@ -29,8 +30,8 @@
 }  // namespace
 
 const char* orderAnswerName(OrderAnswer answer) {
-  static constexpr const char* kNames[] = {"taken",  "holds",   "busy",
-                                           "fenced", "refused", "unclear"};
+  static constexpr const char* kNames[] = {"taken",   "holds",     "busy",   "fenced",
+                                           "refused", "not known", "unclear"};
   return kNames[static_cast<std::size_t>(answer)];
 }
 
@@ -55,6 +56,10 @@
 
 bool Rollout::isIdle() const { return switchingCount() == 0; }
 
+bool Rollout::hasOpenOrder() const {
+  return std::any_of(rows_.begin(), rows_.end(), [](const auto& row) { return row.second.open; });
+}
+
 std::size_t Rollout::switchingCount() const {
   return static_cast<std::size_t>(std::count_if(rows_.begin(), rows_.end(), [](const auto& row) {
     return row.second.switching || row.second.open;
@@ -181,6 +186,7 @@
   row.open = false;
   row.answeredAt = now;
   row.nextQuestion = now + kQuestionEvery;
+  if (answer != OrderAnswer::NotKnown) row.notKnown = 0;
   switch (answer) {
     case OrderAnswer::Taken:
       // Questions are priced: the first comes no sooner than the new weights could be there.
@@ -196,6 +202,11 @@
     case OrderAnswer::Refused:
       row.refused = order.weights;
       break;
+    case OrderAnswer::NotKnown:
+      row.nextOrder =
+          now + std::min(kNotKnownLongest, kOrderAgain * (1 << std::min(row.notKnown, 8U)));
+      ++row.notKnown;
+      break;
     case OrderAnswer::Fenced:
       row.nextOrder = now + kOrderAgain;
       break;
--- a/src/agent/core/rollout.h
+++ b/src/agent/core/rollout.h
@@ -14,12 +14,13 @@
 
 // What became of an order, as far as its answer tells.
 enum class OrderAnswer {
-  Taken,    // it is being done
-  Holds,    // it held already
-  Busy,     // another is under way
-  Fenced,   // a higher fence was seen there
-  Refused,  // it will not be done: another server, or no such version
-  Unclear,  // no answer; it may have been taken
+  Taken,     // it is being done
+  Holds,     // it held already
+  Busy,      // another is under way
+  Fenced,    // a higher fence was seen there
+  Refused,   // it will not be done: another server is there
+  NotKnown,  // the server knows no such version now; it may learn of it
+  Unclear,   // no answer; it may have been taken
 };
 const char* orderAnswerName(OrderAnswer answer);
 
@@ -86,6 +87,8 @@
   // This fence is of no more use: a server has seen a higher one.
   bool isFencedOff(Fence fence) const { return fence <= fencedOff_; }
   std::size_t switchingCount() const;
+  // An order of this daemon may still be sent, or be on its way.
+  bool hasOpenOrder() const;
 
  private:
   // One life of a server. `switching` lasts from the first order until the new weights are seen
@@ -98,6 +101,7 @@
     bool switching = false, open = false, asking = false;
     bool again = false;                     // the last order was not taken, or is outdated
     std::optional<WeightsVersion> refused;  // not ordered again in this life
+    std::uint32_t notKnown = 0;             // answers of that kind in a row
     Instant begunAt, orderedAt, answeredAt, nextOrder, nextQuestion, notedAt;
   };
   WeightsVersion weightsOf(const RolloutServer& server) const;
--- a/src/agent/orders.cpp
+++ b/src/agent/orders.cpp
@@ -50,7 +50,8 @@
     AgentEffects effects;
     const auto held = core_->held(key, Span{}, now);
     if (held && rollout.isFencedOff(*held)) {
-      core_->releaseHold(key, now, &effects);
+      // Whoever follows counts its wait from the release: nothing of ours may arrive after it.
+      if (!rollout.hasOpenOrder()) core_->releaseHold(key, now, &effects);
     } else if (rollout.wantsHold(view)) {
       Instant& since = behindSince_.try_emplace(model, now).first->second;
       // As long as somebody tells of its orders, nothing is overdue.
--- a/tests/rollout_tests.cpp
+++ b/tests/rollout_tests.cpp
@@ -346,6 +346,54 @@
   CHECK(later.orders.size() == 1);
 }
 
+TEST_CASE("rollout: a version that a server doesn't know yet is ordered again, ever later") {
+  const Instant start{1000s};
+  const RolloutView view{WeightsVersion{"2"},
+                         1s,
+                         {{ServerName{"s"}, ServerIdentity{"i"}, WeightsVersion{"1"}, true}},
+                         Fence{7}};
+  Rollout rollout(kModel, {15s, {}});
+  std::vector<Instant> ordered;
+  for (Instant now = start; now < start + 20s; now += 50ms) {
+    RolloutEffects made;
+    rollout.onTick(view, now, &made);
+    if (made.orders.empty()) continue;
+    ordered.push_back(now);
+    rollout.onOrderAnswer(made.orders[0], OrderAnswer::NotKnown, now, &made);
+    CHECK(rollout.isIdle());
+    CHECK(rollout.wantsHold(view));
+  }
+  REQUIRE(ordered.size() >= 5);
+  CHECK(ordered.size() <= 8);
+  CHECK(ordered[1] - ordered[0] <= 1s);
+  for (std::size_t i = 2; i < ordered.size(); ++i)
+    CHECK(ordered[i] - ordered[i - 1] >= ordered[i - 1] - ordered[i - 2]);
+  // Once it knows the version it is brought to it.
+  RolloutEffects made, done;
+  rollout.onTick(view, start + 30s, &made);
+  REQUIRE(made.orders.size() == 1);
+  rollout.onOrderAnswer(made.orders[0], OrderAnswer::Holds, start + 30s, &done);
+  CHECK_FALSE(rollout.wantsHold(view));
+}
+
+TEST_CASE("rollout: a holder that is fenced off still has the orders open that it gave before") {
+  RolloutView view{WeightsVersion{"2"}, 14s, {}, Fence{7}};
+  for (const char* name : {"a", "b", "c", "d"})
+    view.servers.push_back({ServerName{name}, ServerIdentity{"i"}, WeightsVersion{"1"}, true});
+  Rollout rollout(kModel, {15s, {}});
+  const Instant now{1000s};
+  RolloutEffects made, later;
+  rollout.onTick(view, now, &made);
+  REQUIRE(made.orders.size() == 2);
+  rollout.onOrderAnswer(made.orders[0], OrderAnswer::Fenced, now, &later);
+  CHECK(rollout.isFencedOff(Fence{7}));
+  CHECK(rollout.hasOpenOrder());
+  rollout.onTick(view, now + 50ms, &later);
+  CHECK(later.orders.empty());
+  rollout.onOrderAnswer(made.orders[1], OrderAnswer::Unclear, now + 1s, &later);
+  CHECK_FALSE(rollout.hasOpenOrder());
+}
+
 TEST_CASE("rollout: weights named during a roll-out are gone on with") {
   Bench bench(18, 1800ms, 15s);
   bench.holders[0].fence = Fence{7};
