--- a/src/daemon/daemon.cpp
+++ b/src/daemon/daemon.cpp
@@ -19,8 +19,7 @@
 // The platform needs to see that it is not ready before connections stop: it takes what still comes
 // meanwhile, then it only finishes. What was accepted has until its deadline, however short the
 // grace.
-template <class DataPlane>
-void leave(DataPlane& plane, const Boot& boot) {
+void leave(Proxy& plane, const Boot& boot) {
   plane.beginLeaving();
   const Span grace = std::max<Span>(boot.grace, plane.longestDue() + 2s);
   const auto graceEnd = BootClock::now() + grace;
@@ -43,6 +42,13 @@
   while (agent.isHandingOver() && until(boot.grace * 3 / 4) > Span{})
     std::this_thread::sleep_for(20ms);
 }
+
+// The relay has a schedule of its own, within the grace.
+void leave(Relay& relay) {
+  relay.beginLeaving();
+  while (!relay.hasLeft()) std::this_thread::sleep_for(20ms);
+  relay.stop();
+}
 }  // namespace
 
 int runDaemon(Boot boot, const Dialect& dialect, const char* program, SettingsSource source) {
@@ -97,7 +103,7 @@
   LOG(INFO) << "leaving: not ready, finishing what was accepted";
   if (agent) agent->beginLeaving();
   if (proxy) leave(*proxy, boot);
-  if (relay) leave(*relay, boot);
+  if (relay) leave(*relay);
   if (agent) {
     // A proxy beside this agent finishes on its word that the spec still stands.
     leaveRegister(*agent, boot, toldAt);
--- a/src/relay/answer.cpp
+++ b/src/relay/answer.cpp
@@ -156,7 +156,7 @@
           addHeader(&bytes, view(field.name_string()), view(field.value()));
       }
       addHeader(&bytes, "Transfer-Encoding", "chunked");
-      if (!attempt.keepAlive) addHeader(&bytes, "Connection", "close");
+      if (!keepsOpen(attempt.caller, attempt.keepAlive)) addHeader(&bytes, "Connection", "close");
       bytes += "\r\n";
       result.firstAfter = BootClock::now() - attempt.begun;
     }
@@ -165,8 +165,8 @@
     soFar.headSent = true;
     // From here on only the route's own deadline ends the answer.
     attempt.watch->hasBegun = true;
-    attempt.watch->deadline = attempt.job.deadline + 1s;
-    setDeadline(attempt.caller, BootClock::now() + 10s);
+    attempt.watch->deadline = streamEnd(attempt.job);
+    setDeadline(attempt.caller, streamEnd(attempt.job));
     ErrorCode written;
     co_await asio::async_write(attempt.caller->socket, asio::buffer(bytes), into(written));
     attempt.caller->deadline = Instant::max();
--- a/src/relay/attempt.cpp
+++ b/src/relay/attempt.cpp
@@ -37,9 +37,6 @@
                   std::nullopt,
                   std::make_shared<Attempt::Watch>(),
                   asio::steady_timer(io_)};
-  // Sees the caller leave while the connection comes up, too.
-  caller->onGone = [] {};
-  watch(caller);
   // Without an id nothing tells a late answer of another request from its own.
   if (!job.id.value.empty())
     attempt.connection = pool_.takeIdle(server.name, attempt.begun, job.id);
@@ -47,14 +44,12 @@
     const Span due = std::min<Span>(kConnectDue, job.deadline - attempt.begun);
     auto connected = co_await pool_.connect(server.name, due);
     if (!connected.ok()) {
-      caller->onGone = nullptr;
       TryResult result{TryEnd::NeverSent, std::string(connected.status().message())};
       result.isUnreachable = true;
       co_return result;
     }
     attempt.connection = std::move(*connected);
   }
-  caller->onGone = nullptr;
   // Nothing is awaited from here until the first bytes have left.
   const Instant now = BootClock::now();
   const std::string refused = whyNot(*caller, job, server, now);
@@ -71,7 +66,7 @@
   attempt.watch->signs = signsOf(server.name);
   attempt.watch->begun = now;
   attempt.watch->latest = job.deadline;
-  caller->onGone = [watch = attempt.watch] {
+  caller->endTry = [watch = attempt.watch] {
     ErrorCode ignored;
     if (watch->socket) watch->socket->close(ignored);
   };
@@ -101,7 +96,7 @@
   }
   attempt.watch->socket = nullptr;
   attempt.timer.cancel();
-  caller->onGone = nullptr;
+  caller->endTry = nullptr;
   if (result.end != TryEnd::Done && caller->isGone)
     co_return TryResult{TryEnd::CallerGone, result.detail};
   if (attempt.watch->expired && result.end == TryEnd::Unknown) {
--- a/tests/byte_server.h
+++ b/tests/byte_server.h
@@ -64,6 +64,8 @@
   Script script;
   std::vector<std::string> requests;
   std::atomic<int> connections{0}, closed{0};
+  std::atomic<int> arrived{0};         // requests read, also those whose script still runs
+  std::weak_ptr<Tcp::socket> hanging;  // the connection that hung last
   // By the order of arrival: the number of the connection that each request came on.
   std::vector<int> carriedBy;
   // Answers once the head is in, and reads the body on when `readsOn` is set. What came then goes
@@ -116,7 +118,9 @@
       co_await asio::async_write(socket, asio::buffer(rest), into(code));
     co_return !code && reply.breaks == Break::Not;
   }
-  awaitable<void> serve(Tcp::socket socket, int number) {
+  awaitable<void> serve(Tcp::socket accepted, int number) {
+    const auto kept = std::make_shared<Tcp::socket>(std::move(accepted));
+    Tcp::socket& socket = *kept;
     std::string held;
     for (;;) {
       ErrorCode code;
@@ -135,12 +139,14 @@
         held.erase(0, body);
       }
       Reply reply;
+      ++arrived;
       {
         std::lock_guard lock(mutex);
         requests.push_back(request);
         carriedBy.push_back(number);
         reply = script(static_cast<int>(requests.size()), request);
       }
+      if (reply.hangs) hanging = kept;
       if (!co_await send(socket, reply) || reply.closes) break;
       if (reply.hangs) {
         char byte;
@@ -157,6 +163,13 @@
     }
     ++closed;
   }
+  // On the connection that hung last.
+  void sendMore(std::string bytes) {
+    asio::post(io, [this, bytes = std::move(bytes)] {
+      ErrorCode code;
+      if (const auto socket = hanging.lock()) asio::write(*socket, asio::buffer(bytes), code);
+    });
+  }
   std::vector<std::string> seen() {
     std::lock_guard lock(mutex);
     return requests;
--- a/tests/relay_stage.h
+++ b/tests/relay_stage.h
@@ -40,8 +40,10 @@
   Spec spec;
   Snapshot told;
 
-  // `extraShare`: of the budget for extra tries; the default lets every test's further tries pass.
-  explicit RelayStage(int count, double extraShare = 20) {
+  // `isTold` false: the relay has heard nothing of its agent. `extraShare`: of the budget for extra
+  // tries; the default lets every test's further tries pass.
+  explicit RelayStage(int count, std::chrono::milliseconds grace = 60s, bool isTold = true,
+                      double extraShare = 20) {
     spec.weights[ModelName{"m"}] = WeightsVersion{"1"};
     spec.tenants[TenantName{"north"}] = {};
     spec.tenants[TenantName{"hill"}].isolated = true;
@@ -76,12 +78,13 @@
     boot.ready = ready;
     boot.trafficThreads = 1;
     boot.extraShare = extraShare;
+    boot.grace = grace;
     Dialect dialect = ownDialect();
     dialect.relayNames = relayTestNames();
     dialect.readSpec = [this](const std::string&) -> absl::StatusOr<Spec> { return spec; };
     relay = std::make_unique<Relay>(boot, dialect);
     REQUIRE(relay->start().ok());
-    tell();
+    if (isTold) tell();
   }
   ~RelayStage() {
     relay.reset();
--- a/tests/relay_tests.cpp
+++ b/tests/relay_tests.cpp
@@ -403,7 +403,7 @@
 }
 
 TEST_CASE("relay: further tries are paid by requests alone") {
-  RelayStage stage(2, 1);  // of the whole bound one daemon may use a half
+  RelayStage stage(2, 60s, true, 1);  // of the whole bound one daemon may use a half
   stage.all([](int, const std::string& request) {
     return Reply{plain(request, 503, "X-Not-Run: 1\r\n")};
   });
