--- a/src/net/synced_folder_env.cpp
+++ b/src/net/synced_folder_env.cpp
@@ -20,9 +20,10 @@
   return path.size() >= end.size() && path.compare(path.size() - end.size(), end.size(), end) == 0;
 }
 
+// As LevelDB syncs its folder.
 leveldb::Status syncSystemFolder(const std::string& folder) {
   const auto failed = [&] { return leveldb::Status::IOError(folder, std::strerror(errno)); };
-  const int handle = ::open(folder.c_str(), O_RDONLY | O_DIRECTORY | O_CLOEXEC);
+  const int handle = ::open(folder.c_str(), O_RDONLY | O_CLOEXEC);
   if (handle < 0) return failed();
   const auto status = ::fsync(handle) == 0 ? leveldb::Status::OK() : failed();
   ::close(handle);
