--- a/src/boot/boot.cpp
+++ b/src/boot/boot.cpp
@@ -57,7 +57,7 @@
       "copies_wanted", "bear_machines",   "bear_zones",     "bear_regions", "catch_up_ms",
       "block_tokens",  "traffic_threads", "fresh_limit_ms", "grace_ms"};
   if (kNumbers.contains(name)) {
-    const Json number = Json::parse(text, nullptr, false);
+    Json number = Json::parse(text, nullptr, false);
     if (number.is_number_integer()) return number;
   }
   return text;
