--- a/src/agent/core/agent_core.cpp
+++ b/src/agent/core/agent_core.cpp
@@ -274,6 +274,7 @@
 void AgentCore::tickConfirm(Instant now, AgentEffects* effects) {
   const CopySet& copies = freshness_.copies();
   if (copies.epoch.value == 0) return;
+  if (!copies.settled) nextConfirm_ = std::min(nextConfirm_, now + kConfirmEveryUnsettled);
   if (now < nextConfirm_) return sendAll(freshness_.widen(now), effects);
   nextConfirm_ = now + (copies.settled ? kConfirmEvery : kConfirmEveryUnsettled);
   const bool wantsKeys = copy_ && ++confirmRounds_ % kListKeysEvery == 0;
--- a/src/agent/core/copy_set.cpp
+++ b/src/agent/core/copy_set.cpp
@@ -14,7 +14,6 @@
 // repairs is given: before it gives way to one that waits.
 constexpr Span kSilentSpan = 4s;
 constexpr Span kLeastSilentSpan = 500ms;  // two rounds of questions
-constexpr Span kQuestionsEvery = 250ms;
 constexpr Span kTickGap = 500ms;  // a daemon that did not run for so long judges nobody by it
 constexpr Span kForgetReturns = 60s;
 constexpr Span kSilentAloneSpan = 8s;  // ours: before it is taken out where none waits
@@ -22,12 +21,10 @@
 constexpr Span kNextStepsInAfter = 700ms;
 }  // namespace
 
-// Half of the time until the next loss is for noticing, half for the steps. What is noticed counts
-// from the last answer, which came up to one round of questions before the loss.
+// Half of the time until the next loss is for noticing, half for the steps.
 Span AgentCore::silentSpan() const {
   if (boot_.catchUpSpan == Span{}) return kSilentSpan;
-  return std::clamp<Span>(boot_.catchUpSpan / 2 + kQuestionsEvery - kTouchSpan, kLeastSilentSpan,
-                          kSilentSpan);
+  return std::clamp<Span>(boot_.catchUpSpan / 2 - kTouchSpan, kLeastSilentSpan, kSilentSpan);
 }
 Span AgentCore::silentAloneSpan() const { return kSilentAloneSpan; }
 
