--- a/src/boot/boot.cpp
+++ b/src/boot/boot.cpp
@@ -51,7 +51,7 @@
   static const std::set<std::string> kNumbers = {"copies_wanted", "block_tokens", "traffic_threads",
                                                  "fresh_limit_ms", "grace_ms"};
   if (kNumbers.contains(name)) {
-    const Json number = Json::parse(text, nullptr, false);
+    Json number = Json::parse(text, nullptr, false);
     if (number.is_number_integer()) return number;
   }
   return text;
--- a/src/sim/mawson.cpp
+++ b/src/sim/mawson.cpp
@@ -70,7 +70,7 @@
   boot.plantReusedStore = plant == "reused";
   boot.plantFastClocks = plant == "clocks";
   boot.plantStaleConfirm = plant == "stale";
-  std::size_t broken = 0, unconverged = 0;
+  std::size_t broken = 0;
   Tally total;
   try {
     boot.diskMachines = static_cast<std::size_t>(std::stoul(flags["--disks"].asString()));
@@ -97,7 +97,6 @@
       total.notTried += result.tally.notTried;
       total.unknown += result.tally.unknown;
       total.holdsSeen += result.tally.holdsSeen;
-      unconverged += result.converged ? 0 : 1;
       if (count == 1)
         std::cout
             << "seed " << seed << " trace " << std::hex << result.traceHash << std::dec
--- a/src/sim/world.cpp
+++ b/src/sim/world.cpp
@@ -10,7 +10,6 @@
 
 namespace {
 constexpr Span kTick = 50ms;
-constexpr Span kFreshSpan = 3s;
 }  // namespace
 
 World::World(const WorldBoot& boot) : boot_(boot), random_(boot.seed), now_(Instant(1s)) {
--- a/tests/fleet/jumping_clock.cpp
+++ b/tests/fleet/jumping_clock.cpp
@@ -2,7 +2,8 @@
 // by up to two days, forwards and backwards, several times a second. Other clocks are untouched.
 #include <dlfcn.h>
 #include <sys/time.h>
-#include <time.h>
+
+#include <ctime>
 
 namespace {
 using ClockGettime = int (*)(clockid_t, timespec*);
--- a/tests/scale/hollow_fleet.cpp
+++ b/tests/scale/hollow_fleet.cpp
@@ -2,9 +2,9 @@
 // `jungfraujoch --keep-open` serves on the same net. docs/CAPACITY.md has the commands.
 #include <glog/logging.h>
 #include <malloc.h>
-#include <time.h>
 
 #include <csignal>
+#include <ctime>
 #include <fstream>
 #include <iostream>
 #include <thread>
