--- a/tests/replica_plan_tests.cpp
+++ b/tests/replica_plan_tests.cpp
@@ -25,7 +25,7 @@
          more;
 }
 
-absl::StatusOr<Boot> bootWith(std::map<std::string, std::string> flags) {
+absl::StatusOr<Boot> loadedWith(std::map<std::string, std::string> flags) {
   flags.insert({{"role", "agent"},
                 {"cohort", "127.0.0.1:7001"},
                 {"operators", "127.0.0.1:7002"},
@@ -106,18 +106,18 @@
 }
 
 TEST_CASE("settings: losses to bear are checked against the number of replicas") {
-  const auto plain = bootWith({});
+  const auto plain = loadedWith({});
   REQUIRE(plain.ok());
   CHECK(plain->copiesWanted == 4);
   CHECK(plain->losses.machines == 1);
-  const auto two = bootWith({{"bear_machines", "2"}, {"catch_up_ms", "6000"}});
+  const auto two = loadedWith({{"bear_machines", "2"}, {"catch_up_ms", "6000"}});
   REQUIRE(two.ok());
   CHECK(two->copiesWanted == 5);
   CHECK(two->catchUp == 6s);
-  const auto few = bootWith({{"bear_machines", "2"}, {"copies_wanted", "4"}});
+  const auto few = loadedWith({{"bear_machines", "2"}, {"copies_wanted", "4"}});
   REQUIRE_FALSE(few.ok());
   CHECK_THAT(std::string(few.status().message()), Contains("copies_wanted") && Contains("5"));
-  const auto zones = bootWith({{"bear_zones", "1"}});
+  const auto zones = loadedWith({{"bear_zones", "1"}});
   REQUIRE_FALSE(zones.ok());
   CHECK_THAT(std::string(zones.status().message()), Contains("region_of_zone"));
 }
