--- a/tests/relay_boundary_tests.cpp
+++ b/tests/relay_boundary_tests.cpp
@@ -64,7 +64,7 @@
   std::size_t cut = 0;
   Break breaks{};
   bool isKept = false;
-  std::string surplus;  // before the answer, and belongs to nobody
+  std::string surplus{};  // before the answer, and belongs to nobody
 };
 
 std::string nameOf(const Case& asked) {
