--- a/src/agent/agent.cpp
+++ b/src/agent/agent.cpp
@@ -13,52 +13,55 @@
 constexpr Span kFeedEvery = 100ms;
 constexpr Span kPollEvery = 400ms;
 constexpr Span kListDue = 800ms;
-constexpr Span kSoundSpan = 1500ms;
+constexpr Span kHealthySpan = 1500ms;
 constexpr Span kNamedLongAgo = 24h;
 constexpr char kDiskClosed[] =
-    "the data folder can't be written now: no register copy votes here; make room, it is tried "
+    "the data folder can't be written now: no register replica votes here; make room, it is tried "
     "again each second";
-AgentBoot coreBoot(const Boot& boot) {
+AgentSettings coreSettings(const Settings& settings) {
   std::random_device entropy;
   const std::uint64_t nonce = (static_cast<std::uint64_t>(entropy()) << 32) | entropy();
-  AgentBoot core{boot.cohort,       boot.zone,     boot.seeds,        boot.callers.value, nonce | 1,
-                 boot.copiesWanted, boot.mayFound, boot.foundingWait, boot.leaseSpan};
-  core.listEvery = boot.listEvery;
-  core.listCallsPerS = boot.listCallsPerS;
-  core.losses = boot.losses;
-  core.topology = boot.topology;
-  core.catchUpSpan = boot.catchUp;
+  AgentSettings core{
+      settings.peer,     settings.zone,           settings.seeds,    settings.callers.value,
+      nonce | 1,         settings.replicasWanted, settings.mayFound, settings.foundingWait,
+      settings.leaseSpan};
+  core.listEvery = settings.listEvery;
+  core.listCallsPerS = settings.listCallsPerS;
+  core.losses = settings.losses;
+  core.topology = settings.topology;
+  core.catchUpSpan = settings.catchUp;
   return core;
 }
 }  // namespace
 
-Agent::Agent(Boot boot, Dialect dialect) : boot_(std::move(boot)), dialect_(std::move(dialect)) {}
+Agent::Agent(Settings settings, Dialect dialect)
+    : settings_(std::move(settings)), dialect_(std::move(dialect)) {}
 
 absl::Status Agent::start() {
   std::optional<std::map<std::string, std::string>> kept;
-  if (!boot_.dataFolder.empty()) {
-    disk_ = std::make_unique<Disk>(DiskBoot{boot_.dataFolder, boot_.diskDrag},
+  if (!settings_.dataFolder.empty()) {
+    disk_ = std::make_unique<Disk>(DiskSettings{settings_.dataFolder, settings_.diskDrag},
                                    [this](Disk::Rows rows) { takeDisk(std::move(rows)); });
     auto opened = disk_->open();
     if (!opened.ok()) return opened.status();
     kept = std::move(*opened);
     if (!kept) LOG(ERROR) << kDiskClosed;
   }
-  core_.emplace(coreBoot(boot_), kept);
-  link_ = std::make_unique<CohortLink>(io_, boot_.cohort, boot_.cohortVia, [this](Envelope e) {
+  core_.emplace(coreSettings(settings_), kept);
+  link_ = std::make_unique<PeerLink>(io_, settings_.peer, settings_.peerVia, [this](Envelope e) {
     AgentEffects effects;
     core_->onMessage(e, BootClock::now(), &effects);
     apply(std::move(effects));
   });
   if (auto status = link_->start(); !status.ok()) return status;
-  HttpServerBoot serverBoot;
-  serverBoot.listen = boot_.operators;
-  serverBoot.bodyLimit = 4 << 20;
+  HttpServerSettings serverSettings;
+  serverSettings.listen = settings_.operators;
+  serverSettings.bodyLimit = 4 << 20;
   operators_ = std::make_unique<HttpServer>(
-      io_, serverBoot, [this](Circuit&, HttpRequest& request) { return handle(request); });
+      io_, serverSettings, [this](Connection&, HttpRequest& request) { return handle(request); });
   if (auto status = operators_->start(); !status.ok()) return status;
   AgentEffects effects;
-  effects.copyWork = core_->start();
+  effects.replicaWork = core_->start();
   apply(std::move(effects));
   asio::co_spawn(io_, tickLoop(), asio::detached);
   return absl::OkStatus();
@@ -70,11 +73,11 @@
   asio::post(io_, [this] { core_->setLeaving(true); });
 }
 
-void Agent::takeSettings(const Boot& changed) {
+void Agent::takeSettings(const Settings& changed) {
   asio::post(io_, [this, changed] {
-    boot_.platform = changed.platform;
+    settings_.platform = changed.platform;
     core_->setListLimits(changed.listEvery, changed.listCallsPerS);
-    if (core_->boot().seeds != changed.seeds) core_->setSeeds(changed.seeds);
+    if (core_->settings().seeds != changed.seeds) core_->setSeeds(changed.seeds);
   });
 }
 
@@ -86,7 +89,7 @@
       LOG(ERROR) << "the data folder is not understood: start with an empty one";
       return;
     }
-    LOG(INFO) << "data folder read anew: register copy may vote again";
+    LOG(INFO) << "data folder read anew: register replica may vote again";
     disk_->resume();
     apply(std::move(effects));
   });
@@ -94,17 +97,17 @@
 
 void Agent::apply(AgentEffects effects) {
   for (const Envelope& envelope : effects.sends) link_->send(envelope);
-  for (CopyWork& work : effects.copyWork) {
+  for (ReplicaWork& work : effects.replicaWork) {
     auto answer = std::make_shared<std::optional<Envelope>>(std::move(work.answer));
     disk_->write(std::move(work.writes), [this, answer](absl::Status status) {
       asio::post(io_, [this, answer, status] {
-        core_->onCopyWorkDone();
+        core_->onReplicaWorkDone();
         if (!status.ok()) {
-          ++counters_.diskDefects;
+          ++counters_.diskErrors;
           if (core_->isWritable())
-            LOG(ERROR) << "register copy stops voting: "
-                       << message({DefectKind::DiskDefect, status.ToString()});
-          core_->onDiskDefect();
+            LOG(ERROR) << "register replica stops voting: "
+                       << message({ErrorKind::DiskError, status.ToString()});
+          core_->onDiskError();
         } else if (*answer) {
           link_->send(**answer);
         }
@@ -118,35 +121,35 @@
     waiters_.erase(waiter);
     wake(done);
   }
-  takeSpec();
+  takeConfiguration();
 }
 
-void Agent::takeSpec() {
-  const RegisterValue& value = core_->freshness().spec().value;
-  if (value.version == specVersion_) {
+void Agent::takeConfiguration() {
+  const RegisterValue& value = core_->freshness().configuration().value;
+  if (value.version == configurationVersion_) {
     confirmedThen_ = core_->freshness().confirmedAt();
     return;
   }
-  auto parsed = dialect_.readSpec(value.body);
+  auto parsed = dialect_.readConfiguration(value.body);
   if (!parsed.ok()) {
-    // Checked before it was proposed, so only a newer build's spec can get here.
-    LOG_EVERY_N(ERROR, 1000) << "spec " << value.version
+    // Checked before it was proposed, so only a newer build's configuration can get here.
+    LOG_EVERY_N(ERROR, 1000) << "configuration " << value.version
                              << " is not understood: " << parsed.status().message()
                              << ": upgrade this daemon";
     return;
   }
-  core_->nameWeights(parsed->weights, specVersion_ > 0 ? confirmedThen_ : std::nullopt);
-  spec_ = std::move(*parsed);
-  specVersion_ = value.version;
-  ++counters_.specChanges;
-  LOG(INFO) << "spec " << specVersion_ << " in force";
+  core_->nameWeights(parsed->weights, configurationVersion_ > 0 ? confirmedThen_ : std::nullopt);
+  configuration_ = std::move(*parsed);
+  configurationVersion_ = value.version;
+  ++counters_.configurationChanges;
+  LOG(INFO) << "configuration " << configurationVersion_ << " in force";
 }
 
 void Agent::feed(Instant now) {
-  if (!feed_ || (now < nextFeed_ && fedSpec_ == specVersion_)) return;
+  if (!feed_ || (now < nextFeed_ && fedConfiguration_ == configurationVersion_)) return;
   nextFeed_ = now + kFeedEvery;
-  feed_(snapshot(fedSpec_, now), now);
-  fedSpec_ = specVersion_;
+  feed_(snapshot(fedConfiguration_, now), now);
+  fedConfiguration_ = configurationVersion_;
 }
 
 awaitable<void> Agent::tickLoop() {
@@ -170,7 +173,7 @@
 awaitable<void> Agent::readList() {
   const Instant askedAt = BootClock::now();
   std::size_t calls = 0;
-  auto listed = co_await dialect_.readList(boot_.platform, boot_.cohort, kListDue, &calls);
+  auto listed = co_await dialect_.readList(settings_.platform, settings_.peer, kListDue, &calls);
   AgentEffects effects;
   counters_.listCalls += calls;
   if (listed.ok()) {
@@ -214,10 +217,10 @@
   state.model = listed.model;
   state.weights = listed.weights;
   state.slots = listed.slots;
-  state.sound = true;
+  state.healthy = true;
   state.polledAt = readAt;
   row.state = std::move(state);
-  row.soundAt = readAt;
+  row.healthyAt = readAt;
 }
 
 awaitable<void> Agent::pollLoop(ServerName server, std::uint64_t life) {
@@ -228,7 +231,7 @@
     if (row == servers_.end() || row->second.life != life) co_return;
     if (state.ok()) {
       row->second.state = *state;
-      row->second.soundAt = state->polledAt;
+      row->second.healthyAt = state->polledAt;
     }
     co_await pauseFor(kPollEvery);
   }
@@ -241,27 +244,29 @@
   state.zone = row.listed.zone;
   state.leaving = row.listed.leaving;
   // How old a told row may be is for the reader of listedAgoMicros to say.
-  state.sound = state.sound && (row.listed.told || now - row.soundAt < kSoundSpan);
+  state.healthy = state.healthy && (row.listed.told || now - row.healthyAt < kHealthySpan);
   const ServerKnown known = core_->notes().over(state.name, state.identity, state.weights, now);
   state.weights = known.weights;
   state.switching = known.switching;
-  if (row.listed.told && spec_) {
-    const auto service = spec_->services.find(state.service);
-    if (service != spec_->services.end()) state.cacheTokens = service->second.cacheTokens;
+  if (row.listed.told && configuration_) {
+    const auto service = configuration_->services.find(state.service);
+    if (service != configuration_->services.end()) state.cacheTokens = service->second.cacheTokens;
   }
   return state;
 }
 
-Snapshot Agent::snapshot(std::uint64_t knownSpec, Instant now) const {
+Snapshot Agent::snapshot(std::uint64_t knownConfiguration, Instant now) const {
   const auto ago = [&](const std::optional<Instant>& at) -> std::int64_t {
     if (!at) return -1;
     return std::chrono::duration_cast<std::chrono::microseconds>(now - *at).count();
   };
   Snapshot snapshot;
-  snapshot.specVersion = specVersion_;
-  if (knownSpec != specVersion_) snapshot.specBody = core_->freshness().spec().value.body;
-  // A spec that this build can't read is not in force here, however fresh it is.
-  const bool inForce = specVersion_ == core_->freshness().spec().value.version && specVersion_ > 0;
+  snapshot.configurationVersion = configurationVersion_;
+  if (knownConfiguration != configurationVersion_)
+    snapshot.configurationBody = core_->freshness().configuration().value.body;
+  // A configuration that this build can't read is not in force here, however fresh it is.
+  const bool inForce = configurationVersion_ == core_->freshness().configuration().value.version &&
+                       configurationVersion_ > 0;
   snapshot.confirmedAgoMicros = inForce ? ago(core_->freshness().confirmedAt()) : -1;
   snapshot.listedAgoMicros = ago(takenList_);
   for (const NewsItem& item : core_->live(now))
@@ -269,8 +274,8 @@
   for (const auto& [name, row] : servers_) {
     if (row.state) snapshot.servers.push_back(toSnapshot(stateOf(row, now), now));
   }
-  if (!spec_) return snapshot;
-  for (const auto& [model, weights] : spec_->weights) {
+  if (!configuration_) return snapshot;
+  for (const auto& [model, weights] : configuration_->weights) {
     const auto named = core_->weightsNamed().ago(model, now).value_or(kNamedLongAgo);
     snapshot.weightsNamedAgoMicros.emplace_back(
         model, std::chrono::duration_cast<std::chrono::microseconds>(named).count());
--- a/src/agent/agent.h
+++ b/src/agent/agent.h
@@ -10,31 +10,31 @@
 #include "agent/snapshot.h"
 #include "base/counters.h"
 #include "base/decision_log.h"
-#include "boot/boot.h"
+#include "configuration/configuration.h"
+#include "configuration/update.h"
 #include "dialect/dialect.h"
-#include "net/cohort_link.h"
 #include "net/disk.h"
 #include "net/model_server.h"
-#include "spec/amend.h"
-#include "spec/spec.h"
+#include "net/peer_link.h"
+#include "settings/settings.h"
 
 namespace quayrill {
 
-// The hold under which a model's servers are ordered.
-RegisterKey orderHold(const ModelName& model);
+// The lease under which a model's servers are ordered.
+RegisterKey orderLease(const ModelName& model);
 
 class Agent {
  public:
-  Agent(Boot boot, Dialect dialect);
+  Agent(Settings settings, Dialect dialect);
   absl::Status start();
   void run();  // on the calling thread, until stop
   void beginLeaving();
   // Takes up what of changed settings can change while it runs: `takenLive` in
   // daemon/settings_watch.h names them. May be called on any thread.
-  void takeSettings(const Boot& changed);
+  void takeSettings(const Settings& changed);
   void stop();
-  // Leaving, and the register copy's vote is about to pass to another machine: the process is still
-  // needed. From any thread; known a tick after beginLeaving.
+  // Leaving, and the register replica's vote is about to pass to another machine: the process is
+  // still needed. From any thread; known a tick after beginLeaving.
   bool isHandingOver() const { return handingOver_; }
   // Operator calls that were taken and not yet answered.
   // The data plane in this process, told each time that something changed and every 100 ms. Set it
@@ -45,16 +45,16 @@
 
   // For calls of operators, on the control thread. A register that is not heard can't be changed.
   bool hearsRegister() const;
-  // Reads, amends and proposes until it is known what became of it, or its time is over.
-  awaitable<AmendDone> amendSpec(Amendment change);
-  // A read of the spec through the register itself, which also settles it.
+  // Reads, updates and proposes until it is known what became of it, or its time is over.
+  awaitable<UpdateDone> updateConfiguration(Update change);
+  // A read of the configuration through the register itself, which also settles it.
   awaitable<ChangeDone> readSettled(Span due);
 
  private:
   struct Polled {
     ListRow listed;
     std::optional<ServerState> state;
-    Instant soundAt{};  // start of the last poll that was answered
+    Instant healthyAt{};  // start of the last poll that was answered
     std::uint64_t life = 0;
   };
   using Waiter = std::function<void(const ChangeDone&)>;
@@ -71,29 +71,29 @@
   RolloutView rolloutView(const ModelName& model, const WeightsVersion& wanted, Instant now) const;
   void applyRollout(const ModelName& model, const RolloutEffects& made, Instant now);
   std::string orderOwner() const;
-  // `decidedAt` is when the hold was last seen to outlast the order.
+  // `decidedAt` is when the lease was last seen to outlast the order.
   awaitable<void> orderServer(ModelName model, WeightsOrder order, Instant decidedAt);
   awaitable<void> askReport(ModelName model, ReportAsk asked);
-  void takeSpec();
+  void takeConfiguration();
 
   awaitable<std::optional<HttpResponse>> handle(HttpRequest& request);
-  awaitable<HttpResponse> refound(HttpRequest& request);
-  awaitable<HttpResponse> changeSpec(HttpRequest& request, bool isPatch);
+  awaitable<HttpResponse> recover(HttpRequest& request);
+  awaitable<HttpResponse> changeConfiguration(HttpRequest& request, bool isPatch);
   awaitable<ChangeDone> ask(ChangeAsked change);
-  // Enough register copies that a change survives the loss of one.
-  bool hasCopiesToSpare() const;
+  // Enough register replicas that a change survives the loss of one.
+  bool hasReplicasToSpare() const;
   ServerState stateOf(const Polled& row, Instant now) const;
-  Snapshot snapshot(std::uint64_t knownSpec, Instant now) const;
+  Snapshot snapshot(std::uint64_t knownConfiguration, Instant now) const;
   nlohmann::json membersJson(Instant now) const;
   nlohmann::json serversJson(Instant now) const;
-  nlohmann::json specJson() const;
+  nlohmann::json configurationJson() const;
 
-  Boot boot_;
+  Settings settings_;
   Dialect dialect_;
   asio::io_context io_{1};
   std::optional<AgentCore> core_;
   std::unique_ptr<Disk> disk_;
-  std::unique_ptr<CohortLink> link_;
+  std::unique_ptr<PeerLink> link_;
   std::unique_ptr<HttpServer> operators_;
   Counters counters_;
   DecisionLog decisions_{20000};
@@ -105,13 +105,13 @@
   std::uint64_t pollLife_ = 0;
   std::optional<Instant> takenList_;  // the reading that servers_ stands for
   Feed feed_;
-  std::uint64_t fedSpec_ = 0;
+  std::uint64_t fedConfiguration_ = 0;
   Instant nextFeed_{};
-  std::optional<Spec> spec_;  // the spec in force, parsed
-  std::uint64_t specVersion_ = 0;
-  // When the spec in force here was last known to be the newest.
+  std::optional<Configuration> configuration_;  // the configuration in force, parsed
+  std::uint64_t configurationVersion_ = 0;
+  // When the configuration in force here was last known to be the newest.
   std::optional<Instant> confirmedThen_;
-  std::map<ModelName, Rollout> rollouts_;     // of models that the spec names weights for
+  std::map<ModelName, Rollout> rollouts_;     // of models that the configuration names weights for
   std::map<ModelName, Instant> behindSince_;  // of those, where a server has other weights
 };
 
--- a/src/agent/core/agent_core.h
+++ b/src/agent/core/agent_core.h
@@ -6,49 +6,49 @@
 #include <set>
 
 #include "agent/core/freshness.h"
-#include "agent/core/holds.h"
+#include "agent/core/leases.h"
 #include "agent/core/membership.h"
 #include "agent/core/news.h"
 #include "agent/core/server_list.h"
 #include "agent/core/server_notes.h"
 #include "agent/core/weights_named.h"
-#include "register/copy.h"
 #include "register/epoch_sweep.h"
 #include "register/proposer.h"
+#include "register/replica.h"
 #include "register/replica_plan.h"
 
 namespace quayrill {
 
-struct AgentBoot {
+struct AgentSettings {
   Address self;
   std::string zone;
   std::vector<Address> seeds;
   std::string proxyAddress;
   std::uint64_t nonce = 0;  // random at every start
-  std::size_t copiesWanted = 4;
+  std::size_t replicasWanted = 4;
   bool mayFound = true;  // false: this daemon never founds a fleet, an empty disk waits to join one
   // How long a founder waits for those who may know of a fleet; none where the platform itself says
   // that the whole system starts for the first time.
   Span foundingWait = std::chrono::seconds(3);
-  Span leaseSpan{};  // two holders of one duty never act within this of each other
+  Span leaseSpan{};  // two holders of one leader role never act within this of each other
   std::chrono::milliseconds listEvery{400};
   double listCallsPerS = 50;  // for the platform's list, of all daemons together
-  LossesToBear losses{};      // that copiesWanted bear
+  LossesToBear losses{};      // that replicasWanted bear
   Topology topology{};
   // The next loss may come so long after a lost machine, or its successor, started; 0: not
   // promised.
   Span catchUpSpan{};
 };
 
-// One piece of work for the copy's disk: the writes are synced in order, then the answer leaves.
-struct CopyWork {
+// One piece of work for the replica's disk: the writes are synced in order, then the answer leaves.
+struct ReplicaWork {
   std::vector<DiskWrite> writes;
   std::optional<Envelope> answer;
 };
 
 struct AgentEffects {
   std::vector<Envelope> sends;
-  std::vector<CopyWork> copyWork;
+  std::vector<ReplicaWork> replicaWork;
   std::vector<ChangeDone> done;  // of the operations asked from outside
   bool readList = false;         // the platform's list is to be read, and takeList or
                                  // onListFailed called once
@@ -57,46 +57,46 @@
 class AgentCore {
  public:
   // `disk` is what the data folder held, or nothing where there is no folder.
-  AgentCore(AgentBoot boot, std::optional<std::map<std::string, std::string>> disk);
-  std::vector<CopyWork> start();
+  AgentCore(AgentSettings settings, std::optional<std::map<std::string, std::string>> disk);
+  std::vector<ReplicaWork> start();
 
   void onMessage(const Envelope& envelope, Instant now, AgentEffects* effects);
   void onTick(Instant now, AgentEffects* effects);
   OperationId askChange(ChangeAsked change, Instant now, AgentEffects* effects);
-  void onDiskDefect();
-  // The data folder was opened and read anew after a defect, or late: the copy votes again by what
-  // is really there. False where the rows can't be understood.
+  void onDiskError();
+  // The data folder was opened and read anew after a error, or late: the replica votes again by
+  // what is really there. False where the rows can't be understood.
   bool onDiskReadAnew(const std::map<std::string, std::string>& disk, AgentEffects* effects);
   // The operator gives the present register up, its majority being lost, and founds a new one on
-  // this machine's disk. `given` is a saved spec that was in force as `givenVersion`; else the
-  // newest that this daemon knows is kept. Turned away while the register may still live.
-  struct Refounded {
+  // this machine's disk. `given` is a saved configuration that was in force as `givenVersion`; else
+  // the newest that this daemon knows is kept. Turned away while the register may still live.
+  struct Recovered {
     std::string turnedAway;  // why not; "" when it is done
-    CopySet copies;
-    std::uint64_t specVersion = 0;
+    ReplicaSet replicas;
+    std::uint64_t configurationVersion = 0;
   };
-  Refounded refound(const std::string& given, std::uint64_t givenVersion, Instant now,
+  Recovered recover(const std::string& given, std::uint64_t givenVersion, Instant now,
                     AgentEffects* effects);
-  // One piece of copy work is synced and answered.
-  void onCopyWorkDone() { --copyBacklog_; }
+  // One piece of replica work is synced and answered.
+  void onReplicaWorkDone() { --replicaBacklog_; }
   void setLeaving(bool leaving) { leaving_ = leaving; }
   // Other seeds stand in the settings now, one at least: from the next tick on this daemon looks
   // for its fleet there. Nothing that it knows, keeps or has under way changes.
   void setSeeds(std::vector<Address> seeds);
   void setListLimits(Span every, double callsPerS) { list_.setLimits(every, callsPerS); }
 
-  // True where `duty` falls to this daemon among the live ones. Duties fall to machines that keep a
-  // store only: a hold needs a majority of these, so where none of them lives nobody could hold
-  // one.
-  bool isMine(const std::string& duty, Instant now) const;
-  // For a duty that should long be done: its owner may be gone and not missed yet, so the next in
-  // order may pursue the hold after a while, and the one after it later. The hold alone gives the
-  // right, so more who pursue it cost messages and nothing else.
-  bool mayStepIn(const std::string& duty, Span overdue, Instant now) const;
-  void pursueHold(const RegisterKey& duty, Instant now, AgentEffects* effects);
-  void releaseHold(const RegisterKey& duty, Instant now, AgentEffects* effects);
-  std::optional<Fence> held(const RegisterKey& duty, Span needed, Instant now) const {
-    return holds_.held(duty, needed, now);
+  // True where `duty` falls to this daemon among the live ones. Leader roles fall to machines that
+  // keep a store only: a lease needs a majority of these, so where none of them lives nobody could
+  // hold one.
+  bool isMine(const std::string& role, Instant now) const;
+  // For a leader role that should long be done: its owner may be gone and not missed yet, so the
+  // next in order may pursue the lease after a while, and the one after it later. The lease alone
+  // gives the right, so more who pursue it cost messages and nothing else.
+  bool mayStepIn(const std::string& role, Span overdue, Instant now) const;
+  void pursueLease(const RegisterKey& role, Instant now, AgentEffects* effects);
+  void releaseLease(const RegisterKey& role, Instant now, AgentEffects* effects);
+  std::optional<Fence> held(const RegisterKey& role, Span needed, Instant now) const {
+    return leases_.held(role, needed, now);
   }
 
   void takeList(std::vector<ListRow> rows, Instant askedAt, std::size_t calls, Instant now,
@@ -108,25 +108,26 @@
   // What this daemon learned of a server whose weights it orders, told to all that live.
   void tellNote(const ServerNote& note, Instant now, AgentEffects* effects);
   const ServerNotes& notes() const { return notes_; }
-  // The spec in force names these weights; `before` is when it was not in force for certain.
+  // The configuration in force names these weights; `before` is when it was not in force for
+  // certain.
   void nameWeights(const std::map<ModelName, WeightsVersion>& weights,
                    std::optional<Instant> before) {
-    named_.onSpec(weights, before);
+    named_.onConfiguration(weights, before);
   }
   const WeightsNamed& weightsNamed() const { return named_; }
   const Freshness& freshness() const { return freshness_; }
   std::vector<NewsItem> live(Instant now) const { return news_.live(now); }
-  const AgentBoot& boot() const { return boot_; }
-  StoreId store() const { return copy_ ? copy_->store() : StoreId{}; }
-  bool isWritable() const { return copy_ && copy_->isVoting(); }
-  bool isVoting() const { return copy_ && copy_->isVoting() && copy_->isMember(); }
+  const AgentSettings& settings() const { return settings_; }
+  StoreId store() const { return replica_ ? replica_->store() : StoreId{}; }
+  bool isWritable() const { return replica_ && replica_->isVoting(); }
+  bool isVoting() const { return replica_ && replica_->isVoting() && replica_->isMember(); }
   std::vector<Address> view() const { return membership_.view(); }
-  // This daemon leaves, its register copy is still a member, and the set can do without it soon.
+  // This daemon leaves, its register replica is still a member, and the set can do without it soon.
   bool isHandingOver(Instant now) const;
 
  private:
-  enum class Purpose { Outside, Settle, Hold, Copies, Sweep };
-  void handleCopy(const Envelope& envelope, Instant now, AgentEffects* effects);
+  enum class Purpose { Outside, Settle, Lease, Replicas, Sweep };
+  void handleReplica(const Envelope& envelope, Instant now, AgentEffects* effects);
   void handleFounding(const Envelope& envelope, Instant now, AgentEffects* effects);
   // Answers what a seed was asked; a grant is on the disk before its answer leaves.
   void answerFounder(const Address& from, const FoundAsk& ask, Instant now, AgentEffects* effects);
@@ -137,73 +138,73 @@
   void restoreGrant(const std::map<std::string, std::string>& disk);
   void foundWhenGranted(Instant now, AgentEffects* effects);
   // False for a founding that is not the one this machine gave its grant to.
-  bool mayAdopt(const CopySet& copies, Instant now) const;
+  bool mayAdopt(const ReplicaSet& replicas, Instant now) const;
   void askAround(Instant now, AgentEffects* effects);
   void tickFounding(Instant now, AgentEffects* effects);
   void tickConfirm(Instant now, AgentEffects* effects);
-  void tickCopies(Instant now, AgentEffects* effects);
+  void tickReplicas(Instant now, AgentEffects* effects);
   void tickEpoch(Instant now, AgentEffects* effects);
   void noteContact(const Address& from, const ConfirmAnswer& answer, Instant now);
   bool isInTouch(StoreId store, Instant now) const;
   // Gone for certain, or silent for `span`.
-  bool isLost(const CopyMember& member, Span span, Instant now) const;
+  bool isLost(const ReplicaMember& member, Span span, Instant now) const;
   // How long a member may be out of touch where a spare waits, and where none does.
   Span silentSpan() const;
   Span silentAloneSpan() const;
   // A member that the set must give up: lost, or leaving by its own word.
-  std::optional<CopyMember> departing(bool spareWaits, Instant now) const;
-  bool isLeaving(const CopyMember& member) const;
+  std::optional<ReplicaMember> departing(bool spareWaits, Instant now) const;
+  bool isLeaving(const ReplicaMember& member) const;
   // The one to give up where none departs and there are more than wanted.
-  CopyMember surplus(Instant now) const;
+  ReplicaMember surplus(Instant now) const;
   Site siteOf(const Address& address) const;
   // Without a successor `member` leaves only where the rest bears no less for it.
-  bool mayShrink(const CopyMember& member, Instant now) const;
+  bool mayShrink(const ReplicaMember& member, Instant now) const;
   // Members in one place; regions count only where their loss is to be borne.
   struct Crowd {
     std::size_t inRegion = 0, inZone = 0;
     auto operator<=>(const Crowd&) const = default;
   };
-  Crowd crowdAt(const Site& site, const std::vector<CopyMember>& members) const;
+  Crowd crowdAt(const Site& site, const std::vector<ReplicaMember>& members) const;
   // In place of the surplus member, `joining` would stand where at least two fewer stand.
-  bool spreadsBetter(const CopyMember& joining, Instant now) const;
-  std::optional<CopyMember> candidate(Instant now) const;
+  bool spreadsBetter(const ReplicaMember& joining, Instant now) const;
+  std::optional<ReplicaMember> candidate(Instant now) const;
   void tickSweep(Instant now, AgentEffects* effects);
   void begin(ChangeAsked change, Purpose purpose, Instant now, AgentEffects* effects);
   void finish(const std::vector<ChangeDone>& done, Instant now, AgentEffects* effects);
-  void adopt(const CopySet& copies, Instant now, AgentEffects* effects);
-  // Writes the copy set in use down where this machine holds a copy and has an older one.
-  void keepCopySet(AgentEffects* effects);
-  void hand(CopyWork work, AgentEffects* effects);
-  bool isCopyFull() const;
-  void sendAll(std::vector<std::pair<CopyMember, Message>> sends, AgentEffects* effects);
-  std::optional<CopySet> nextCopySet(Instant now) const;
-  // Those that a duty may fall to. Empty until this daemon has had time to hear of the others: what
-  // it would take for its own would have to be watched out by the true owner.
+  void adopt(const ReplicaSet& replicas, Instant now, AgentEffects* effects);
+  // Writes the replica set in use down where this machine holds a replica and has an older one.
+  void keepReplicaSet(AgentEffects* effects);
+  void hand(ReplicaWork work, AgentEffects* effects);
+  bool isReplicaFull() const;
+  void sendAll(std::vector<std::pair<ReplicaMember, Message>> sends, AgentEffects* effects);
+  std::optional<ReplicaSet> nextReplicaSet(Instant now) const;
+  // Those that a leader role may fall to. Empty until this daemon has had time to hear of the
+  // others: what it would take for its own would have to be watched out by the true owner.
   std::vector<Address> staying(Instant now) const;
   void tickList(Instant now, AgentEffects* effects);
   void tickNews(Instant now, AgentEffects* effects);
-  // Who judges the copy set hears at once of what bears on it.
+  // Who judges the replica set hears at once of what bears on it.
   void tellStoreHolders(Instant now, AgentEffects* effects);
   void sendListAnswers(std::vector<Envelope> sends, Instant now, AgentEffects* effects);
 
-  AgentBoot boot_;
+  AgentSettings settings_;
   const std::vector<Address> firstSeeds_;  // as this process started
   std::mt19937_64 random_;
-  std::optional<RegisterCopy> copy_;
+  std::optional<RegisterReplica> replica_;
   Membership membership_;
   News news_;
   Freshness freshness_;
   Proposer proposer_;
-  Holds holds_;
+  Leases leases_;
   ServerList list_;
   ListPeers listPeers_;  // as of the last time that it was due to be made anew
   ServerNotes notes_;
   WeightsNamed named_;
   std::map<OperationId, Purpose> purposes_;  // one row per operation under way
   std::uint64_t operationCounter_ = 0;
-  // Copy work handed out and not yet done; past the limit the copy takes no more messages, so a
+  // Copy work handed out and not yet done; past the limit the replica takes no more messages, so a
   // slow disk delays answers by a bounded queue only.
-  std::size_t copyBacklog_ = 0;
+  std::size_t replicaBacklog_ = 0;
   bool leaving_ = false;
   Instant startedAt_{};  // of the first tick
   // What this daemon last told of itself at once.
@@ -214,7 +215,7 @@
     bool operator==(const Told&) const = default;
   };
   Told told_;
-  Instant nextBeat_{}, nextPull_{}, nextConfirm_{}, nextFounding_{}, nextCopies_{}, nextSweep_{},
+  Instant nextBeat_{}, nextPull_{}, nextConfirm_{}, nextFounding_{}, nextReplicas_{}, nextSweep_{},
       nextListPeers_{};
   Span settlePatience_{};
   std::uint64_t confirmRounds_ = 0;
@@ -241,7 +242,7 @@
   std::map<std::uint64_t, FoundingRound> foundingRounds_;  // by nonce; no older than kSaidSpan
   std::map<Address, SeedSaid> said_;                       // the last 'unfounded' of each seed
   EpochSweep epochSweep_;
-  // Stores that answered lately, and since when each member of the copy set has not.
+  // Stores that answered lately, and since when each member of the replica set has not.
   struct Contact {
     Address address;
     Instant at;
@@ -252,10 +253,10 @@
   };
   std::map<StoreId, Contact> contacts_;
   std::map<StoreId, Instant> silentSince_;
-  // Members of the present copy set whose address answered as another store when asked for them.
+  // Members of the present replica set whose address answered as another store when asked for them.
   std::set<StoreId> replaced_;
   Instant lastTick_{};
-  Instant workSince_{};  // that the copy set has waited for its next step
+  Instant workSince_{};  // that the replica set has waited for its next step
   std::pair<Epoch, bool> workStep_;
 };
 
--- a/src/agent/core/freshness.cpp
+++ b/src/agent/core/freshness.cpp
@@ -7,7 +7,7 @@
 namespace {
 using namespace std::chrono_literals;
 constexpr std::size_t kRounds = 8;
-constexpr std::uint64_t kAskAllEvery = 16;  // rounds: so that a copy that became fast is found
+constexpr std::uint64_t kAskAllEvery = 16;  // rounds: so that a replica that became fast is found
 constexpr Span kAnswerOverdue = 150ms;
 constexpr Span kUnconfirmedSpan = 500ms;
 constexpr Span kSlowest = 2s;
@@ -20,47 +20,50 @@
 }
 }  // namespace
 
-bool Freshness::adopt(const CopySet& copies) {
-  if (copies.members.empty() || copies.epoch < copies_.epoch) return false;
-  if (copies.epoch == copies_.epoch && (copies_.settled || !copies.settled)) return false;
-  if (copies.epoch > copies_.epoch) rounds_.clear();
-  copies_ = copies;
+bool Freshness::adopt(const ReplicaSet& replicas) {
+  if (replicas.members.empty() || replicas.epoch < replicas_.epoch) return false;
+  if (replicas.epoch == replicas_.epoch && (replicas_.settled || !replicas.settled)) return false;
+  if (replicas.epoch > replicas_.epoch) rounds_.clear();
+  replicas_ = replicas;
   return true;
 }
 
 void Freshness::learnChosen(const RegisterKey& key, const ChosenValue& chosen) {
-  if (key != kSpecKey && key != kCopySetKey) return;
-  ChosenValue& held = key == kSpecKey ? spec_ : copySetValue_;
+  if (key != kConfigurationKey && key != kReplicaSetKey) return;
+  ChosenValue& held = key == kConfigurationKey ? configuration_ : replicaSetValue_;
   unsettledSince_.erase(key);
   if (chosen.value.version < held.value.version || chosen.ballot < held.ballot) return;
   held = chosen;
-  if (key == kCopySetKey) {
-    CopySet copies;
-    if (!chosen.value.body.empty() && decodeValue(chosen.value.body, &copies)) adopt(copies);
+  if (key == kReplicaSetKey) {
+    ReplicaSet replicas;
+    if (!chosen.value.body.empty() && decodeValue(chosen.value.body, &replicas)) adopt(replicas);
   }
 }
 
 Confirm Freshness::question(StoreId store, bool wantsKeys) const {
-  return {
-      sequence_,     store,         {{kCopySetKey, copySetValue_.ballot}, {kSpecKey, spec_.ballot}},
-      copies_.epoch, copies_.fleet, copies_.settled,
-      wantsKeys};
+  return {sequence_,
+          store,
+          {{kReplicaSetKey, replicaSetValue_.ballot}, {kConfigurationKey, configuration_.ballot}},
+          replicas_.epoch,
+          replicas_.fleet,
+          replicas_.settled,
+          wantsKeys};
 }
 
 Freshness::Sends Freshness::begin(Instant now, bool askAll, bool wantsKeys) {
   Round& round = rounds_[++sequence_];
   round.sentAt = now;
-  round.wantsKeys = wantsKeys || !copies_.settled;
+  round.wantsKeys = wantsKeys || !replicas_.settled;
   while (rounds_.size() > kRounds) rounds_.erase(rounds_.begin());
-  std::vector<CopyMember> order = copies_.members;
-  std::stable_sort(order.begin(), order.end(), [&](const CopyMember& a, const CopyMember& b) {
+  std::vector<ReplicaMember> order = replicas_.members;
+  std::stable_sort(order.begin(), order.end(), [&](const ReplicaMember& a, const ReplicaMember& b) {
     return answerSpan_[a.store] < answerSpan_[b.store];
   });
   const bool unconfirmed = !confirmedAt_ || now - *confirmedAt_ > kUnconfirmedSpan;
-  const bool all = askAll || unconfirmed || !copies_.settled || sequence_ % kAskAllEvery == 0;
-  if (!all) order.resize(meetsEveryMajority(copies_));
+  const bool all = askAll || unconfirmed || !replicas_.settled || sequence_ % kAskAllEvery == 0;
+  if (!all) order.resize(meetsEveryMajority(replicas_));
   Sends sends;
-  for (const CopyMember& member : order) {
+  for (const ReplicaMember& member : order) {
     round.asked.insert(member.store);
     sends.emplace_back(member, question(member.store, round.wantsKeys));
   }
@@ -72,13 +75,13 @@
   if (rounds_.empty()) return sends;
   Round& round = rounds_.rbegin()->second;
   if (round.confirmed || (!round.unsettled && now - round.sentAt < kAnswerOverdue)) return sends;
-  for (const CopyMember& member : copies_.members) {
+  for (const ReplicaMember& member : replicas_.members) {
     if (round.asked.contains(member.store)) {
       Span& span = answerSpan_[member.store];
       if (!round.answers.contains(member.store)) span = std::min(span + kAnswerOverdue, kSlowest);
     }
   }
-  for (const CopyMember& member : copies_.members) {
+  for (const ReplicaMember& member : replicas_.members) {
     if (round.asked.insert(member.store).second)
       sends.emplace_back(member, question(member.store, round.wantsKeys));
   }
@@ -97,7 +100,7 @@
   for (const auto& [store, answer] : round.answers) {
     const ConfirmedKey* held = find(answer, key);
     if (!held || held->acceptedAt <= chosen->ballot) continue;
-    if (++counts[held->acceptedAt] == majorityOf(copies_))
+    if (++counts[held->acceptedAt] == majorityOf(replicas_))
       learnChosen(key, {held->acceptedAt, held->value});
   }
   for (const auto& [store, answer] : round.answers) {
@@ -108,15 +111,15 @@
 }
 
 void Freshness::onAnswer(const ConfirmAnswer& answer, Instant now) {
-  adopt(answer.copies);
+  adopt(answer.replicas);
   const bool isMember =
-      std::any_of(copies_.members.begin(), copies_.members.end(),
-                  [&](const CopyMember& member) { return member.store == answer.store; });
+      std::any_of(replicas_.members.begin(), replicas_.members.end(),
+                  [&](const ReplicaMember& member) { return member.store == answer.store; });
   auto entry = rounds_.find(answer.sequence);
   if (!isMember || entry == rounds_.end() || answer.asked != answer.store) return;
-  // What a copy of another fleet holds says nothing about this one, nor what a copy says that is
-  // no member by its own set.
-  if (answer.copies.fleet != copies_.fleet || answer.keys.empty()) return;
+  // What a replica of another fleet holds says nothing about this one, nor what a replica says that
+  // is no member by its own set.
+  if (answer.replicas.fleet != replicas_.fleet || answer.keys.empty()) return;
   entry->second.answers[answer.store] = answer;
   Span& span = answerSpan_[answer.store];
   span = (span * 3 + std::min(now - entry->second.sentAt, kSlowest)) / 4;
@@ -128,18 +131,20 @@
   }
   // Until the epoch is settled, a value may still stand on a majority of the older set alone; a
   // majority of this one meets those too.
-  const std::size_t enough = copies_.settled ? meetsEveryMajority(copies_) : majorityOf(copies_);
+  const std::size_t enough =
+      replicas_.settled ? meetsEveryMajority(replicas_) : majorityOf(replicas_);
   bool current = true;
-  const Epoch epochBefore = copies_.epoch;
-  for (const RegisterKey& key : {kCopySetKey, kSpecKey}) {
-    if (judge(round, key, key == kSpecKey ? &spec_ : &copySetValue_) == Verdict::Unsettled) {
+  const Epoch epochBefore = replicas_.epoch;
+  for (const RegisterKey& key : {kReplicaSetKey, kConfigurationKey}) {
+    if (judge(round, key, key == kConfigurationKey ? &configuration_ : &replicaSetValue_) ==
+        Verdict::Unsettled) {
       current = false;
       unsettledSince_.try_emplace(key, now);
     } else if (round.answers.size() >= enough) {
       unsettledSince_.erase(key);
     }
   }
-  if (copies_.epoch != epochBefore) return;  // ask the new set before vouching for anything
+  if (replicas_.epoch != epochBefore) return;  // ask the new set before vouching for anything
   entry->second.unsettled = !current;
   if (!current || round.answers.size() < enough) return;
   entry->second.confirmed = true;
@@ -151,11 +156,11 @@
     std::vector<RegisterKey> keys;
     std::size_t inEpoch = 0;
     for (const auto& [store, answer] : round.answers) {
-      if (answer.copies.epoch != copies_.epoch || !answer.listsKeys) continue;
+      if (answer.replicas.epoch != replicas_.epoch || !answer.listsKeys) continue;
       ++inEpoch;
       keys.insert(keys.end(), answer.allKeys.begin(), answer.allKeys.end());
     }
-    if (inEpoch >= majorityOf(copies_)) return keys;
+    if (inEpoch >= majorityOf(replicas_)) return keys;
   }
   return std::nullopt;
 }
--- a/src/agent/core/freshness.h
+++ b/src/agent/core/freshness.h
@@ -1,12 +1,12 @@
 #pragma once
-// Learns chosen values of the spec and of the copy set, and when they were last known to be the
-// newest. Asks copies; never guesses from a minority.
+// Learns chosen values of the configuration and of the replica set, and when they were last known
+// to be the newest. Asks replicas; never guesses from a minority.
 #include <map>
 #include <optional>
 #include <set>
 
 #include "base/clock.h"
-#include "register/copy.h"
+#include "register/replica.h"
 
 namespace quayrill {
 
@@ -20,21 +20,21 @@
   // Sequences begin at a random number of this life: a late answer to an earlier one meets no
   // round.
   explicit Freshness(std::uint64_t nonce) : sequence_(nonce >> 1) {}
-  // Replaces the copy set if `copies` is newer; rounds asked of the older set are forgotten.
-  bool adopt(const CopySet& copies);
-  const CopySet& copies() const { return copies_; }
-  const ChosenValue& spec() const { return spec_; }
+  // Replaces the replica set if `copies` is newer; rounds asked of the older set are forgotten.
+  bool adopt(const ReplicaSet& replicas);
+  const ReplicaSet& replicas() const { return replicas_; }
+  const ChosenValue& configuration() const { return configuration_; }
   std::optional<Instant> confirmedAt() const { return confirmedAt_; }
   const std::vector<RegisterKey>& knownKeys() const { return knownKeys_; }
-  std::uint64_t copySetVersion() const { return copySetValue_.value.version; }
+  std::uint64_t replicaSetVersion() const { return replicaSetValue_.value.version; }
   // Every key that a majority holds between them, once so many answered from inside this epoch.
   std::optional<std::vector<RegisterKey>> keysOfMajority() const;
 
-  using Sends = std::vector<std::pair<CopyMember, Message>>;
-  // Asks as many copies as meet every majority, those first that answer fastest; all of them where
-  // the caller says so, the epoch is unsettled, or nothing was confirmed for a while.
+  using Sends = std::vector<std::pair<ReplicaMember, Message>>;
+  // Asks as many replicas as meet every majority, those first that answer fastest; all of them
+  // where the caller says so, the epoch is unsettled, or nothing was confirmed for a while.
   Sends begin(Instant now, bool askAll, bool wantsKeys);
-  // The rest of the newest round's copies, once an answer is overdue or shows something newer.
+  // The rest of the newest round's replicas, once an answer is overdue or shows something newer.
   Sends widen(Instant now);
   Confirm question(StoreId store, bool wantsKeys) const;
   void onAnswer(const ConfirmAnswer& answer, Instant now);
@@ -55,9 +55,9 @@
   enum class Verdict { Current, Unsettled };
   Verdict judge(const Round& round, const RegisterKey& key, ChosenValue* chosen);
 
-  CopySet copies_;
+  ReplicaSet replicas_;
   // chosen values only; their versions never fall
-  ChosenValue spec_, copySetValue_;
+  ChosenValue configuration_, replicaSetValue_;
   // The start of the newest round whose answers meet every majority and show nothing newer.
   std::optional<Instant> confirmedAt_;
   std::map<std::uint64_t, Round> rounds_;  // at most kRounds, newest last
--- a/src/agent/core/holds.h
+++ b/src/agent/core/leases.h
@@ -9,30 +9,30 @@
 
 namespace quayrill {
 
-struct HoldBody {
+struct LeaseBody {
   Address holder;
   std::uint64_t nonce = 0;  // the holder's life
   Fence fence;
   bool released = false;
 };
-std::string encodeHold(const HoldBody& hold);
-HoldBody decodeHold(const std::string& body);
+std::string encodeLease(const LeaseBody& lease);
+LeaseBody decodeLease(const std::string& body);
 
-class Holds {
+class Leases {
  public:
-  // A hold taken from another life counts only once `leaseSpan` has passed since that one could
+  // A lease taken from another life counts only once `leaseSpan` has passed since that one could
   // last have acted.
-  Holds(Address self, std::uint64_t nonce, Span leaseSpan = {})
+  Leases(Address self, std::uint64_t nonce, Span leaseSpan = {})
       : self_(std::move(self)), nonce_(nonce), leaseSpan_(leaseSpan) {}
 
-  // The register change that brings this daemon nearer to holding the duty, if one is due now.
-  // A fence newly taken is at least `floor`, so that it rises even where the register was founded
-  // again and the holds in it are lost.
-  std::optional<ChangeAsked> pursue(const RegisterKey& duty, Instant now, Fence floor = {});
-  std::optional<ChangeAsked> release(const RegisterKey& duty, Instant now);
+  // The register change that brings this daemon nearer to holding the leader role, if one is due
+  // now. A fence newly taken is at least `floor`, so that it rises even where the register was
+  // founded again and the holds in it are lost.
+  std::optional<ChangeAsked> pursue(const RegisterKey& role, Instant now, Fence floor = {});
+  std::optional<ChangeAsked> release(const RegisterKey& role, Instant now);
   void onDone(const ChangeDone& done, Instant now);
-  // The fence, while the hold is sure to last for `needed` more.
-  std::optional<Fence> held(const RegisterKey& duty, Span needed, Instant now) const;
+  // The fence, while the lease is sure to last for `needed` more.
+  std::optional<Fence> held(const RegisterKey& role, Span needed, Instant now) const;
 
  private:
   // validUntil counts from before the change was sent, and a rival counts the whole term from
@@ -40,7 +40,7 @@
   struct Row {
     bool known = false;
     std::uint64_t version = 0;
-    HoldBody body;
+    LeaseBody body;
     Instant seenAt;      // when this version was first seen here
     Instant validUntil;  // only when held by this life
     Instant validFrom;   // never falls; an earlier holder can't have acted in the lease before it
@@ -50,8 +50,8 @@
     Fence askedFence;
     Instant retryAt;
   };
-  ChangeAsked change(const RegisterKey& duty, Row& row, Instant now, bool isRead,
-                     const HoldBody& body);
+  ChangeAsked change(const RegisterKey& role, Row& row, Instant now, bool isRead,
+                     const LeaseBody& body);
   Address self_;
   std::uint64_t nonce_;
   Span leaseSpan_;
--- a/src/agent/core/news.h
+++ b/src/agent/core/news.h
@@ -6,7 +6,7 @@
 #include <vector>
 
 #include "base/clock.h"
-#include "cohort/messages.h"
+#include "peers/messages.h"
 
 namespace quayrill {
 
--- a/src/agent/core/replica_choice.cpp
+++ b/src/agent/core/replica_choice.cpp
@@ -1,4 +1,4 @@
-// Which store joins the copy set next, and which member it gives up.
+// Which store joins the replica set next, and which member it gives up.
 #include <algorithm>
 #include <tuple>
 
@@ -21,18 +21,18 @@
 Site AgentCore::siteOf(const Address& address) const {
   const auto item = news_.item(address);
   const std::string zone = item ? item->zone : "";
-  return {zone, boot_.topology.regionOf(zone)};
+  return {zone, settings_.topology.regionOf(zone)};
 }
 
-bool AgentCore::isLeaving(const CopyMember& member) const {
+bool AgentCore::isLeaving(const ReplicaMember& member) const {
   const auto item = news_.item(member.address);
   return item && item->leaving && item->store == member.store;
 }
 
 // Those gone for certain come first, then the silent, then those that serve on while they leave.
-std::optional<CopyMember> AgentCore::departing(bool spareWaits, Instant now) const {
-  const std::vector<CopyMember>& members = freshness_.copies().members;
-  const auto first = [&](auto departs) -> std::optional<CopyMember> {
+std::optional<ReplicaMember> AgentCore::departing(bool spareWaits, Instant now) const {
+  const std::vector<ReplicaMember>& members = freshness_.replicas().members;
+  const auto first = [&](auto departs) -> std::optional<ReplicaMember> {
     const auto member = std::find_if(members.begin(), members.end(), departs);
     if (member == members.end()) return std::nullopt;
     return *member;
@@ -46,18 +46,19 @@
 }
 
 bool AgentCore::isHandingOver(Instant now) const {
-  const CopySet& copies = freshness_.copies();
-  const bool isIn = copy_ && std::any_of(copies.members.begin(), copies.members.end(),
-                                         [&](const auto& m) { return m.store == copy_->store(); });
-  return leaving_ && isIn && (!copies.settled || nextCopySet(now).has_value());
+  const ReplicaSet& replicas = freshness_.replicas();
+  const bool isIn =
+      replica_ && std::any_of(replicas.members.begin(), replicas.members.end(),
+                              [&](const auto& m) { return m.store == replica_->store(); });
+  return leaving_ && isIn && (!replicas.settled || nextReplicaSet(now).has_value());
 }
 
 // A dead member is taken out alone where fewer then make a majority. One that still serves leaves
 // alone only if the others, all but it, bear as many losses as the whole set did.
-bool AgentCore::mayShrink(const CopyMember& member, Instant now) const {
-  const std::vector<CopyMember>& members = freshness_.copies().members;
+bool AgentCore::mayShrink(const ReplicaMember& member, Instant now) const {
+  const std::vector<ReplicaMember>& members = freshness_.replicas().members;
   const auto others = static_cast<std::size_t>(
-      std::count_if(members.begin(), members.end(), [&](const CopyMember& other) {
+      std::count_if(members.begin(), members.end(), [&](const ReplicaMember& other) {
         return other.store != member.store && isInTouch(other.store, now);
       }));
   if (members.size() <= kFewestAlone) return false;
@@ -67,11 +68,11 @@
 }
 
 AgentCore::Crowd AgentCore::crowdAt(const Site& site,
-                                    const std::vector<CopyMember>& members) const {
+                                    const std::vector<ReplicaMember>& members) const {
   Crowd crowd;
-  for (const CopyMember& member : members) {
+  for (const ReplicaMember& member : members) {
     const Site other = siteOf(member.address);
-    crowd.inRegion += boot_.losses.regions > 0 && other.region == site.region ? 1 : 0;
+    crowd.inRegion += settings_.losses.regions > 0 && other.region == site.region ? 1 : 0;
     crowd.inZone += other.zone == site.zone ? 1 : 0;
   }
   return crowd;
@@ -79,9 +80,9 @@
 
 // Where a lost member came back after its successor had joined, there is one too many: one out of
 // touch goes, else one from the fullest region and zone.
-CopyMember AgentCore::surplus(Instant now) const {
-  const std::vector<CopyMember>& members = freshness_.copies().members;
-  const auto rank = [&](const CopyMember& member) {
+ReplicaMember AgentCore::surplus(Instant now) const {
+  const std::vector<ReplicaMember>& members = freshness_.replicas().members;
+  const auto rank = [&](const ReplicaMember& member) {
     return std::tuple(!isInTouch(member.store, now), crowdAt(siteOf(member.address), members),
                       member);
   };
@@ -90,8 +91,8 @@
 }
 
 // Each such exchange makes the numbers more equal, so they come to an end.
-bool AgentCore::spreadsBetter(const CopyMember& joining, Instant now) const {
-  const std::vector<CopyMember>& members = freshness_.copies().members;
+bool AgentCore::spreadsBetter(const ReplicaMember& joining, Instant now) const {
+  const std::vector<ReplicaMember>& members = freshness_.replicas().members;
   const Crowd from = crowdAt(siteOf(surplus(now).address), members);
   const Crowd to = crowdAt(siteOf(joining.address), members);
   if (to.inRegion != from.inRegion) return to.inRegion + 2 <= from.inRegion;
@@ -101,34 +102,34 @@
 // A store that answered just now and waits to join: one from the region and the zone with the
 // fewest members that stay. Among these, one at an address of its own comes before one that stands
 // where a lost member stood, which started last.
-std::optional<CopyMember> AgentCore::candidate(Instant now) const {
-  const CopySet& copies = freshness_.copies();
-  std::vector<CopyMember> staying;
-  for (const CopyMember& member : copies.members) {
+std::optional<ReplicaMember> AgentCore::candidate(Instant now) const {
+  const ReplicaSet& replicas = freshness_.replicas();
+  std::vector<ReplicaMember> staying;
+  for (const ReplicaMember& member : replicas.members) {
     if (isInTouch(member.store, now) && !replaced_.contains(member.store) && !isLeaving(member))
       staying.push_back(member);
   }
-  std::optional<std::tuple<Crowd, bool, CopyMember>> best;
+  std::optional<std::tuple<Crowd, bool, ReplicaMember>> best;
   for (const auto& [store, contact] : contacts_) {
     if (now - contact.at >= kCandidateSpan) continue;
     const int returns = std::min(contact.returns, kMostReturns);
     if (now - contact.steadySince < returns * kSteadyPerReturn) continue;
     // Of another fleet: it has not heard of this one yet.
-    if (contact.fleet != 0 && contact.fleet != copies.fleet) continue;
+    if (contact.fleet != 0 && contact.fleet != replicas.fleet) continue;
     const auto item = news_.item(contact.address);
     if (item && item->leaving) continue;
     bool isIn = false, isSuccessor = false;
-    for (const CopyMember& member : copies.members) {
+    for (const ReplicaMember& member : replicas.members) {
       isIn = isIn || member.store == store;
       isSuccessor = isSuccessor || member.address == contact.address;
     }
     if (isIn) continue;
     const std::tuple rank(crowdAt(siteOf(contact.address), staying), isSuccessor,
-                          CopyMember{store, contact.address});
+                          ReplicaMember{store, contact.address});
     if (!best || rank < *best) best = rank;
   }
   if (!best) return std::nullopt;
-  return std::get<CopyMember>(*best);
+  return std::get<ReplicaMember>(*best);
 }
 
 }  // namespace quayrill
--- a/src/agent/core/rollout.cpp
+++ b/src/agent/core/rollout.cpp
@@ -49,7 +49,7 @@
          row->second.refused != wanted;
 }
 
-bool Rollout::wantsHold(const RolloutView& view) const {
+bool Rollout::wantsLease(const RolloutView& view) const {
   return std::any_of(view.servers.begin(), view.servers.end(),
                      [&](const RolloutServer& s) { return isBehindHere(s, view.wanted); });
 }
@@ -75,7 +75,7 @@
       std::count_if(view.servers.begin(), view.servers.end(),
                     [&](const RolloutServer& s) { return isBehindHere(s, view.wanted); }));
   const double ago = std::chrono::duration<double>(view.namedAgo).count();
-  const double due = std::chrono::duration<double>(boot_.due).count();
+  const double due = std::chrono::duration<double>(settings_.due).count();
   if (ago >= due) return std::max<std::size_t>(1, usable);
   std::size_t cap = std::max<std::size_t>(1, usable / 3);
   if (ago >= due * kForced) cap = std::max(cap, (usable + 1) / 2);
@@ -90,7 +90,7 @@
 void Rollout::meetFence(const RolloutView& view, Instant now) {
   if (!view.fence || view.fence == lastFence_) return;
   const bool own = lastFence_ && view.fence->value == lastFence_->value + 1;
-  if (!own) mayOrderAt_ = now + boot_.takeoverWait;
+  if (!own) mayOrderAt_ = now + settings_.takeoverWait;
   lastFence_ = view.fence;
 }
 
@@ -194,7 +194,7 @@
       return;
     case OrderAnswer::Unclear:
       return;  // its report will tell
-    case OrderAnswer::Holds:
+    case OrderAnswer::Leases:
       row.switching = false;  // it did not switch now, so this tells nothing of how long that takes
       return finish(order.server, row, order.weights, now, effects);
     case OrderAnswer::Busy:
--- a/src/agent/core/rollout.h
+++ b/src/agent/core/rollout.h
@@ -1,5 +1,5 @@
 #pragma once
-// Brings one model's servers to the weights that were named last. It orders only under a hold, and
+// Brings one model's servers to the weights that were named last. It orders only under a lease, and
 // no more servers at a time than the time left for the rest makes necessary, for a server that
 // switches serves nobody.
 #include <map>
@@ -15,7 +15,7 @@
 // What became of an order, as far as its answer tells.
 enum class OrderAnswer {
   Taken,     // it is being done
-  Holds,     // it held already
+  Leases,    // it held already
   Busy,      // another is under way
   Fenced,    // a higher fence was seen there
   Refused,   // it will not be done: another server is there
@@ -31,9 +31,9 @@
   bool busy = false;  // an order is under way there
 };
 
-struct RolloutBoot {
+struct RolloutSettings {
   Span due{};           // of the naming: by then every server is to begin on the new weights
-  Span takeoverWait{};  // after a hold was taken over, before the first order under it
+  Span takeoverWait{};  // after a lease was taken over, before the first order under it
 };
 
 struct RolloutServer {
@@ -48,7 +48,7 @@
   WeightsVersion wanted;
   Span namedAgo{};
   std::vector<RolloutServer> servers;  // all of the model that are listed
-  std::optional<Fence> fence;          // while the hold is sure to outlast an order
+  std::optional<Fence> fence;          // while the lease is sure to outlast an order
 };
 
 struct WeightsOrder {
@@ -71,7 +71,8 @@
 
 class Rollout {
  public:
-  Rollout(ModelName model, RolloutBoot boot) : model_(std::move(model)), boot_(boot) {}
+  Rollout(ModelName model, RolloutSettings settings)
+      : model_(std::move(model)), settings_(settings) {}
 
   void onTick(const RolloutView& view, Instant now, RolloutEffects* effects);
   void onOrderAnswer(const WeightsOrder& order, OrderAnswer answer, Instant now,
@@ -81,8 +82,8 @@
                 Instant now, RolloutEffects* effects);
 
   // Servers are behind that may be ordered.
-  bool wantsHold(const RolloutView& view) const;
-  // No order of this daemon is open or being done, so the hold may go.
+  bool wantsLease(const RolloutView& view) const;
+  // No order of this daemon is open or being done, so the lease may go.
   bool isIdle() const;
   // This fence is of no more use: a server has seen a higher one.
   bool isFencedOff(Fence fence) const { return fence <= fencedOff_; }
@@ -118,7 +119,7 @@
             RolloutEffects* effects);
 
   ModelName model_;
-  RolloutBoot boot_;
+  RolloutSettings settings_;
   std::map<ServerName, Row> rows_;  // of listed servers only
   WeightsVersion wanted_;
   std::optional<Fence> lastFence_;
--- a/src/agent/core/server_list.cpp
+++ b/src/agent/core/server_list.cpp
@@ -23,12 +23,12 @@
 }  // namespace
 
 Span ServerList::overdue(Instant now) const {
-  if (readAt_) return now - *readAt_ - boot_.every;
+  if (readAt_) return now - *readAt_ - settings_.every;
   return firstAt_ ? now - *firstAt_ : Span{};
 }
 
 Span ServerList::patience(const ListPeers& peers) const {
-  const auto self = std::find(peers.order.begin(), peers.order.end(), boot_.self);
+  const auto self = std::find(peers.order.begin(), peers.order.end(), settings_.self);
   return (self - peers.order.begin()) * kStepInAfter;
 }
 
@@ -37,16 +37,17 @@
   while (asked_.size() > kAsked) asked_.erase(asked_.begin());
   const std::int64_t ago =
       readAt_ ? std::chrono::duration_cast<std::chrono::microseconds>(now - *readAt_).count() : -1;
-  return {boot_.self, to, ListAsk{sequence_, digest_, ago}};
+  return {settings_.self, to, ListAsk{sequence_, digest_, ago}};
 }
 
 bool ServerList::onTick(const ListPeers& peers, Instant now, std::vector<Envelope>* sends) {
   if (!firstAt_) firstAt_ = now;
-  std::erase_if(asked_, [&](const auto& row) { return now - row.second.at > boot_.every + 1s; });
+  std::erase_if(asked_,
+                [&](const auto& row) { return now - row.second.at > settings_.every + 1s; });
   // One question always lies with the reader, the reader's own with the next in order; the others
   // are asked as they become due to step in.
   const auto first = std::find_if(peers.order.begin(), peers.order.end(),
-                                  [&](const Address& peer) { return peer != boot_.self; });
+                                  [&](const Address& peer) { return peer != settings_.self; });
   if (first != peers.order.end()) {
     const bool lies = std::any_of(asked_.begin(), asked_.end(),
                                   [&](const auto& row) { return row.second.to == *first; });
@@ -55,18 +56,18 @@
     if (late >= Span{} && now >= nextAsk_) {
       nextAsk_ = now + kStepInAfter;
       const auto turn = static_cast<std::size_t>(late / kStepInAfter) % peers.order.size();
-      if (peers.order[turn] != boot_.self) sends->push_back(ask(peers.order[turn], now));
+      if (peers.order[turn] != settings_.self) sends->push_back(ask(peers.order[turn], now));
     }
   }
   if (reading_ || now < nextRead_ || overdue(now) < patience(peers)) return false;
   reading_ = true;
   const double share =
-      boot_.callsPerS /
+      settings_.callsPerS /
       static_cast<double>(std::max<std::size_t>({1, peers.mostKnown, peers.order.size()}));
   const auto least = std::chrono::duration<double>(static_cast<double>(callsEach_) / share);
   // Where readings fail, each tries as seldom as its place in the order says.
   nextRead_ =
-      now + std::max(std::chrono::duration_cast<Span>(least), boot_.every + patience(peers));
+      now + std::max(std::chrono::duration_cast<Span>(least), settings_.every + patience(peers));
   return true;
 }
 
@@ -106,7 +107,7 @@
   const Span theirs = std::chrono::microseconds(ask.knownAgoMicros) + sinceCame;
   const Span own = now - *readAt_;
   // The same reading looks a little older at the asker, by the time that it took to get there.
-  return own < theirs && (ask.knownDigest != digest_ || own + boot_.every / 2 < theirs);
+  return own < theirs && (ask.knownDigest != digest_ || own + settings_.every / 2 < theirs);
 }
 
 Envelope ServerList::answer(const Address& to, const KeptAsk& kept, Instant now) const {
@@ -114,7 +115,7 @@
   const auto ago = std::chrono::ceil<std::chrono::microseconds>(now - *readAt_);
   ListAnswer told{kept.ask.sequence, held.count(), ago.count(), digest_, {}, {}};
   if (kept.ask.knownDigest != digest_) told.rows = rows_;
-  return {boot_.self, to, std::move(told)};
+  return {settings_.self, to, std::move(told)};
 }
 
 void ServerList::onAsk(const Address& from, const ListAsk& ask, Instant now,
@@ -131,7 +132,7 @@
   std::erase_if(kept_, [&](const auto& row) {
     const auto& [from, kept] = row;
     const Span since = now - kept.cameAt;
-    if (since > boot_.every + 5s) return true;  // its asker has long asked again, or is gone
+    if (since > settings_.every + 5s) return true;  // its asker has long asked again, or is gone
     if (!isNewer(kept.ask, since, now)) return false;
     sends->push_back(answer(from, kept, now));
     return true;
--- a/src/agent/core/server_list.h
+++ b/src/agent/core/server_list.h
@@ -7,11 +7,11 @@
 #include <vector>
 
 #include "base/clock.h"
-#include "cohort/messages.h"
+#include "peers/messages.h"
 
 namespace quayrill {
 
-struct ListBoot {
+struct ListSettings {
   Address self;
   Span every = std::chrono::milliseconds(400);  // a reading this old is to be replaced
   double callsPerS = 50;                        // of all daemons together
@@ -26,11 +26,11 @@
 
 class ServerList {
  public:
-  explicit ServerList(ListBoot boot = {}) : boot_(std::move(boot)) {}
+  explicit ServerList(ListSettings settings = {}) : settings_(std::move(settings)) {}
 
   void setLimits(Span every, double callsPerS) {
-    boot_.every = every;
-    boot_.callsPerS = callsPerS;
+    settings_.every = every;
+    settings_.callsPerS = callsPerS;
   }
 
   // True: the platform is to be read now. It is until `take` or `onReadFailed` that no other is
@@ -69,7 +69,7 @@
   void answerKept(Instant now, std::vector<Envelope>* sends);
   Envelope ask(const Address& to, Instant now);
 
-  ListBoot boot_;
+  ListSettings settings_;
   std::vector<ListRow> rows_;  // sorted, so that one content has one digest
   std::uint64_t digest_ = 0;
   std::optional<Instant> readAt_;   // never falls
--- a/src/agent/core/server_notes.cpp
+++ b/src/agent/core/server_notes.cpp
@@ -19,8 +19,8 @@
 std::optional<std::uint64_t> numberOf(const WeightsVersion& version) {
   std::uint64_t number = 0;
   const std::string& text = version.value;
-  const auto [end, defect] = std::from_chars(text.data(), text.data() + text.size(), number);
-  if (defect != std::errc{} || end != text.data() + text.size()) return std::nullopt;
+  const auto [end, error] = std::from_chars(text.data(), text.data() + text.size(), number);
+  if (error != std::errc{} || end != text.data() + text.size()) return std::nullopt;
   return number;
 }
 }  // namespace
--- a/src/agent/core/weights_named.cpp
+++ b/src/agent/core/weights_named.cpp
@@ -4,8 +4,8 @@
 
 namespace quayrill {
 
-void WeightsNamed::onSpec(const std::map<ModelName, WeightsVersion>& weights,
-                          std::optional<Instant> before) {
+void WeightsNamed::onConfiguration(const std::map<ModelName, WeightsVersion>& weights,
+                                   std::optional<Instant> before) {
   std::erase_if(rows_, [&](const auto& row) { return !weights.contains(row.first); });
   for (const auto& [model, version] : weights) {
     Row& row = rows_[model];
--- a/src/agent/core/weights_named.h
+++ b/src/agent/core/weights_named.h
@@ -6,15 +6,16 @@
 #include <vector>
 
 #include "base/clock.h"
-#include "cohort/messages.h"
+#include "peers/messages.h"
 
 namespace quayrill {
 
 class WeightsNamed {
  public:
-  // The spec in force names these. What changed was named after `before`, if that is known: the
-  // last time at which the spec before it was known to be the newest.
-  void onSpec(const std::map<ModelName, WeightsVersion>& weights, std::optional<Instant> before);
+  // The configuration in force names these. What changed was named after `before`, if that is
+  // known: the last time at which the configuration before it was known to be the newest.
+  void onConfiguration(const std::map<ModelName, WeightsVersion>& weights,
+                       std::optional<Instant> before);
   // Another daemon's word, as of `toldAt` at the earliest.
   void take(const std::vector<NamedWeights>& named, Instant toldAt);
   std::vector<NamedWeights> tell(Instant now) const;
@@ -26,7 +27,7 @@
     WeightsVersion weights;
     std::optional<Instant> before;  // never falls while the weights stay; nullopt: not known
   };
-  std::map<ModelName, Row> rows_;  // exactly the models that the spec in force names
+  std::map<ModelName, Row> rows_;  // exactly the models that the configuration in force names
 };
 
 }  // namespace quayrill
--- a/src/agent/operators.cpp
+++ b/src/agent/operators.cpp
@@ -11,7 +11,7 @@
 
 namespace {
 HttpResponse turnedAway(const std::string& why) {
-  HttpResponse response = defectResponse({DefectKind::TurnedAway, why});
+  HttpResponse response = errorResponse({ErrorKind::TurnedAway, why});
   response.set(http::field::retry_after, "1");
   return response;
 }
@@ -36,98 +36,100 @@
 }
 
 awaitable<ChangeDone> Agent::readSettled(Span due) {
-  ChangeAsked read{{}, kSpecKey, true, 0, {}, {}, BootClock::now() + due};
+  ChangeAsked read{{}, kConfigurationKey, true, 0, {}, {}, BootClock::now() + due};
   co_return co_await ask(read);
 }
 
-awaitable<HttpResponse> Agent::changeSpec(HttpRequest& request, bool isPatch) {
+awaitable<HttpResponse> Agent::changeConfiguration(HttpRequest& request, bool isPatch) {
   const std::string expectText = queryValue(request, "expect");
   if (expectText.empty() || expectText.find_first_not_of("0123456789") != std::string::npos ||
       expectText.size() > 18)
-    co_return defectResponse(
-        {DefectKind::MalformedRequest, "?expect=VERSION is missing: name the version you read"});
+    co_return errorResponse(
+        {ErrorKind::MalformedRequest, "?expect=VERSION is missing: name the version you read"});
   const std::uint64_t expected = std::stoull(expectText);
-  if (!hasCopiesToSpare())
-    co_return turnedAway("too few register copies to survive the loss of one");
+  if (!hasReplicasToSpare())
+    co_return turnedAway("too few register replicas to survive the loss of one");
   const ChangeDone current = co_await readSettled(2s);
   if (current.result != ChangeResult::Chosen)
-    co_return turnedAway("no majority of register copies answered");
+    co_return turnedAway("no majority of register replicas answered");
   if (current.value.version != expected) {
     HttpResponse response =
-        defectResponse({DefectKind::VersionConflict,
-                        "the spec is at version " + std::to_string(current.value.version)});
+        errorResponse({ErrorKind::VersionConflict,
+                       "the configuration is at version " + std::to_string(current.value.version)});
     response.set("Quayrill-Spec-Version", std::to_string(current.value.version));
     co_return response;
   }
   std::string body = request.body();
   if (isPatch) {
-    const auto patched = patchSpec(current.value.body, body);
+    const auto patched = patchConfiguration(current.value.body, body);
     if (!patched.ok())
-      co_return defectResponse({DefectKind::BadSpec, std::string(patched.status().message())});
+      co_return errorResponse(
+          {ErrorKind::BadConfiguration, std::string(patched.status().message())});
     body = *patched;
   }
-  if (body.size() > kSpecLimit)
-    co_return defectResponse(
-        {DefectKind::Oversize, "the spec would have " + std::to_string(body.size()) +
-                                   " bytes of at most " + std::to_string(kSpecLimit)});
-  if (const auto parsed = dialect_.readSpec(body); !parsed.ok())
-    co_return defectResponse({DefectKind::BadSpec, std::string(parsed.status().message())});
-  ChangeAsked change{{}, kSpecKey, false, expected, body, {}, BootClock::now() + 3s};
+  if (body.size() > kConfigurationLimit)
+    co_return errorResponse(
+        {ErrorKind::Oversize, "the configuration would have " + std::to_string(body.size()) +
+                                  " bytes of at most " + std::to_string(kConfigurationLimit)});
+  if (const auto parsed = dialect_.readConfiguration(body); !parsed.ok())
+    co_return errorResponse({ErrorKind::BadConfiguration, std::string(parsed.status().message())});
+  ChangeAsked change{{}, kConfigurationKey, false, expected, body, {}, BootClock::now() + 3s};
   const ChangeDone done = co_await ask(change);
   switch (done.result) {
     case ChangeResult::Chosen: {
-      LOG(INFO) << "spec " << done.value.version << " acknowledged";
+      LOG(INFO) << "configuration " << done.value.version << " acknowledged";
       HttpResponse response = jsonResponse(200, {{"version", done.value.version}});
       response.set("Quayrill-Spec-Version", std::to_string(done.value.version));
       co_return response;
     }
     case ChangeResult::Conflict: {
       HttpResponse response =
-          defectResponse({DefectKind::VersionConflict,
-                          "the spec is at version " + std::to_string(done.value.version)});
+          errorResponse({ErrorKind::VersionConflict,
+                         "the configuration is at version " + std::to_string(done.value.version)});
       response.set("Quayrill-Spec-Version", std::to_string(done.value.version));
       co_return response;
     }
     case ChangeResult::NotTried:
-      co_return turnedAway("no majority of register copies answered");
+      co_return turnedAway("no majority of register replicas answered");
     case ChangeResult::Unknown:
       break;
   }
-  co_return defectResponse({DefectKind::ChangeUnknown, "the change may or may not be made"});
+  co_return errorResponse({ErrorKind::ChangeUnknown, "the change may or may not be made"});
 }
 
 // The last resort: the majority of the register's disks is lost for good.
-awaitable<HttpResponse> Agent::refound(HttpRequest& request) {
-  const std::string fleet = std::to_string(core_->freshness().copies().fleet);
+awaitable<HttpResponse> Agent::recover(HttpRequest& request) {
+  const std::string fleet = std::to_string(core_->freshness().replicas().fleet);
   if (queryValue(request, "confirm") != fleet)
-    co_return defectResponse(
-        {DefectKind::MalformedRequest,
+    co_return errorResponse(
+        {ErrorKind::MalformedRequest,
          "?confirm=FLEET is not the fleet that is to be given up: it is " + fleet});
   const Json saved =
       request.body().empty() ? Json::object() : Json::parse(request.body(), nullptr, false);
   const Json version = saved.is_object() ? saved.value("version", Json(0U)) : Json();
   if (!version.is_number_unsigned())
-    co_return defectResponse(
-        {DefectKind::MalformedRequest,
+    co_return errorResponse(
+        {ErrorKind::MalformedRequest,
          R"(the body is {"version": N, "spec": {...}}, as 'spec get' prints it)"});
   const std::string body = saved.contains("spec") ? saved["spec"].dump() : "";
   if (!body.empty()) {
-    if (const auto parsed = dialect_.readSpec(body); !parsed.ok())
-      co_return defectResponse({DefectKind::BadSpec, std::string(parsed.status().message())});
+    if (const auto parsed = dialect_.readConfiguration(body); !parsed.ok())
+      co_return errorResponse(
+          {ErrorKind::BadConfiguration, std::string(parsed.status().message())});
   }
   AgentEffects effects;
-  const auto made = core_->refound(body, version.get<std::uint64_t>(), BootClock::now(), &effects);
+  const auto made = core_->recover(body, version.get<std::uint64_t>(), BootClock::now(), &effects);
   apply(std::move(effects));
   if (!made.turnedAway.empty())
-    co_return defectResponse({DefectKind::RegisterLives, made.turnedAway});
+    co_return errorResponse({ErrorKind::RegisterLives, made.turnedAway});
   // A round of the new register shows that what founds it is synced.
   const ChangeDone done = co_await readSettled(3s);
   if (done.result != ChangeResult::Chosen)
-    co_return defectResponse({DefectKind::ChangeUnknown, "the new register did not answer yet"});
-  LOG(INFO) << "register founded again as fleet " << made.copies.fleet;
-  co_return jsonResponse(200, {{"fleet", made.copies.fleet},
-                               {"epoch", made.copies.epoch.value},
-                               {"version", made.specVersion}});
+    co_return errorResponse({ErrorKind::ChangeUnknown, "the new register did not answer yet"});
+  LOG(INFO) << "register founded again as fleet " << made.replicas.fleet;
+  co_return jsonResponse(200, {{"fleet", made.replicas.fleet},
+                               {"epoch", made.replicas.epoch.value},
+                               {"version", made.configurationVersion}});
 }
 
 Json Agent::membersJson(Instant now) const {
@@ -137,32 +139,32 @@
                        {"callers", item.proxyAddress},
                        {"zone", item.zone},
                        {"store", item.store.value},
-                       {"spec_in_force", item.specInForce.value},
+                       {"spec_in_force", item.configurationInForce.value},
                        {"incarnation", item.version.incarnation.value},
                        {"leaving", item.leaving}});
   }
-  const CopySet& copies = core_->freshness().copies();
-  Json copyRows = Json::array();
-  for (const CopyMember& member : copies.members)
-    copyRows.push_back({{"cohort", member.address.value}, {"store", member.store.value}});
+  const ReplicaSet& replicas = core_->freshness().replicas();
+  Json replicaRows = Json::array();
+  for (const ReplicaMember& member : replicas.members)
+    replicaRows.push_back({{"cohort", member.address.value}, {"store", member.store.value}});
   return {{"members", members},
           {"copies",
-           {{"fleet", copies.fleet},
-            {"epoch", copies.epoch.value},
-            {"settled", copies.settled},
-            {"members", copyRows}}}};
+           {{"fleet", replicas.fleet},
+            {"epoch", replicas.epoch.value},
+            {"settled", replicas.settled},
+            {"members", replicaRows}}}};
 }
 
 Json Agent::serversJson(Instant now) const {
   Json rows = Json::array();
-  const Snapshot told = snapshot(specVersion_, now);
+  const Snapshot told = snapshot(configurationVersion_, now);
   for (const SnapshotServer& row : told.servers) {
-    const auto fence = core_->held(orderHold(row.model), Span{}, now);
+    const auto fence = core_->held(orderLease(row.model), Span{}, now);
     rows.push_back({{"name", row.name.value},
                     {"zone", row.zone},
                     {"model", row.model.value},
                     {"weights", row.weights.value},
-                    {"sound", row.sound},
+                    {"sound", row.healthy},
                     {"leaving", row.leaving},
                     {"switching", row.switching},
                     {"running", row.running},
@@ -175,8 +177,8 @@
   return {{"servers", rows}, {"listed_ago_us", told.listedAgoMicros}};
 }
 
-Json Agent::specJson() const {
-  const RegisterValue& value = core_->freshness().spec().value;
+Json Agent::configurationJson() const {
+  const RegisterValue& value = core_->freshness().configuration().value;
   Json body = value.body.empty() ? Json::object() : Json::parse(value.body, nullptr, false);
   return {{"version", value.version}, {"spec", body}};
 }
@@ -192,15 +194,16 @@
     if (answer) co_return std::move(*answer);
   }
   if (path == "/q/spec" && (verb == http::verb::put || verb == http::verb::patch))
-    co_return co_await changeSpec(request, verb == http::verb::patch);
-  if (path == "/q/refound" && verb == http::verb::post) co_return co_await refound(request);
+    co_return co_await changeConfiguration(request, verb == http::verb::patch);
+  if (path == "/q/refound" && verb == http::verb::post) co_return co_await recover(request);
   if (verb != http::verb::get)
-    co_return defectResponse({DefectKind::UnknownWay, "no such call: " + path});
+    co_return errorResponse({ErrorKind::UnknownWay, "no such call: " + path});
   if (path == "/healthz") co_return textResponse(200, "ok\n");
   if (path == "/readyz") {
     const auto confirmed = core_->freshness().confirmedAt();
-    const bool ready = specVersion_ > 0 && confirmed && now - *confirmed < boot_.freshLimit;
-    co_return textResponse(ready ? 200 : 503, ready ? "ready\n" : "spec unconfirmed\n");
+    const bool ready =
+        configurationVersion_ > 0 && confirmed && now - *confirmed < settings_.freshLimit;
+    co_return textResponse(ready ? 200 : 503, ready ? "ready\n" : "configuration unconfirmed\n");
   }
   if (path == "/metrics") co_return textResponse(200, renderCounters(counters_));
   if (path == "/q/members") co_return jsonResponse(200, membersJson(now));
@@ -218,13 +221,13 @@
                            {{"first", page.first}, {"next", page.next}, {"lines", page.lines}});
   }
   if (path == "/q/spec") {
-    if (queryValue(request, "settled").empty()) co_return jsonResponse(200, specJson());
+    if (queryValue(request, "settled").empty()) co_return jsonResponse(200, configurationJson());
     const ChangeDone done = co_await readSettled(2s);
     if (done.result != ChangeResult::Chosen)
-      co_return turnedAway("no majority of register copies answered");
-    co_return jsonResponse(200, specJson());
+      co_return turnedAway("no majority of register replicas answered");
+    co_return jsonResponse(200, configurationJson());
   }
-  co_return defectResponse({DefectKind::UnknownWay, "no such call: " + path});
+  co_return errorResponse({ErrorKind::UnknownWay, "no such call: " + path});
 }
 
 }  // namespace quayrill
--- a/src/agent/orders.cpp
+++ b/src/agent/orders.cpp
@@ -7,60 +7,61 @@
 
 namespace {
 constexpr Span kOrderDue = 1500ms;
-constexpr Span kOrderMargin = 300ms;  // by which a hold outlasts an order
+constexpr Span kOrderMargin = 300ms;  // by which a lease outlasts an order
 constexpr Span kReportDue = 700ms;
 
-std::string dutyOf(const ModelName& model) { return "orders/" + model.value; }
+std::string roleOf(const ModelName& model) { return "orders/" + model.value; }
 }  // namespace
 
-RegisterKey orderHold(const ModelName& model) { return RegisterKey{"hold/" + dutyOf(model)}; }
+RegisterKey orderLease(const ModelName& model) { return RegisterKey{"hold/" + roleOf(model)}; }
 
 // No other life of a daemon has the same.
 std::string Agent::orderOwner() const {
-  const std::string name = boot_.node.empty() ? boot_.cohort.value : boot_.node;
-  return name + "/" + std::to_string(core_->boot().nonce);
+  const std::string name = settings_.node.empty() ? settings_.peer.value : settings_.node;
+  return name + "/" + std::to_string(core_->settings().nonce);
 }
 
 RolloutView Agent::rolloutView(const ModelName& model, const WeightsVersion& wanted,
                                Instant now) const {
   RolloutView view;
   view.wanted = wanted;
-  view.namedAgo = core_->weightsNamed().ago(model, now).value_or(boot_.rolloutDue);
+  view.namedAgo = core_->weightsNamed().ago(model, now).value_or(settings_.rolloutDue);
   for (const auto& [name, row] : servers_) {
     if (!row.state || row.state->model != model) continue;
     const ServerState state = stateOf(row, now);
     view.servers.push_back(
-        {name, state.identity, state.weights, state.sound && !state.leaving, state.switching});
+        {name, state.identity, state.weights, state.healthy && !state.leaving, state.switching});
   }
   const auto confirmed = core_->freshness().confirmedAt();
-  if (confirmed && now - *confirmed < boot_.freshLimit)
-    view.fence = core_->held(orderHold(model), kOrderDue + kOrderMargin, now);
+  if (confirmed && now - *confirmed < settings_.freshLimit)
+    view.fence = core_->held(orderLease(model), kOrderDue + kOrderMargin, now);
   return view;
 }
 
 void Agent::tickOrders(Instant now) {
-  if (!spec_) return;
-  std::erase_if(rollouts_, [&](const auto& row) { return !spec_->weights.contains(row.first); });
-  for (const auto& [model, wanted] : spec_->weights) {
-    // The hold itself waits a lease out before it counts.
-    const RolloutBoot rolloutBoot{boot_.rolloutDue, Span{}};
-    Rollout& rollout = rollouts_.try_emplace(model, model, rolloutBoot).first->second;
+  if (!configuration_) return;
+  std::erase_if(rollouts_,
+                [&](const auto& row) { return !configuration_->weights.contains(row.first); });
+  for (const auto& [model, wanted] : configuration_->weights) {
+    // The lease itself waits a lease out before it counts.
+    const RolloutSettings rolloutSettings{settings_.rolloutDue, Span{}};
+    Rollout& rollout = rollouts_.try_emplace(model, model, rolloutSettings).first->second;
     const RolloutView view = rolloutView(model, wanted, now);
-    const RegisterKey key = orderHold(model);
+    const RegisterKey key = orderLease(model);
     AgentEffects effects;
     const auto held = core_->held(key, Span{}, now);
     if (held && rollout.isFencedOff(*held)) {
       // Whoever follows counts its wait from the release: nothing of ours may arrive after it.
-      if (!rollout.hasOpenOrder()) core_->releaseHold(key, now, &effects);
-    } else if (rollout.wantsHold(view)) {
+      if (!rollout.hasOpenOrder()) core_->releaseLease(key, now, &effects);
+    } else if (rollout.wantsLease(view)) {
       Instant& since = behindSince_.try_emplace(model, now).first->second;
       // As long as somebody tells of its orders, nothing is overdue.
       const Instant sign = std::max(since, core_->notes().lastSign(model).value_or(since));
-      if (held || core_->mayStepIn(dutyOf(model), now - sign, now))
-        core_->pursueHold(key, now, &effects);
+      if (held || core_->mayStepIn(roleOf(model), now - sign, now))
+        core_->pursueLease(key, now, &effects);
     } else {
       behindSince_.erase(model);
-      if (held && rollout.isIdle()) core_->releaseHold(key, now, &effects);
+      if (held && rollout.isIdle()) core_->releaseLease(key, now, &effects);
     }
     apply(std::move(effects));
     RolloutEffects made;
@@ -88,14 +89,14 @@
   OrderAnswer answer = OrderAnswer::Unclear;
   if (due > Span{}) {
     ++counters_.weightOrders;
-    answer = co_await dialect_.orderWeights(address, boot_.cohort, order.identity, model,
+    answer = co_await dialect_.orderWeights(address, settings_.peer, order.identity, model,
                                             order.weights, owner, order.fence, due);
   }
   decisions_.add(order.server.value, nlohmann::json{{"decision", "weights"},
                                                     {"server", order.server.value},
                                                     {"weights", order.weights.value},
                                                     {"fence", order.fence.value},
-                                                    {"daemon", boot_.cohort.value},
+                                                    {"daemon", settings_.peer.value},
                                                     {"result", orderAnswerName(answer)}}
                                          .dump());
   const auto rollout = rollouts_.find(model);
@@ -109,7 +110,7 @@
 awaitable<void> Agent::askReport(ModelName model, ReportAsk asked) {
   const Instant askedAt = BootClock::now();
   const Address address{asked.server.value};
-  const auto report = co_await dialect_.readWeights(address, boot_.cohort, model, kReportDue);
+  const auto report = co_await dialect_.readWeights(address, settings_.peer, model, kReportDue);
   const auto rollout = rollouts_.find(model);
   if (rollout == rollouts_.end()) co_return;
   const Instant now = BootClock::now();
--- a/src/agent/snapshot.cpp
+++ b/src/agent/snapshot.cpp
@@ -5,7 +5,7 @@
 SnapshotServer toSnapshot(const ServerState& state, Instant now) {
   const auto ago = std::chrono::duration_cast<std::chrono::microseconds>(now - state.polledAt);
   return {state.name,   state.service, state.identity,    state.model,     state.weights,
-          state.zone,   state.sound,   state.leaving,     state.switching, state.running,
+          state.zone,   state.healthy, state.leaving,     state.switching, state.running,
           state.queued, state.slots,   state.cacheTokens, ago.count()};
 }
 
@@ -13,7 +13,7 @@
   return {row.name,        row.service,
           row.identity,    row.model,
           row.weights,     row.zone,
-          row.sound,       row.leaving,
+          row.healthy,     row.leaving,
           row.switching,   row.running,
           row.queued,      row.slots,
           row.cacheTokens, askedAt - std::chrono::microseconds(row.polledAgoMicros)};
--- a/src/agent/snapshot.h
+++ b/src/agent/snapshot.h
@@ -4,7 +4,7 @@
 #include <string>
 #include <vector>
 
-#include "cohort/messages.h"
+#include "peers/messages.h"
 #include "placement/placement.h"
 
 namespace quayrill {
@@ -16,26 +16,26 @@
   ModelName model;
   WeightsVersion weights;
   std::string zone;
-  bool sound = false, leaving = false, switching = false;
+  bool healthy = false, leaving = false, switching = false;
   std::uint32_t running = 0, queued = 0, slots = 1;
   std::uint64_t cacheTokens = 0;
   std::int64_t polledAgoMicros = 0;  // running and queued are of then
-  QUAYRILL_FIELDS(name, service, identity, model, weights, zone, sound, leaving, switching, running,
-                  queued, slots, cacheTokens, polledAgoMicros)
+  QUAYRILL_FIELDS(name, service, identity, model, weights, zone, healthy, leaving, switching,
+                  running, queued, slots, cacheTokens, polledAgoMicros)
 };
 
 struct Snapshot {
-  std::uint64_t specVersion = 0;
-  std::string specBody;                  // "" where the proxy said it has this version
+  std::uint64_t configurationVersion = 0;
+  std::string configurationBody;         // "" where the proxy said it has this version
   std::int64_t confirmedAgoMicros = -1;  // -1: never confirmed
   std::int64_t listedAgoMicros = -1;     // -1: never read from the platform
   std::vector<SnapshotServer> servers;
-  // Since the spec's weights of each model were named: never less than it truly is, and a day where
-  // that is not known.
+  // Since the configuration's weights of each model were named: never less than it truly is, and a
+  // day where that is not known.
   std::vector<std::pair<ModelName, std::int64_t>> weightsNamedAgoMicros;
   std::uint32_t proxies = 0;  // live daemons that take requests, as far as is known; this one too
-  QUAYRILL_FIELDS(specVersion, specBody, confirmedAgoMicros, listedAgoMicros, servers,
-                  weightsNamedAgoMicros, proxies)
+  QUAYRILL_FIELDS(configurationVersion, configurationBody, confirmedAgoMicros, listedAgoMicros,
+                  servers, weightsNamedAgoMicros, proxies)
 };
 
 SnapshotServer toSnapshot(const ServerState& state, Instant now);
--- /dev/null
+++ b/src/agent/update.cpp
@@ -0,0 +1,44 @@
+// Changes to the register's body that build on what stands there.
+#include <glog/logging.h>
+
+#include "agent/agent.h"
+#include "register/update_operation.h"
+
+namespace quayrill {
+
+using namespace std::chrono_literals;
+
+namespace {
+constexpr Span kUpdateDue = 3500ms;
+constexpr Span kHeardWithin = 2s;  // ours: several rounds of confirming
+}  // namespace
+
+bool Agent::hearsRegister() const {
+  const auto confirmed = core_->freshness().confirmedAt();
+  return confirmed && BootClock::now() - *confirmed < kHeardWithin;
+}
+
+bool Agent::hasReplicasToSpare() const {
+  return core_->freshness().replicas().members.size() >=
+         std::min<std::size_t>(3, settings_.replicasWanted);
+}
+
+awaitable<UpdateDone> Agent::updateConfiguration(Update change) {
+  if (!hearsRegister())
+    co_return UpdateDone{UpdateResult::NotTaken, "no majority of register replicas is heard here"};
+  if (!hasReplicasToSpare())
+    co_return UpdateDone{UpdateResult::NotTaken,
+                         "too few register replicas to survive the loss of one"};
+  UpdateOperation updateOperation(std::move(change), kBodyLimit, BootClock::now() + kUpdateDue);
+  for (;;) {
+    const std::optional<ChangeAsked> asked = updateOperation.next(BootClock::now());
+    if (!asked) break;
+    const ChangeDone answer = co_await ask(*asked);
+    updateOperation.onAnswer(answer);
+  }
+  if (updateOperation.done()->result == UpdateResult::Taken)
+    LOG(INFO) << "change of the configuration acknowledged";
+  co_return *updateOperation.done();
+}
+
+}  // namespace quayrill
--- a/src/agent/view.cpp
+++ b/src/agent/view.cpp
@@ -2,20 +2,22 @@
 
 namespace quayrill {
 
-ProxyView nextView(const ProxyView& before, const Snapshot& told, Instant askedAt,
-                   const std::function<absl::StatusOr<Spec>(const std::string&)>& readSpec) {
+ProxyView nextView(
+    const ProxyView& before, const Snapshot& told, Instant askedAt,
+    const std::function<absl::StatusOr<Configuration>(const std::string&)>& readConfiguration) {
   ProxyView next = before;
   const auto since = [&](std::int64_t agoMicros) {
     return agoMicros < 0 ? Instant{} : askedAt - std::chrono::microseconds(agoMicros);
   };
-  if (told.specVersion != before.specVersion && !told.specBody.empty()) {
-    auto parsed = readSpec(told.specBody);
+  if (told.configurationVersion != before.configurationVersion && !told.configurationBody.empty()) {
+    auto parsed = readConfiguration(told.configurationBody);
     if (parsed.ok()) {
-      next.spec = std::make_shared<const Spec>(std::move(*parsed));
-      next.specVersion = told.specVersion;
+      next.configuration = std::make_shared<const Configuration>(std::move(*parsed));
+      next.configurationVersion = told.configurationVersion;
     }
   }
-  if (next.specVersion == told.specVersion) next.confirmedAt = since(told.confirmedAgoMicros);
+  if (next.configurationVersion == told.configurationVersion)
+    next.confirmedAt = since(told.confirmedAgoMicros);
   next.listedAt = since(told.listedAgoMicros);
   next.servers.clear();
   for (const SnapshotServer& row : told.servers) next.servers.push_back(fromSnapshot(row, askedAt));
--- a/src/agent/view.h
+++ b/src/agent/view.h
@@ -5,23 +5,25 @@
 #include <memory>
 
 #include "agent/snapshot.h"
-#include "spec/spec.h"
+#include "configuration/configuration.h"
 
 namespace quayrill {
 
 // Immutable once handed on; replaced whole by each answer of the agent.
 struct ProxyView {
-  std::shared_ptr<const Spec> spec;
-  std::uint64_t specVersion = 0;
-  Instant confirmedAt{};  // the latest instant for which the spec is known to be the newest
-  Instant listedAt{};     // the same for the server list
+  std::shared_ptr<const Configuration> configuration;
+  std::uint64_t configurationVersion = 0;
+  Instant
+      confirmedAt{};   // the latest instant for which the configuration is known to be the newest
+  Instant listedAt{};  // the same for the server list
   std::vector<ServerState> servers;
   std::map<ModelName, Instant> weightsNamedAt;  // never later than they truly were
 };
 
-// The view that follows `before` by a snapshot asked for at `askedAt`. A spec that can't be read
-// leaves the one before in place, unconfirmed.
-ProxyView nextView(const ProxyView& before, const Snapshot& told, Instant askedAt,
-                   const std::function<absl::StatusOr<Spec>(const std::string&)>& readSpec);
+// The view that follows `before` by a snapshot asked for at `askedAt`. A configuration that can't
+// be read leaves the one before in place, unconfirmed.
+ProxyView nextView(
+    const ProxyView& before, const Snapshot& told, Instant askedAt,
+    const std::function<absl::StatusOr<Configuration>(const std::string&)>& readConfiguration);
 
 }  // namespace quayrill
--- /dev/null
+++ b/src/base/error.cpp
@@ -0,0 +1,27 @@
+#include "base/error.h"
+
+namespace quayrill {
+
+namespace {
+struct ErrorRow {
+  const char* name;
+  int status;
+  absl::StatusCode code;
+  const char* remedy;
+};
+constexpr ErrorRow kRows[] = {
+#define QUAYRILL_ROW(kind, status, code, remedy) {#kind, status, absl::StatusCode::code, remedy},
+    QUAYRILL_ERRORS(QUAYRILL_ROW)
+#undef QUAYRILL_ROW
+};
+const ErrorRow& row(ErrorKind kind) { return kRows[static_cast<std::size_t>(kind)]; }
+}  // namespace
+
+int httpStatus(ErrorKind kind) { return row(kind).status; }
+const char* errorName(ErrorKind kind) { return row(kind).name; }
+std::string message(const Error& error) { return error.detail + ": " + row(error.kind).remedy; }
+absl::Status toStatus(const Error& error) {
+  return absl::Status(row(error.kind).code, message(error));
+}
+
+}  // namespace quayrill
--- a/src/base/defect.h
+++ b/src/base/error.h
@@ -1,5 +1,5 @@
 #pragma once
-// Typed defects. Each kind carries its HTTP status and the remedy that its message ends with.
+// Typed errors. Each kind carries its HTTP status and the remedy that its message ends with.
 #include <absl/status/status.h>
 
 #include <string>
@@ -7,17 +7,20 @@
 namespace quayrill {
 
 // kind, HTTP status, absl code, remedy
-#define QUAYRILL_DEFECTS(X)                                                                       \
+#define QUAYRILL_ERRORS(X)                                                                        \
   X(MalformedRequest, 400, kInvalidArgument, "correct the request and send it again")             \
-  X(UnknownKey, 401, kUnauthenticated, "use a key that is listed for the tenant in the spec")     \
+  X(UnknownKey, 401, kUnauthenticated,                                                            \
+    "use a key that is listed for the tenant in the configuration")                               \
   X(SaltMisuse, 403, kPermissionDenied, "leave the salt out or use the tenant's own")             \
-  X(UnknownWay, 404, kNotFound, "use a way that the spec names, or add it to the spec")           \
-  X(VersionConflict, 409, kAborted, "read the spec again and send the change with its version")   \
+  X(UnknownWay, 404, kNotFound,                                                                   \
+    "use a way that the configuration names, or add it to the configuration")                     \
+  X(VersionConflict, 409, kAborted,                                                               \
+    "read the configuration again and send the change with its version")                          \
   X(RegisterLives, 409, kFailedPrecondition, "mend that first; the register stays as it is")      \
   X(Oversize, 413, kOutOfRange, "send a smaller body or header")                                  \
   X(HeaderOversize, 431, kOutOfRange, "send smaller headers")                                     \
   X(SlowCaller, 408, kDeadlineExceeded, "send the whole request sooner; it never ran")            \
-  X(BadSpec, 422, kInvalidArgument, "correct the named field; nothing was changed")               \
+  X(BadConfiguration, 422, kInvalidArgument, "correct the named field; nothing was changed")      \
   X(TurnedAwayBusy, 429, kResourceExhausted, "come back after Retry-After")                       \
   X(TurnedAway, 503, kUnavailable, "come back after Retry-After; it never ran")                   \
   X(OutcomeUnknown, 502, kUnknown, "don't send it again before its effect is looked up")          \
@@ -26,24 +29,24 @@
   X(DuePassedRepeatable, 504, kDeadlineExceeded,                                                  \
     "come back after Retry-After; it may be repeated")                                            \
   X(ChangeUnknown, 504, kUnknown, "read the spec: its version tells whether the change was made") \
-  X(BadBoot, 2, kInvalidArgument, "correct the setting")                                          \
-  X(DiskDefect, 500, kDataLoss,                                                                   \
+  X(BadSettings, 2, kInvalidArgument, "correct the setting")                                      \
+  X(DiskError, 500, kDataLoss,                                                                    \
     "make room on the disk or mend it; its folder is opened anew each second")
 
-enum class DefectKind {
+enum class ErrorKind {
 #define QUAYRILL_KIND(kind, status, code, remedy) kind,
-  QUAYRILL_DEFECTS(QUAYRILL_KIND)
+  QUAYRILL_ERRORS(QUAYRILL_KIND)
 #undef QUAYRILL_KIND
 };
 
-struct Defect {
-  DefectKind kind{};
+struct Error {
+  ErrorKind kind{};
   std::string detail;
 };
 
-int httpStatus(DefectKind kind);
-const char* defectName(DefectKind kind);
-std::string message(const Defect& defect);  // "detail: remedy"
-absl::Status toStatus(const Defect& defect);
+int httpStatus(ErrorKind kind);
+const char* errorName(ErrorKind kind);
+std::string message(const Error& error);  // "detail: remedy"
+absl::Status toStatus(const Error& error);
 
 }  // namespace quayrill
--- a/src/base/types.h
+++ b/src/base/types.h
@@ -25,7 +25,7 @@
   X(WeightsVersion, std::string)                                \
   X(CacheSalt, std::string) /* "" is the shared salt */         \
   X(TenantName, std::string)                                    \
-  X(ContractName, std::string)                                  \
+  X(PolicyName, std::string)                                    \
   X(ServiceName, std::string)                                   \
   X(RequestId, std::string)                                     \
   X(RegisterKey, std::string)                                   \
@@ -33,7 +33,7 @@
   X(StoreId, std::uint64_t)      /* 0 means: no store */        \
   X(ProposerId, std::uint64_t)   /* random at each start */     \
   X(Epoch, std::uint64_t)                                       \
-  X(SpecVersion, std::uint64_t)                                 \
+  X(ConfigurationVersion, std::uint64_t)                        \
   X(Fence, std::uint64_t)                                       \
   X(Incarnation, std::uint64_t)                                 \
   X(WriteId, std::uint64_t)                                     \
--- a/src/spec/spec.h
+++ b/src/configuration/configuration.h
@@ -1,5 +1,5 @@
 #pragma once
-// The spec: tenants with their keys, contracts, ways and weight versions. A value with its own
+// The spec: tenants with their keys, policies, ways and weight versions. A value with its own
 // rules; nothing here knows where it is kept.
 #include <absl/status/statusor.h>
 
@@ -18,13 +18,13 @@
 // An isolated tenant's salt is its own alone, and no other tenant may name it.
 struct Tenant {
   bool isolated = false;
-  std::optional<unsigned> priority{};  // goes before the contract's; 0 is the most urgent
+  std::optional<unsigned> priority{};  // goes before the policy's; 0 is the most urgent
   std::size_t concurrency = 64;
   std::set<std::string> keyDigests;
 };
 
 // repeatable == false: once a byte may have reached a server, no second send, ever.
-struct Contract {
+struct RoutePolicy {
   ModelName model;
   bool repeatable = false;
   std::chrono::milliseconds due{10000};
@@ -72,7 +72,7 @@
   std::string name;
   std::string host;    // lower case, no port
   std::string prefix;  // begins and ends with a slash
-  ContractName contract;
+  PolicyName policy;
   std::vector<SplitShare> split;
   bool isPublic = false;  // needs no key
 };
@@ -85,10 +85,10 @@
   std::chrono::milliseconds idleDue{60000};
 };
 
-struct Spec {
+struct Configuration {
   std::map<TenantName, Tenant> tenants;
-  std::map<ContractName, Contract> contracts;
-  std::map<std::string, ContractName> ways;  // path below /v1/ to contract
+  std::map<PolicyName, RoutePolicy> policies;
+  std::map<std::string, PolicyName> ways;  // path below /v1/ to policy
   std::map<ModelName, WeightsVersion> weights;
   std::map<std::string, TenantName> tenantOfDigest;  // derived from tenants
   std::vector<Route> routes;  // by host, then by falling length of the prefix
@@ -98,33 +98,35 @@
 };
 
 // The first rule that a route breaks, in the order of the rows; whoever read them names the field.
-struct RouteDefect {
-  enum class Kind { UnknownService, UnknownContract, NoWeight, SameHostAndPrefix };
+struct RouteError {
+  enum class Kind { UnknownService, UnknownPolicy, NoWeight, SameHostAndPrefix };
   Kind kind{};
   std::size_t route = 0;  // index in routes
   std::size_t part = 0;   // index in its split
   std::size_t other = 0;  // the route that it clashes with
 };
-std::optional<RouteDefect> firstRouteDefect(const Spec& spec);
+std::optional<RouteError> firstRouteError(const Configuration& configuration);
 
 // Gives the tenant a key. The result is the tenant that has it already, if that is another one.
-std::optional<TenantName> addKeyDigest(Spec* spec, const TenantName& tenant,
+std::optional<TenantName> addKeyDigest(Configuration* configuration, const TenantName& tenant,
                                        const std::string& digest);
 
 // Puts the routes into their order; call it once they are all there.
-void sortRoutes(Spec* spec);
+void sortRoutes(Configuration* configuration);
 // The route of that host with the longest prefix that begins the path; nullptr if there is none.
 // A port behind the host and its case don't count.
-const Route* findRoute(const Spec& spec, std::string_view host, std::string_view path);
+const Route* findRoute(const Configuration& configuration, std::string_view host,
+                       std::string_view path);
 
 // Schema and rules; the message starts with the path of the offending field.
-absl::StatusOr<Spec> parseSpec(const std::string& body);
+absl::StatusOr<Configuration> parseConfiguration(const std::string& body);
 
 // An RFC 7386 merge patch on a body; the result is not checked.
-absl::StatusOr<std::string> patchSpec(const std::string& body, const std::string& patch);
+absl::StatusOr<std::string> patchConfiguration(const std::string& body, const std::string& patch);
 
 // The salt that a tenant's cache is kept under: its own if isolated, else what it asks for among
 // the shared ones. False: it asked for one it may not use.
-bool saltFor(const Spec& spec, const TenantName& tenant, const std::string& asked, CacheSalt* salt);
+bool saltFor(const Configuration& configuration, const TenantName& tenant, const std::string& asked,
+             CacheSalt* salt);
 
 }  // namespace quayrill
--- a/src/spec/parse.cpp
+++ b/src/configuration/parse.cpp
@@ -1,16 +1,16 @@
-// The product's own spec document: its schema, and what it says as a value.
+// The product's own configuration document: its schema, and what it says as a value.
 #include <nlohmann/json.hpp>
 #include <set>
 
-#include "spec/schema.h"
-#include "spec/spec.h"
+#include "configuration/configuration.h"
+#include "configuration/schema.h"
 
 namespace quayrill {
 
 namespace {
 using Json = nlohmann::json;
 
-constexpr char kSpecSchema[] = R"json({
+constexpr char kConfigurationSchema[] = R"json({
   "type": "object", "additionalProperties": false,
   "required": ["tenants", "contracts", "ways", "models"],
   "properties": {
@@ -87,14 +87,15 @@
   return std::chrono::milliseconds(row.value(field, otherwise.count()));
 }
 
-absl::Status readTenants(const Json& rows, Spec* spec) {
+absl::Status readTenants(const Json& rows, Configuration* configuration) {
   for (const auto& [name, row] : rows.items()) {
-    Tenant& tenant = spec->tenants[TenantName{name}];
+    Tenant& tenant = configuration->tenants[TenantName{name}];
     tenant.isolated = row.value("isolated", false);
     tenant.concurrency = row.value("concurrency", tenant.concurrency);
     if (row.contains("priority")) tenant.priority = row["priority"].get<unsigned>();
     for (const auto& digest : row.value("keys", Json::array())) {
-      if (const auto owner = addKeyDigest(spec, TenantName{name}, digest.get<std::string>()))
+      if (const auto owner =
+              addKeyDigest(configuration, TenantName{name}, digest.get<std::string>()))
         return bad("/tenants/" + name + "/keys",
                    "a key of '" + owner->value + "': give each tenant its own keys");
     }
@@ -102,34 +103,34 @@
   return absl::OkStatus();
 }
 
-absl::Status readContracts(const Json& rows, Spec* spec) {
+absl::Status readPolicies(const Json& rows, Configuration* configuration) {
   for (const auto& [name, row] : rows.items()) {
-    Contract contract;
-    contract.model = ModelName{row.value("model", "")};
-    contract.repeatable = row["repeatable"].get<bool>();
-    contract.due = millisOf(row, "due_ms", contract.due);
-    contract.tries = row.value("tries", contract.tries);
-    contract.promptClass = row.value("class", contract.promptClass);
-    contract.concurrency = row.value("concurrency", contract.concurrency);
-    contract.bodyLimit = row.value("body_limit", contract.bodyLimit);
-    contract.isStream = row.value("stream", false);
-    contract.isResumable = row.value("resumable", false);
-    contract.priority = row.value("priority", contract.priority);
-    contract.target = millisOf(row, "target_ms", contract.target);
-    contract.gapTarget = millisOf(row, "gap_target_ms", contract.gapTarget);
+    RoutePolicy policy;
+    policy.model = ModelName{row.value("model", "")};
+    policy.repeatable = row["repeatable"].get<bool>();
+    policy.due = millisOf(row, "due_ms", policy.due);
+    policy.tries = row.value("tries", policy.tries);
+    policy.promptClass = row.value("class", policy.promptClass);
+    policy.concurrency = row.value("concurrency", policy.concurrency);
+    policy.bodyLimit = row.value("body_limit", policy.bodyLimit);
+    policy.isStream = row.value("stream", false);
+    policy.isResumable = row.value("resumable", false);
+    policy.priority = row.value("priority", policy.priority);
+    policy.target = millisOf(row, "target_ms", policy.target);
+    policy.gapTarget = millisOf(row, "gap_target_ms", policy.gapTarget);
     const std::string at = "/contracts/" + name;
-    if (!contract.model.value.empty() && !spec->weights.contains(contract.model))
+    if (!policy.model.value.empty() && !configuration->weights.contains(policy.model))
       return bad(at + "/model",
-                 "'" + contract.model.value + "' is not under /models: add it there first");
-    if (contract.isResumable && !(contract.isStream && contract.repeatable))
+                 "'" + policy.model.value + "' is not under /models: add it there first");
+    if (policy.isResumable && !(policy.isStream && policy.repeatable))
       return bad(at + "/resumable",
                  "only a stream that is repeatable resumes: set stream and repeatable too");
-    spec->contracts[ContractName{name}] = contract;
+    configuration->policies[PolicyName{name}] = policy;
   }
   return absl::OkStatus();
 }
 
-absl::Status readServices(const Json& rows, Spec* spec) {
+absl::Status readServices(const Json& rows, Configuration* configuration) {
   for (const auto& [name, row] : rows.items()) {
     Service service;
     service.healthPath = row.value("health_path", "");
@@ -141,16 +142,16 @@
     service.eventReaders = row.value("event_readers", service.eventReaders);
     for (const auto& model : row.value("models", Json::array())) {
       service.models.push_back(ModelName{model.get<std::string>()});
-      if (!spec->weights.contains(service.models.back()))
+      if (!configuration->weights.contains(service.models.back()))
         return bad("/services/" + name + "/models",
                    "'" + service.models.back().value + "' is not under /models: add it there");
     }
-    spec->services[ServiceName{name}] = service;
+    configuration->services[ServiceName{name}] = service;
   }
   return absl::OkStatus();
 }
 
-void readStores(const Json& rows, Spec* spec) {
+void readStores(const Json& rows, Configuration* configuration) {
   for (const auto& [name, row] : rows.items()) {
     PartStore store;
     store.address = Address{row["address"].get<std::string>()};
@@ -158,67 +159,67 @@
     store.cacheTokens = row.value("cache_tokens", store.cacheTokens);
     store.linkMbps = row.value("link_mbps", store.linkMbps);
     store.eventReaders = row.value("event_readers", store.eventReaders);
-    spec->stores[ServiceName{name}] = store;
+    configuration->stores[ServiceName{name}] = store;
   }
 }
 
-absl::Status describe(const RouteDefect& defect, const Spec& spec) {
-  const Route& route = spec.routes[defect.route];
+absl::Status describe(const RouteError& error, const Configuration& configuration) {
+  const Route& route = configuration.routes[error.route];
   const std::string at = "/routes/" + route.name;
-  switch (defect.kind) {
-    case RouteDefect::Kind::UnknownService:
+  switch (error.kind) {
+    case RouteError::Kind::UnknownService:
       return bad(
-          at + "/split/" + std::to_string(defect.part) + "/service",
-          "no service '" + route.split[defect.part].service.value + "': add it under /services");
-    case RouteDefect::Kind::UnknownContract:
+          at + "/split/" + std::to_string(error.part) + "/service",
+          "no service '" + route.split[error.part].service.value + "': add it under /services");
+    case RouteError::Kind::UnknownPolicy:
       return bad(at + "/contract",
-                 "no contract '" + route.contract.value + "': add it under /contracts");
-    case RouteDefect::Kind::NoWeight:
+                 "no policy '" + route.policy.value + "': add it under /contracts");
+    case RouteError::Kind::NoWeight:
       return bad(at + "/split", "the weights add up to 0: give one service more than 0");
-    case RouteDefect::Kind::SameHostAndPrefix:
+    case RouteError::Kind::SameHostAndPrefix:
       break;
   }
-  return bad(at + "/prefix", "route '" + spec.routes[defect.other].name +
+  return bad(at + "/prefix", "route '" + configuration.routes[error.other].name +
                                  "' has this host and prefix: change or remove one of them");
 }
 
-absl::Status readRoutes(const Json& rows, Spec* spec) {
+absl::Status readRoutes(const Json& rows, Configuration* configuration) {
   for (const auto& [name, row] : rows.items()) {
     Route route;
     route.name = name;
     route.host = row["host"].get<std::string>();
     route.prefix = row["prefix"].get<std::string>();
-    route.contract = ContractName{row["contract"].get<std::string>()};
+    route.policy = PolicyName{row["contract"].get<std::string>()};
     route.isPublic = row.value("public", false);
     for (const auto& share : row["split"])
       route.split.push_back({ServiceName{share["service"].get<std::string>()},
                              share.value("weight", std::uint32_t{1})});
-    spec->routes.push_back(std::move(route));
+    configuration->routes.push_back(std::move(route));
   }
-  if (const auto defect = firstRouteDefect(*spec)) return describe(*defect, *spec);
+  if (const auto error = firstRouteError(*configuration)) return describe(*error, *configuration);
   return absl::OkStatus();
 }
 
-// A request of a way names no model, so the contract has to.
-absl::Status readWays(const Json& rows, Spec* spec) {
-  for (const auto& [path, contract] : rows.items()) {
-    const ContractName name{contract.get<std::string>()};
-    const auto found = spec->contracts.find(name);
-    if (found == spec->contracts.end())
-      return bad("/ways/" + path, "no contract '" + name.value + "': add it under /contracts");
+// A request of a way names no model, so the policy has to.
+absl::Status readWays(const Json& rows, Configuration* configuration) {
+  for (const auto& [path, policy] : rows.items()) {
+    const PolicyName name{policy.get<std::string>()};
+    const auto found = configuration->policies.find(name);
+    if (found == configuration->policies.end())
+      return bad("/ways/" + path, "no policy '" + name.value + "': add it under /contracts");
     if (found->second.model.value.empty())
       return bad("/contracts/" + name.value + "/model",
                  "missing, and the way '" + path + "' needs it: name a model of /models");
-    spec->ways[path] = name;
+    configuration->ways[path] = name;
   }
   return absl::OkStatus();
 }
 
-absl::Status checkModels(const Spec& spec) {
-  std::set<ContractName> routed;
-  for (const Route& route : spec.routes) routed.insert(route.contract);
-  for (const auto& [name, contract] : spec.contracts) {
-    if (contract.model.value.empty() && !routed.contains(name))
+absl::Status checkModels(const Configuration& configuration) {
+  std::set<PolicyName> routed;
+  for (const Route& route : configuration.routes) routed.insert(route.policy);
+  for (const auto& [name, policy] : configuration.policies) {
+    if (policy.model.value.empty() && !routed.contains(name))
       return bad("/contracts/" + name.value + "/model",
                  "missing, and no route uses the contract: name a model of /models");
   }
@@ -226,29 +227,30 @@
 }
 }  // namespace
 
-absl::StatusOr<Spec> parseSpec(const std::string& body) {
+absl::StatusOr<Configuration> parseConfiguration(const std::string& body) {
   const Json json = Json::parse(body, nullptr, false);
   if (json.is_discarded()) return bad("/", "not JSON: send one JSON object");
-  if (const auto defect = schemaDefect(kSpecSchema, json)) return bad(defect->path, defect->what);
-  Spec spec;
+  if (const auto error = schemaError(kConfigurationSchema, json))
+    return bad(error->path, error->what);
+  Configuration configuration;
   const auto rowsOf = [&](const char* name) { return json.value(name, Json::object()); };
   for (const auto& [name, model] : json["models"].items())
-    spec.weights[ModelName{name}] = WeightsVersion{model["weights"].get<std::string>()};
-  if (auto status = readTenants(json["tenants"], &spec); !status.ok()) return status;
-  if (auto status = readContracts(json["contracts"], &spec); !status.ok()) return status;
-  if (auto status = readServices(rowsOf("services"), &spec); !status.ok()) return status;
-  readStores(rowsOf("stores"), &spec);
-  if (auto status = readRoutes(rowsOf("routes"), &spec); !status.ok()) return status;
-  if (auto status = readWays(json["ways"], &spec); !status.ok()) return status;
-  if (auto status = checkModels(spec); !status.ok()) return status;
+    configuration.weights[ModelName{name}] = WeightsVersion{model["weights"].get<std::string>()};
+  if (auto status = readTenants(json["tenants"], &configuration); !status.ok()) return status;
+  if (auto status = readPolicies(json["contracts"], &configuration); !status.ok()) return status;
+  if (auto status = readServices(rowsOf("services"), &configuration); !status.ok()) return status;
+  readStores(rowsOf("stores"), &configuration);
+  if (auto status = readRoutes(rowsOf("routes"), &configuration); !status.ok()) return status;
+  if (auto status = readWays(json["ways"], &configuration); !status.ok()) return status;
+  if (auto status = checkModels(configuration); !status.ok()) return status;
   const Json limits = rowsOf("caller_limits");
-  CallerLimits& bounds = spec.callerLimits;
+  CallerLimits& bounds = configuration.callerLimits;
   bounds.headerBytes = limits.value("header_bytes", bounds.headerBytes);
   bounds.bodyBytes = limits.value("body_bytes", bounds.bodyBytes);
   bounds.headerDue = millisOf(limits, "header_due_ms", bounds.headerDue);
   bounds.idleDue = millisOf(limits, "idle_due_ms", bounds.idleDue);
-  sortRoutes(&spec);
-  return spec;
+  sortRoutes(&configuration);
+  return configuration;
 }
 
 }  // namespace quayrill
--- a/src/spec/schema.cpp
+++ b/src/configuration/schema.cpp
@@ -1,4 +1,4 @@
-#include "spec/schema.h"
+#include "configuration/schema.h"
 
 #include <nlohmann/json.hpp>
 #include <valijson/adapters/nlohmann_json_adapter.hpp>
@@ -9,7 +9,7 @@
 
 namespace quayrill {
 
-std::optional<SchemaDefect> schemaDefect(const char* schemaText, const nlohmann::json& document) {
+std::optional<SchemaError> schemaError(const char* schemaText, const nlohmann::json& document) {
   const auto schemaJson = nlohmann::json::parse(schemaText);
   valijson::Schema schema;
   valijson::SchemaParser parser;
@@ -19,7 +19,7 @@
   if (validator.validate(schema, valijson::adapters::NlohmannJsonAdapter(document), &results))
     return std::nullopt;
   // The deepest report names the field itself; the ones above only say that something below failed.
-  SchemaDefect found;
+  SchemaError found;
   std::size_t deepest = 0;
   valijson::ValidationResults::Error error;
   while (results.popError(error)) {
--- a/src/spec/schema.h
+++ b/src/configuration/schema.h
@@ -5,12 +5,12 @@
 
 namespace quayrill {
 
-struct SchemaDefect {
+struct SchemaError {
   std::string path;  // of the offending field
   std::string what;  // what is wrong there, and the remedy
 };
 
 // The first thing in `document` that `schema` does not allow, if any.
-std::optional<SchemaDefect> schemaDefect(const char* schema, const nlohmann::json& document);
+std::optional<SchemaError> schemaError(const char* schema, const nlohmann::json& document);
 
 }  // namespace quayrill
--- a/src/spec/amend.cpp
+++ b/src/configuration/update.cpp
@@ -1,4 +1,4 @@
-#include "spec/amend.h"
+#include "configuration/update.h"
 
 #include <algorithm>
 
--- a/src/spec/amend.h
+++ b/src/configuration/update.h
@@ -13,7 +13,8 @@
 
 namespace quayrill {
 
-// A change that the register took: the number it gave the spec, and a digest of all that was asked.
+// A change that the register took: the number it gave the configuration, and a digest of all that
+// was asked.
 struct TakenChange {
   std::uint64_t number = 0;
   std::string digest;
@@ -32,18 +33,19 @@
 using TakenChanges = std::deque<TakenChange>;
 
 // Bytes of a configuration, and of the register's body with what is remembered beside it, so that
-// the one takes no room from the other. The cohort's frames and the feed of a proxy carry a body
+// the one takes no room from the other. The peer's frames and the feed of a proxy carry a body
 // whole: both allow several times this.
-inline constexpr std::size_t kSpecLimit = 1 << 20;
+inline constexpr std::size_t kConfigurationLimit = 1 << 20;
 inline constexpr std::size_t kTakenRowBytes = 48;  // [number of 20 digits,"digest"] and a comma
-inline constexpr std::size_t kBodyLimit = kSpecLimit + kTakenKept * kTakenRowBytes;
+inline constexpr std::size_t kBodyLimit = kConfigurationLimit + kTakenKept * kTakenRowBytes;
 
 // Two changes are the same one if what they build on and what they say are the same.
 std::string changeDigest(std::string_view kind, std::uint64_t basis, std::string_view text);
 // The number of the newest change that had to be forgotten for it; 0 where none had to be.
 std::uint64_t addTaken(TakenChanges* taken, TakenChange change);
 
-// A change as it was sent: the number it gives the spec, the one it builds on, and its digest.
+// A change as it was sent: the number it gives the configuration, the one it builds on, and its
+// digest.
 struct SentChange {
   std::uint64_t number = 0;
   std::uint64_t basis = 0;
@@ -65,12 +67,12 @@
 // version than stands, and was never taken. ResourceExhausted: too large. Unknown: it may have been
 // taken so long ago that it is forgotten. It is asked anew of every body that is met, so it must
 // say the same of the same body.
-using Amendment =
+using Update =
     std::function<absl::StatusOr<std::optional<std::string>>(const std::string& standing)>;
 
-enum class AmendResult {
+enum class UpdateResult {
   Taken,     // in the register
-  Holds,     // was in the register before
+  Leases,    // was in the register before
   Refused,   // not allowed; never takes effect
   Stale,     // a settled read showed that another version stands; never takes effect
   TooLarge,  // never takes effect
@@ -78,8 +80,8 @@
   Unknown,   // it may be taken or not
 };
 
-struct AmendDone {
-  AmendResult result{};
+struct UpdateDone {
+  UpdateResult result{};
   std::string message;  // why not, with the remedy; "" where it is taken or holds
 };
 
--- a/src/daemon/daemon.cpp
+++ b/src/daemon/daemon.cpp
@@ -19,27 +19,27 @@
 // The platform needs to see that it is not ready before connections stop: it takes what still comes
 // meanwhile, then it only finishes. What was accepted has until its deadline, however short the
 // grace.
-void leave(Proxy& plane, const Boot& boot) {
+void leave(Proxy& plane, const Settings& settings) {
   plane.beginLeaving();
-  const Span grace = std::max<Span>(boot.grace, plane.longestDue() + 2s);
+  const Span grace = std::max<Span>(settings.grace, plane.longestDue() + 2s);
   const auto graceEnd = BootClock::now() + grace;
-  std::this_thread::sleep_for(std::min<std::chrono::milliseconds>(boot.grace / 2, 3000ms));
+  std::this_thread::sleep_for(std::min<std::chrono::milliseconds>(settings.grace / 2, 3000ms));
   plane.stopAccepting();
   while (plane.openConnections() > 0 && BootClock::now() < graceEnd)
     std::this_thread::sleep_for(20ms);
   plane.stop();
 }
 
-// Operators still call an agent that stands alone for a while. A register copy that another machine
-// is about to stand in for votes until then; where none can, it stays a member, for a restart
-// brings it back with its disk.
-void leaveRegister(const Agent& agent, const Boot& boot, Instant toldAt) {
+// Operators still call an agent that stands alone for a while. A register replica that another
+// machine is about to stand in for votes until then; where none can, it stays a member, for a
+// restart brings it back with its disk.
+void leaveRegister(const Agent& agent, const Settings& settings, Instant toldAt) {
   const auto until = [&](Span span) {
     return std::max<Span>(Span{}, toldAt + span - BootClock::now());
   };
-  if (boot.role == "agent")
-    std::this_thread::sleep_for(until(std::min<std::chrono::milliseconds>(boot.grace, 3000ms)));
-  while (agent.isHandingOver() && until(boot.grace * 3 / 4) > Span{})
+  if (settings.role == "agent")
+    std::this_thread::sleep_for(until(std::min<std::chrono::milliseconds>(settings.grace, 3000ms)));
+  while (agent.isHandingOver() && until(settings.grace * 3 / 4) > Span{})
     std::this_thread::sleep_for(20ms);
 }
 
@@ -51,7 +51,8 @@
 }
 }  // namespace
 
-int runDaemon(Boot boot, const Dialect& dialect, const char* program, SettingsSource source) {
+int runDaemon(Settings settings, const Dialect& dialect, const char* program,
+              SettingsSource source) {
   FLAGS_logtostderr = true;
   google::InitGoogleLogging(program);
   sigset_t awaited;
@@ -61,16 +62,16 @@
   sigaddset(&awaited, SIGHUP);
   pthread_sigmask(SIG_BLOCK, &awaited, nullptr);  // before any thread starts
   std::signal(SIGPIPE, SIG_IGN);
-  std::signal(SIGXFSZ, SIG_IGN);  // a write over a file size limit is a defect like a full disk
+  std::signal(SIGXFSZ, SIG_IGN);  // a write over a file size limit is a error like a full disk
 
   std::unique_ptr<Agent> agent;
   std::unique_ptr<Proxy> proxy;
   std::unique_ptr<Relay> relay;
   std::thread control;
-  if (boot.role != "proxy") {
-    agent = std::make_unique<Agent>(boot, dialect);
-    if (boot.role == "both" && dialect.relayNames) {
-      relay = std::make_unique<Relay>(boot, dialect);
+  if (settings.role != "proxy") {
+    agent = std::make_unique<Agent>(settings, dialect);
+    if (settings.role == "both" && dialect.relayNames) {
+      relay = std::make_unique<Relay>(settings, dialect);
       if (auto status = relay->start(); !status.ok()) {
         std::cerr << program << ": " << status.message() << "\n";
         return 1;
@@ -85,28 +86,28 @@
     }
     control = std::thread([&] { agent->run(); });
   }
-  if (boot.role != "agent" && !relay) {
-    proxy = std::make_unique<Proxy>(boot, dialect);
+  if (settings.role != "agent" && !relay) {
+    proxy = std::make_unique<Proxy>(settings, dialect);
     if (auto status = proxy->start(); !status.ok()) {
       std::cerr << program << ": " << status.message() << "\n";
       std::_Exit(1);
     }
   }
-  LOG(INFO) << program << " " QUAYRILL_VERSION " serves as " << boot.role;
-  SettingsWatch watch(std::move(source), boot, [&agent](const Boot& changed) {
+  LOG(INFO) << program << " " QUAYRILL_VERSION " serves as " << settings.role;
+  SettingsWatch watch(std::move(source), settings, [&agent](const Settings& changed) {
     if (agent) agent->takeSettings(changed);
   });
   int signal = 0;
   while (sigwait(&awaited, &signal) == 0 && signal == SIGHUP) watch.onHup();
   const Instant toldAt = BootClock::now();
-  boot = watch.stop();
+  settings = watch.stop();
   LOG(INFO) << "leaving: not ready, finishing what was accepted";
   if (agent) agent->beginLeaving();
-  if (proxy) leave(*proxy, boot);
+  if (proxy) leave(*proxy, settings);
   if (relay) leave(*relay);
   if (agent) {
-    // A proxy beside this agent finishes on its word that the spec still stands.
-    leaveRegister(*agent, boot, toldAt);
+    // A proxy beside this agent finishes on its word that the configuration still stands.
+    leaveRegister(*agent, settings, toldAt);
     // Each operator's call has a due of its own, so this ends by itself.
     while (agent->callsOpen() > 0) std::this_thread::sleep_for(20ms);
     agent->stop();
--- a/src/daemon/settings_watch.cpp
+++ b/src/daemon/settings_watch.cpp
@@ -18,41 +18,42 @@
 // The names are those of the own settings file where it has the setting.
 struct StartSetting {
   const char* name;
-  bool (*same)(const Boot&, const Boot&);
+  bool (*same)(const Settings&, const Settings&);
 };
 
 template <auto field>
-bool same(const Boot& a, const Boot& b) {
+bool same(const Settings& a, const Settings& b) {
   return a.*field == b.*field;
 }
 
 // Not here: what `takenLive` takes up, and whether the platform calls this the first start of all,
 // which only a start can be.
-constexpr std::array kStartSettings = {StartSetting{"role", same<&Boot::role>},
-                                       StartSetting{"node", same<&Boot::node>},
-                                       StartSetting{"zone", same<&Boot::zone>},
-                                       StartSetting{"cohort", same<&Boot::cohort>},
-                                       StartSetting{"operators", same<&Boot::operators>},
-                                       StartSetting{"callers", same<&Boot::callers>},
-                                       StartSetting{"ready", same<&Boot::ready>},
-                                       StartSetting{"data_folder", same<&Boot::dataFolder>},
-                                       StartSetting{"disk_drag", same<&Boot::diskDrag>},
-                                       StartSetting{"store", same<&Boot::store>},
-                                       StartSetting{"cohort_via", same<&Boot::cohortVia>},
-                                       StartSetting{"placement", same<&Boot::placement>},
-                                       StartSetting{"fetch", same<&Boot::fetch>},
-                                       StartSetting{"copies_wanted", same<&Boot::copiesWanted>},
-                                       StartSetting{"block_tokens", same<&Boot::blockTokens>},
-                                       StartSetting{"traffic_threads", same<&Boot::trafficThreads>},
-                                       StartSetting{"fresh_limit_ms", same<&Boot::freshLimit>},
-                                       StartSetting{"drain bound", same<&Boot::drainDue>},
-                                       StartSetting{"lease bound", same<&Boot::leaseSpan>},
-                                       StartSetting{"rollout bound", same<&Boot::rolloutDue>},
-                                       StartSetting{"retry ratio", same<&Boot::extraShare>},
-                                       StartSetting{"retry window", same<&Boot::extraWindow>},
-                                       StartSetting{"retry slack", same<&Boot::extraSlack>}};
-
-bool differsLive(const Boot& a, const Boot& b) {
+constexpr std::array kStartSettings = {
+    StartSetting{"role", same<&Settings::role>},
+    StartSetting{"node", same<&Settings::node>},
+    StartSetting{"zone", same<&Settings::zone>},
+    StartSetting{"cohort", same<&Settings::peer>},
+    StartSetting{"operators", same<&Settings::operators>},
+    StartSetting{"callers", same<&Settings::callers>},
+    StartSetting{"ready", same<&Settings::ready>},
+    StartSetting{"data_folder", same<&Settings::dataFolder>},
+    StartSetting{"disk_drag", same<&Settings::diskDrag>},
+    StartSetting{"store", same<&Settings::store>},
+    StartSetting{"cohort_via", same<&Settings::peerVia>},
+    StartSetting{"placement", same<&Settings::placement>},
+    StartSetting{"fetch", same<&Settings::fetch>},
+    StartSetting{"copies_wanted", same<&Settings::replicasWanted>},
+    StartSetting{"block_tokens", same<&Settings::blockTokens>},
+    StartSetting{"traffic_threads", same<&Settings::trafficThreads>},
+    StartSetting{"fresh_limit_ms", same<&Settings::freshLimit>},
+    StartSetting{"drain bound", same<&Settings::drainDue>},
+    StartSetting{"lease bound", same<&Settings::leaseSpan>},
+    StartSetting{"rollout bound", same<&Settings::rolloutDue>},
+    StartSetting{"retry ratio", same<&Settings::extraShare>},
+    StartSetting{"retry window", same<&Settings::extraWindow>},
+    StartSetting{"retry slack", same<&Settings::extraSlack>}};
+
+bool differsLive(const Settings& a, const Settings& b) {
   return a.seeds != b.seeds || a.platform != b.platform || a.listEvery != b.listEvery ||
          a.listCallsPerS != b.listCallsPerS || a.grace != b.grace;
 }
@@ -84,7 +85,7 @@
   return text;
 }
 
-absl::StatusOr<Boot> loadSettings(SettingsSource* source) {
+absl::StatusOr<Settings> loadSettings(SettingsSource* source) {
   if (!source->file.empty()) {
     auto text = readSettingsFile(source->file);
     if (!text)
@@ -95,7 +96,7 @@
   return source->read(source->text);
 }
 
-std::vector<std::string> restartNeeded(const Boot& before, const Boot& after) {
+std::vector<std::string> restartNeeded(const Settings& before, const Settings& after) {
   std::vector<std::string> names;
   for (const StartSetting& setting : kStartSettings) {
     if (!setting.same(before, after)) names.emplace_back(setting.name);
@@ -103,8 +104,8 @@
   return names;
 }
 
-Boot takenLive(const Boot& before, const Boot& after) {
-  Boot taken = before;
+Settings takenLive(const Settings& before, const Settings& after) {
+  Settings taken = before;
   taken.seeds = after.seeds;
   taken.platform = after.platform;
   taken.listEvery = after.listEvery;
@@ -113,7 +114,7 @@
   return taken;
 }
 
-SettingsJudge::SettingsJudge(SettingsSource source, Boot inForce)
+SettingsJudge::SettingsJudge(SettingsSource source, Settings inForce)
     : source_(std::move(source)),
       inForce_(std::move(inForce)),
       takenText_(source_.text),
@@ -156,7 +157,7 @@
   }
   takenText_ = *text;
   const std::vector<std::string> waiting = restartNeeded(inForce_, *read);
-  Boot taken = takenLive(inForce_, *read);
+  Settings taken = takenLive(inForce_, *read);
   look.told = named + "is read anew, seeds " + joined(taken.seeds);
   if (!waiting.empty())
     look.told += "; not taken up before you restart this daemon: " + joined(waiting);
@@ -165,7 +166,7 @@
   return look;
 }
 
-SettingsWatch::SettingsWatch(SettingsSource source, Boot inForce, TakeUp takeUp)
+SettingsWatch::SettingsWatch(SettingsSource source, Settings inForce, TakeUp takeUp)
     : file_(source.file),
       judge_(std::move(source), std::move(inForce)),
       takeUp_(std::move(takeUp)),
@@ -179,7 +180,7 @@
   wake_.notify_all();
 }
 
-Boot SettingsWatch::stop() {
+Settings SettingsWatch::stop() {
   {
     const std::lock_guard lock(mutex_);
     ended_ = true;
--- a/src/daemon/settings_watch.h
+++ b/src/daemon/settings_watch.h
@@ -13,12 +13,12 @@
 #include <string>
 #include <thread>
 
-#include "boot/boot.h"
+#include "settings/settings.h"
 
 namespace quayrill {
 
 // From the text of a settings file to settings; an error names the field and the remedy.
-using ReadSettings = std::function<absl::StatusOr<Boot>(const std::string& text)>;
+using ReadSettings = std::function<absl::StatusOr<Settings>(const std::string& text)>;
 
 // Where a program's settings come from, and how it reads them.
 struct SettingsSource {
@@ -31,40 +31,40 @@
 std::optional<std::string> readSettingsFile(const std::string& file);
 
 // The settings to start by. Keeps the text they were made of in `source`.
-absl::StatusOr<Boot> loadSettings(SettingsSource* source);
+absl::StatusOr<Settings> loadSettings(SettingsSource* source);
 
 // Names of the settings that differ and that a running daemon can't change: its addresses, data
 // folder, role and the bounds that its parts were built with.
-std::vector<std::string> restartNeeded(const Boot& before, const Boot& after);
+std::vector<std::string> restartNeeded(const Settings& before, const Settings& after);
 
 // `before`, with what a running daemon can change as it is in `after`: the seeds, the platform's
 // address, how often its list is read, and the grace of SIGTERM.
-Boot takenLive(const Boot& before, const Boot& after);
+Settings takenLive(const Settings& before, const Settings& after);
 
 // What came of one look at the file.
 struct SettingsLook {
-  std::optional<Boot> changed;  // take these up
-  std::string refused;          // one line for the log; "" where nothing is refused
-  std::string told;             // the same, of what is no defect
-  bool lookSoon = false;        // the text has just changed: it may be half written
+  std::optional<Settings> changed;  // take these up
+  std::string refused;              // one line for the log; "" where nothing is refused
+  std::string told;                 // the same, of what is no error
+  bool lookSoon = false;            // the text has just changed: it may be half written
 };
 
 // Judges the texts that were seen. No clock, file or thread of its own.
 class SettingsJudge {
  public:
-  SettingsJudge(SettingsSource source, Boot inForce);
+  SettingsJudge(SettingsSource source, Settings inForce);
 
   // `text` is what the file holds now, or nothing where it can't be read; `asked` is true where
   // SIGHUP came since the last look. A text is judged once, when two looks have shown the same, and
   // again at each SIGHUP.
   SettingsLook onLook(const std::optional<std::string>& text, bool asked);
-  const Boot& inForce() const { return inForce_; }
+  const Settings& inForce() const { return inForce_; }
 
  private:
   SettingsLook judge(const std::optional<std::string>& text);
 
   SettingsSource source_;
-  Boot inForce_;
+  Settings inForce_;
   std::string takenText_;
   std::optional<std::string> seen_;    // at the last look
   std::optional<std::string> judged_;  // taken or refused
@@ -75,16 +75,16 @@
 class SettingsWatch {
  public:
   // Called on the watch's thread, once for each change.
-  using TakeUp = std::function<void(const Boot&)>;
+  using TakeUp = std::function<void(const Settings&)>;
 
-  SettingsWatch(SettingsSource source, Boot inForce, TakeUp takeUp);
+  SettingsWatch(SettingsSource source, Settings inForce, TakeUp takeUp);
   ~SettingsWatch();
   SettingsWatch(const SettingsWatch&) = delete;
   SettingsWatch& operator=(const SettingsWatch&) = delete;
 
   void onHup();
   // Ends the watch; the settings in force then.
-  Boot stop();
+  Settings stop();
 
  private:
   void run();
--- a/src/dialect/dialect.h
+++ b/src/dialect/dialect.h
@@ -10,10 +10,10 @@
 #include <vector>
 
 #include "agent/core/rollout.h"
-#include "cohort/messages.h"
+#include "configuration/configuration.h"
 #include "net/http.h"
+#include "peers/messages.h"
 #include "placement/placement.h"
-#include "spec/spec.h"
 
 namespace quayrill {
 
@@ -38,13 +38,14 @@
 };
 
 struct Dialect {
-  // Requests are relayed by the spec's routes, unchanged, under these names; empty: the product's
-  // own calls.
+  // Requests are relayed by the configuration's routes, unchanged, under these names; empty: the
+  // product's own calls.
   std::optional<HeaderNames> relayNames;
   // Empty: parts are not asked for.
   std::optional<PartEventCalls> partEvents;
-  // The register's body to a spec; the message starts with the path of the offending field.
-  std::function<absl::StatusOr<Spec>(const std::string& body)> readSpec;
+  // The register's body to a configuration; the message starts with the path of the offending
+  // field.
+  std::function<absl::StatusOr<Configuration>(const std::string& body)> readConfiguration;
   // The platform's whole list, all of its pages. `calls` is raised by the calls it took.
   std::function<awaitable<absl::StatusOr<std::vector<ListRow>>>(Address platform, Address from,
                                                                 Span due, std::size_t* calls)>
--- a/src/dialect/own.cpp
+++ b/src/dialect/own.cpp
@@ -27,7 +27,7 @@
 
 Dialect ownDialect() {
   Dialect dialect;
-  dialect.readSpec = parseSpec;
+  dialect.readConfiguration = parseConfiguration;
   dialect.readList = readOwnList;
   dialect.readServer = readServer;
   dialect.readWeights = readOwnWeights;
--- a/src/fleet/callers.cpp
+++ b/src/fleet/callers.cpp
@@ -29,27 +29,27 @@
 
 std::string secretOf(const std::string& tenant) { return "secret-of-" + tenant; }
 
-std::string specOf(const Mix& mix, const std::string& weights) {
-  Json spec{{"tenants", Json::object()},
-            {"contracts", Json::object()},
-            {"ways", Json::object()},
-            {"models", {{"till", {{"weights", weights}}}}}};
+std::string configurationOf(const Mix& mix, const std::string& weights) {
+  Json configuration{{"tenants", Json::object()},
+                     {"contracts", Json::object()},
+                     {"ways", Json::object()},
+                     {"models", {{"till", {{"weights", weights}}}}}};
   for (const auto& [tenant, share] : mix.tenants) {
-    spec["tenants"][tenant] = {{"isolated", tenant.rfind("iso-", 0) == 0},
-                               {"concurrency", 128},
-                               {"keys", {keyDigest(secretOf(tenant))}}};
+    configuration["tenants"][tenant] = {{"isolated", tenant.rfind("iso-", 0) == 0},
+                                        {"concurrency", 128},
+                                        {"keys", {keyDigest(secretOf(tenant))}}};
   }
   for (const WayMix& way : mix.ways) {
-    spec["contracts"][way.way] = {{"model", "till"},
-                                  {"repeatable", way.repeatable},
-                                  {"due_ms", 8000},
-                                  {"tries", 2},
-                                  {"class", way.rulesTokens > 1000  ? "long"
-                                            : way.rulesTokens > 500 ? "medium"
-                                                                    : "short"}};
-    spec["ways"][way.way] = way.way;
+    configuration["contracts"][way.way] = {{"model", "till"},
+                                           {"repeatable", way.repeatable},
+                                           {"due_ms", 8000},
+                                           {"tries", 2},
+                                           {"class", way.rulesTokens > 1000  ? "long"
+                                                     : way.rulesTokens > 500 ? "medium"
+                                                                             : "short"}};
+    configuration["ways"][way.way] = way.way;
   }
-  return spec.dump();
+  return configuration.dump();
 }
 
 Gateway::Gateway(asio::io_context& io, Mix mix, std::vector<Address> daemons, Ledger& ledger,
@@ -160,32 +160,32 @@
   for (std::string line; std::getline(lines, line);) {
     const Json json = Json::parse(line, nullptr, false);
     if (!json.is_object()) {
-      row->defect = "half a line";
+      row->error = "half a line";
       return false;
     }
     if (run.empty()) run = json.value("run", "");
     if (json.value("run", "") != run) {
-      row->defect = "two runs joined";
+      row->error = "two runs joined";
       return false;
     }
     if (row->endMark) {
-      row->defect = "a piece after the end mark";
+      row->error = "a piece after the end mark";
       return false;
     }
     if (json.value("end", false)) {
       row->endMark = true;
       if (json.value("pieces", -1) != expected) {
-        row->defect = "the end mark names other pieces";
+        row->error = "the end mark names other pieces";
         return false;
       }
       continue;
     }
     if (json.value("nonce", "") != row->nonce) {
-      row->defect = "another caller's answer";
+      row->error = "another caller's answer";
       return false;
     }
     if (json.value("piece", -1) != expected++) {
-      row->defect = "a piece lost or repeated";
+      row->error = "a piece lost or repeated";
       return false;
     }
   }
@@ -194,23 +194,23 @@
 
 awaitable<void> Gateway::call(CallRow row, HttpRequest request, Address to) {
   row.begun = BootClock::now();
-  Circuit circuit(io_);
-  circuit.expires_after(20s);
+  Connection connection(io_);
+  connection.expires_after(20s);
   ErrorCode code;
   const Tcp::endpoint endpoint = endpointOf(to);
-  co_await circuit.async_connect(endpoint, into(code));
-  if (!code) co_await http::async_write(circuit, request, into(code));
+  co_await connection.async_connect(endpoint, into(code));
+  if (!code) co_await http::async_write(connection, request, into(code));
   row.accepted = !code;
   beast::flat_buffer buffer;
   http::response_parser<http::string_body> parser;
-  if (!code) co_await http::async_read_header(circuit, buffer, parser, into(code));
+  if (!code) co_await http::async_read_header(connection, buffer, parser, into(code));
   if (!code) {
     row.status = static_cast<int>(parser.get().result_int());
     row.outcome = std::string(parser.get()["Quayrill-Outcome"]);
     row.requestId = std::string(parser.get()["Quayrill-Request-Id"]);
     row.hasRetryAfter = parser.get().count(http::field::retry_after) > 0;
     row.firstPiece = BootClock::now();
-    co_await http::async_read(circuit, buffer, parser, into(code));
+    co_await http::async_read(connection, buffer, parser, into(code));
     row.complete = !code && parser.is_done();
   }
   row.ended = BootClock::now();
@@ -221,8 +221,8 @@
       body.resize(body.rfind('\n') == std::string::npos ? 0 : body.rfind('\n') + 1);
     row.piecesRight = checkLines(body, &row);
   }
-  if (row.status >= 400) row.defect = parser.get().body();
-  if (row.defect.empty() && code) row.defect = code.message();
+  if (row.status >= 400) row.error = parser.get().body();
+  if (row.error.empty() && code) row.error = code.message();
   --open_;
   ledger_.with([&](Ledger& ledger) { ledger.calls.push_back(std::move(row)); });
 }
--- a/src/fleet/callers.h
+++ b/src/fleet/callers.h
@@ -25,7 +25,7 @@
   std::vector<std::pair<std::string, double>> tenants;  // name and share; "iso-" are isolated
 };
 Mix mixOf(const std::string& deployment);
-std::string specOf(const Mix& mix, const std::string& weights);
+std::string configurationOf(const Mix& mix, const std::string& weights);
 std::string secretOf(const std::string& tenant);
 
 struct DaemonTarget {
--- a/src/fleet/chaos.cpp
+++ b/src/fleet/chaos.cpp
@@ -6,7 +6,7 @@
 namespace quayrill::fleet {
 
 namespace {
-// Never drawn: planted defects, and what leaves the fleet with fewer servers for good too often.
+// Never drawn: planted errors, and what leaves the fleet with fewer servers for good too often.
 // What is not drawn has runs of its own; a new step would also make another run of every seed.
 bool isDrawable(const std::string& what) {
   return what != "repeat-piece" && what != "vanish-server" && what != "leave-server" &&
@@ -34,7 +34,7 @@
   for (double at = 1; at < seconds * 0.75; at += 0.3 + static_cast<double>(random() % 300) / 100) {
     const Row& row = rows[random() % rows.size()];
     Step step{row.what, "", static_cast<double>(static_cast<int>(at * 10)) / 10};
-    // One disk at a time may be lost, and the copy set needs half a minute to be whole again.
+    // One disk at a time may be lost, and the replica set needs half a minute to be whole again.
     if (step.what == "wipe-core") {
       if (diskLost) continue;
       diskLost = true;
--- a/src/fleet/checker.cpp
+++ b/src/fleet/checker.cpp
@@ -39,7 +39,7 @@
           {"retry-after", call.nonce + (call.repeatable ? " may be repeated and is not told when"
                                                         : " may not be and has Retry-After")});
     if (call.status == 200 && !call.piecesRight)
-      findings->push_back({"stream", call.nonce + ": " + call.defect});
+      findings->push_back({"stream", call.nonce + ": " + call.error});
     if (call.complete && call.status == 200 && !call.endMark)
       findings->push_back({"cut-looks-complete", call.nonce + " ended whole without an end mark"});
     if (call.complete && call.status == 200 && runs == 0)
--- a/src/fleet/checker_operators.cpp
+++ b/src/fleet/checker_operators.cpp
@@ -1,5 +1,5 @@
-// Changes of the spec, judged from outside: by what operators were told, what ready daemons served
-// by, and what stood in the register in the end.
+// Changes of the configuration, judged from outside: by what operators were told, what ready
+// daemons served by, and what stood in the register in the end.
 #include <algorithm>
 
 #include "fleet/ledger.h"
@@ -46,13 +46,13 @@
   for (const ServedRow& row : ledger.served) {
     std::uint64_t& top = highest[row.daemon];
     if (row.version < top)
-      findings->push_back({"slipped-back", row.daemon + " served by spec " +
+      findings->push_back({"slipped-back", row.daemon + " served by configuration " +
                                                std::to_string(row.version) + " after " +
                                                std::to_string(top)});
     top = std::max(top, row.version);
     const auto overtaken = overtakenAt(floors, row.version);
     if (overtaken && row.at > *overtaken + kInForceBound)
-      findings->push_back({"in-force", row.daemon + " served by spec " +
+      findings->push_back({"in-force", row.daemon + " served by configuration " +
                                            std::to_string(row.version) +
                                            " over 2 s after a newer one was acknowledged"});
   }
@@ -73,7 +73,7 @@
   }
   for (const auto& [at, version] : ledger.acknowledged) {
     if (version > ledger.versionInEnd)
-      findings->push_back({"slipped-back", "the register ended at spec " +
+      findings->push_back({"slipped-back", "the register ended at configuration " +
                                                std::to_string(ledger.versionInEnd) + " after " +
                                                std::to_string(version) + " was acknowledged"});
   }
--- a/src/fleet/daemons.cpp
+++ b/src/fleet/daemons.cpp
@@ -24,7 +24,7 @@
     Daemon daemon;
     daemon.name = (core ? "core" : "edge") + std::to_string(number);
     const std::string ip = stem + (core ? "1." : "2.") + std::to_string(number);
-    daemon.cohort = Address{ip + ":7100"};
+    daemon.peer = Address{ip + ":7100"};
     daemon.operators = Address{ip + ":7101"};
     daemon.callers = Address{ip + ":7102"};
     if (core) daemon.dataFolder = plan.workFolder + "/" + daemon.name;
@@ -33,7 +33,7 @@
     daemon.seeds = seeds;
     daemon.arguments = {plan.program,
                         "--settings=" + daemon.settingsFile,
-                        "--cohort=" + daemon.cohort.value,
+                        "--cohort=" + daemon.peer.value,
                         "--operators=" + daemon.operators.value,
                         "--callers=" + daemon.callers.value,
                         "--zone=zone" + std::to_string(i % 4),
--- a/src/fleet/daemons.h
+++ b/src/fleet/daemons.h
@@ -1,5 +1,5 @@
 #pragma once
-// The sonnblick processes of a run: started, killed, frozen and ended by id.
+// The quayrilld processes of a run: started, killed, frozen and ended by id.
 #include <sys/types.h>
 
 #include <string>
@@ -11,7 +11,7 @@
 
 struct Daemon {
   std::string name;
-  Address cohort, operators, callers;
+  Address peer, operators, callers;
   std::string dataFolder;  // "" on edge machines
   std::string dragFile;    // how long each sync of its disk lasts in addition
   std::string settingsFile, logFile;
--- a/src/fleet/ledger.h
+++ b/src/fleet/ledger.h
@@ -33,9 +33,9 @@
   bool hasRetryAfter = false;
   bool complete = false;  // HTTP says that the body is whole
   bool endMark = false;
-  bool accepted = false;    // the daemon took the circuit and the whole request
+  bool accepted = false;    // the daemon took the connection and the whole request
   bool piecesRight = true;  // in order, none lost or twice, one run, mine
-  std::string defect;
+  std::string error;
   std::string requestId;
 };
 
@@ -93,9 +93,9 @@
   std::vector<OperatorRow> operators;
   std::vector<ServedRow> served;
   std::set<std::string> daemons;    // all of the run, by callers' address
-  std::set<std::string> waysInEnd;  // of the settled spec after the traffic
+  std::set<std::string> waysInEnd;  // of the settled configuration after the traffic
   std::uint64_t versionInEnd = 0;   // 0: not read
-  std::vector<std::pair<Instant, std::uint64_t>> acknowledged;  // spec versions
+  std::vector<std::pair<Instant, std::uint64_t>> acknowledged;  // configuration versions
   Instant trafficBegin{};
   std::map<std::string, Instant> leavingAt;       // servers, by when they showed it
   std::vector<HinderedRow> leftSpans;             // servers replaced in a release, while leaving
--- a/src/fleet/jungfraujoch.cpp
+++ b/src/fleet/quayrill_local.cpp
@@ -1,4 +1,4 @@
-// jungfraujoch: a whole deployment on one machine, with stand-ins for all that is outside.
+// quayrill-local: a whole deployment on one machine, with stand-ins for all that is outside.
 #include <docopt/docopt.h>
 
 #include <csignal>
@@ -10,13 +10,13 @@
 
 namespace {
 constexpr char kUsage[] =
-    R"(jungfraujoch: runs a local fleet with all stand-ins and checks it from outside.
+    R"(quayrill-local: runs a local fleet with all stand-ins and checks it from outside.
 
 Usage:
-  jungfraujoch [--deployment=NAME] [--cores=N] [--edges=N] [--servers=N] [--seconds=S]
+  quayrill-local [--deployment=NAME] [--cores=N] [--edges=N] [--servers=N] [--seconds=S]
                [--rate=FACTOR] [--placement=RULE] [--fetch=ON] [--steps=LIST] [--net=N] [--seed=N] [--cache-tokens=N]
-               [--chaos=SEED] [--sonnblick=PROGRAM] [--work=DIR] [--pair] [--tenants] [--json] [--keep-open]
-  jungfraujoch --help | --version
+               [--chaos=SEED] [--quayrilld=PROGRAM] [--work=DIR] [--pair] [--tenants] [--json] [--keep-open]
+  quayrill-local --help | --version
 
 Options:
   --deployment=NAME    hsinmei or tejo: whose mix of prompts [default: hsinmei].
@@ -32,7 +32,7 @@
   --net=N              All addresses are 127.N.x.y [default: 40].
   --cache-tokens=N     Cache of each model server [default: 16000].
   --seed=N             Seed of the traffic [default: 1].
-  --sonnblick=PROGRAM  The daemon [default: beside this program].
+  --quayrilld=PROGRAM  The daemon [default: beside this program].
   --work=DIR           Logs and data folders, emptied first [default: /tmp/quayrill-fleet].
   --tenants            Show how each tenant fared.
   --pair               Agent and proxy of each machine as two processes.
@@ -56,10 +56,10 @@
   for (const auto& change : site.changes()) {
     if (!change.closed) slowest = std::max(slowest, change.everywhereAfter);
     if (!change.everywhere)
-      findings.push_back({"in-force", "spec " + std::to_string(change.version) +
+      findings.push_back({"in-force", "configuration " + std::to_string(change.version) +
                                           " was served without 2 s after its acknowledgement"});
   }
-  if (site.plannedExitDefects() > 0)
+  if (site.plannedExitErrors() > 0)
     findings.push_back({"planned-restart", "a SIGTERM did not end well"});
   for (const std::string& missed : site.settingsMissed()) findings.push_back({"settings", missed});
   std::cout << std::fixed << std::setprecision(3);
@@ -72,7 +72,7 @@
             << "longest time with no answer finished " << figures.longestSilenceMs << " ms\n"
             << "longest time a daemon that nothing hindered finished no answer "
             << figures.longestDaemonSilenceMs << " ms\n"
-            << "longest that a spec was served after a newer one was acknowledged "
+            << "longest that a configuration was served after a newer one was acknowledged "
             << figures.slowestInForceMs << " ms\n"
             << "changes " << site.changes().size() << ", slowest everywhere after " << slowest / 1ms
             << " ms\n";
@@ -93,15 +93,15 @@
                 << " ms\n";
     }
   });
-  std::map<std::string, int> defects;
+  std::map<std::string, int> errors;
   site.ledger().with([&](quayrill::fleet::Ledger& ledger) {
     for (const auto& call : ledger.calls) {
-      if (!call.defect.empty()) ++defects[std::to_string(call.status) + " " + call.defect];
+      if (!call.error.empty()) ++errors[std::to_string(call.status) + " " + call.error];
     }
   });
   std::size_t shown = 0;
-  for (const auto& [defect, count] : defects) {
-    if (++shown <= 12) std::cout << count << " x " << defect << (defect.back() == '\n' ? "" : "\n");
+  for (const auto& [error, count] : errors) {
+    if (++shown <= 12) std::cout << count << " x " << error << (error.back() == '\n' ? "" : "\n");
   }
   if (asJson)
     std::cout << nlohmann::json{{"calls", figures.calls},
@@ -126,47 +126,47 @@
   using namespace quayrill;
   using namespace std::chrono_literals;
   auto flags =
-      docopt::docopt(kUsage, {argv + 1, argv + argc}, true, "jungfraujoch " QUAYRILL_VERSION);
+      docopt::docopt(kUsage, {argv + 1, argv + argc}, true, "quayrill-local " QUAYRILL_VERSION);
   std::signal(SIGPIPE, SIG_IGN);
-  fleet::SiteBoot boot;
+  fleet::SiteSettings settings;
   std::vector<fleet::Step> steps;
   std::chrono::milliseconds span{};
   try {
-    boot.plan.cores = static_cast<std::size_t>(std::stoul(flags["--cores"].asString()));
-    boot.plan.edges = static_cast<std::size_t>(std::stoul(flags["--edges"].asString()));
-    boot.plan.pair = flags["--pair"].asBool();
-    boot.plan.net = std::stoi(flags["--net"].asString());
-    boot.plan.placement = flags["--placement"].asString();
-    boot.plan.fetch = flags["--fetch"].asString();
-    boot.plan.workFolder = flags["--work"].asString();
-    boot.plan.program = flags["--sonnblick"].asString();
-    if (boot.plan.program == "beside this program")
-      boot.plan.program =
-          (std::filesystem::canonical("/proc/self/exe").parent_path() / "sonnblick").string();
-    boot.servers = static_cast<std::size_t>(std::stoul(flags["--servers"].asString()));
-    boot.cacheTokens = std::stoul(flags["--cache-tokens"].asString());
-    boot.mix = fleet::mixOf(flags["--deployment"].asString());
-    boot.rateFactor = std::stod(flags["--rate"].asString());
-    boot.seed = std::stoull(flags["--seed"].asString());
+    settings.plan.cores = static_cast<std::size_t>(std::stoul(flags["--cores"].asString()));
+    settings.plan.edges = static_cast<std::size_t>(std::stoul(flags["--edges"].asString()));
+    settings.plan.pair = flags["--pair"].asBool();
+    settings.plan.net = std::stoi(flags["--net"].asString());
+    settings.plan.placement = flags["--placement"].asString();
+    settings.plan.fetch = flags["--fetch"].asString();
+    settings.plan.workFolder = flags["--work"].asString();
+    settings.plan.program = flags["--quayrilld"].asString();
+    if (settings.plan.program == "beside this program")
+      settings.plan.program =
+          (std::filesystem::canonical("/proc/self/exe").parent_path() / "quayrilld").string();
+    settings.servers = static_cast<std::size_t>(std::stoul(flags["--servers"].asString()));
+    settings.cacheTokens = std::stoul(flags["--cache-tokens"].asString());
+    settings.mix = fleet::mixOf(flags["--deployment"].asString());
+    settings.rateFactor = std::stod(flags["--rate"].asString());
+    settings.seed = std::stoull(flags["--seed"].asString());
     span = std::chrono::milliseconds(std::stol(flags["--seconds"].asString()) * 1000);
-    std::string defect;
-    if (flags["--steps"]) steps = fleet::parseSteps(flags["--steps"].asString(), &defect);
-    if (!defect.empty()) throw std::invalid_argument(defect);
+    std::string error;
+    if (flags["--steps"]) steps = fleet::parseSteps(flags["--steps"].asString(), &error);
+    if (!error.empty()) throw std::invalid_argument(error);
     if (flags["--chaos"]) {
       steps = fleet::drawSteps(std::stoull(flags["--chaos"].asString()),
-                               std::chrono::duration<double>(span).count(), boot.plan.cores,
-                               boot.plan.edges, boot.servers);
+                               std::chrono::duration<double>(span).count(), settings.plan.cores,
+                               settings.plan.edges, settings.servers);
       std::cout << "--steps=" << fleet::formatSteps(steps) << std::endl;
     }
-  } catch (const std::exception& defect) {
-    std::cerr << "jungfraujoch: " << defect.what() << "\n";
+  } catch (const std::exception& error) {
+    std::cerr << "quayrill-local: " << error.what() << "\n";
     return 2;
   }
-  std::filesystem::remove_all(boot.plan.workFolder);
+  std::filesystem::remove_all(settings.plan.workFolder);
   asio::io_context io(1);
-  fleet::Site site(io, boot);
+  fleet::Site site(io, settings);
   if (const auto status = site.start(); !status.ok()) {
-    std::cerr << "jungfraujoch: " << status.message() << "\n";
+    std::cerr << "quayrill-local: " << status.message() << "\n";
     site.end();
     return 1;
   }
--- a/src/fleet/site.cpp
+++ b/src/fleet/site.cpp
@@ -8,15 +8,15 @@
 using namespace std::chrono_literals;
 using Json = nlohmann::json;
 
-Site::Site(asio::io_context& io, SiteBoot boot) : io_(io), boot_(std::move(boot)) {
-  const std::string stem = "127." + std::to_string(boot_.plan.net) + ".";
-  boot_.plan.platform = Address{stem + "4.1:7200"};
-  boot_.plan.store = Address{stem + "4.2:7200"};
-  boot_.plan.relay = Address{stem + "4.3:7200"};
-  daemons_ = planDaemons(boot_.plan);
+Site::Site(asio::io_context& io, SiteSettings settings) : io_(io), settings_(std::move(settings)) {
+  const std::string stem = "127." + std::to_string(settings_.plan.net) + ".";
+  settings_.plan.platform = Address{stem + "4.1:7200"};
+  settings_.plan.store = Address{stem + "4.2:7200"};
+  settings_.plan.relay = Address{stem + "4.3:7200"};
+  daemons_ = planDaemons(settings_.plan);
   std::vector<Address> callers;
   for (const Daemon& daemon : daemons_) callers.push_back(daemon.callers);
-  gateway_ = std::make_unique<Gateway>(io_, boot_.mix, callers, ledger_, boot_.seed);
+  gateway_ = std::make_unique<Gateway>(io_, settings_.mix, callers, ledger_, settings_.seed);
 }
 
 void Site::note(const std::string& text) {
@@ -25,25 +25,25 @@
 }
 
 absl::Status Site::start() {
-  const std::string stem = "127." + std::to_string(boot_.plan.net) + ".";
-  platform_ = std::make_unique<StandInPlatform>(io_, boot_.plan.platform);
-  store_ = std::make_unique<StandInStore>(io_, boot_.plan.store, 16);
-  relay_ = std::make_unique<Relay>(io_, boot_.plan.relay);
+  const std::string stem = "127." + std::to_string(settings_.plan.net) + ".";
+  platform_ = std::make_unique<StandInPlatform>(io_, settings_.plan.platform);
+  store_ = std::make_unique<StandInStore>(io_, settings_.plan.store, 16);
+  relay_ = std::make_unique<Relay>(io_, settings_.plan.relay);
   for (const auto& status : {platform_->start(), store_->start(), relay_->start()}) {
     if (!status.ok()) return status;
   }
-  for (std::size_t i = 0; i < boot_.servers; ++i) {
-    StandInBoot server;
+  for (std::size_t i = 0; i < settings_.servers; ++i) {
+    StandInSettings server;
     server.address = Address{stem + "3." + std::to_string(i + 1) + ":7300"};
     server.zone = "zone" + std::to_string(i % 4);
-    server.store = boot_.plan.store;
-    server.cacheTokens = boot_.cacheTokens;
+    server.store = settings_.plan.store;
+    server.cacheTokens = settings_.cacheTokens;
     servers_.push_back(std::make_unique<StandInServer>(io_, server, ledger_));
     if (auto status = servers_.back()->start(); !status.ok()) return status;
     platform_->list(server.address.value, server.zone);
   }
   for (Daemon& daemon : daemons_) {
-    if (!startDaemon(&daemon, boot_.plan)) return absl::InternalError("fork failed");
+    if (!startDaemon(&daemon, settings_.plan)) return absl::InternalError("fork failed");
   }
   gateway_->start();
   return absl::OkStatus();
@@ -73,13 +73,13 @@
     for (const Daemon& daemon : daemons_) {
       const auto members = co_await ask(daemon.operators, http::verb::get, "/q/members", "");
       if (!members.ok()) continue;
-      const Json& copies = (*members)["copies"];
-      if (copies["settled"] == true && copies["members"].size() == boot_.plan.cores) ++full;
+      const Json& replicas = (*members)["copies"];
+      if (replicas["settled"] == true && replicas["members"].size() == settings_.plan.cores) ++full;
     }
     if (full == daemons_.size() && !put) {
-      const std::string spec = specOf(boot_.mix, "w0");
-      const auto done =
-          co_await ask(daemons_.back().operators, http::verb::put, "/q/spec?expect=0", spec);
+      const std::string configuration = configurationOf(settings_.mix, "w0");
+      const auto done = co_await ask(daemons_.back().operators, http::verb::put, "/q/spec?expect=0",
+                                     configuration);
       put = done.ok();
       if (!put) std::cout << "  first spec: " << done.status() << std::endl;
     }
@@ -95,14 +95,14 @@
     ++stepsOpen_;
     asio::co_spawn(io_, perform(std::move(step)), asio::detached);
   }
-  co_await gateway_->drive(span, boot_.rateFactor);
+  co_await gateway_->drive(span, settings_.rateFactor);
   const Instant patience = BootClock::now() + 60s;
   while ((gateway_->open() > 0 || stepsOpen_ > 0) && BootClock::now() < patience)
     co_await pauseFor(20ms);
   trafficEnd_ = BootClock::now();
   co_await readInEnd();
   for (const auto& server : servers_) {
-    const std::string name = server->boot().address.value;
+    const std::string name = server->settings().address.value;
     const bool stays = server->isUp() && platform_->isStaying(name);
     if (stays) ledger_.with([&](Ledger& ledger) { ledger.serversAtEnd[name] = server->weights(); });
   }
@@ -117,7 +117,7 @@
     if (daemon.pid == 0) continue;
     const int status = waitDaemon(&daemon, 10000);
     if (status == 0) continue;
-    ++plannedExitDefects_;
+    ++plannedExitErrors_;
     std::cout << "  " << daemon.name << " ended with " << status << " on SIGTERM" << std::endl;
     signalDaemon(daemon, SIGKILL);
     waitDaemon(&daemon, 2000);
--- a/src/fleet/site.h
+++ b/src/fleet/site.h
@@ -9,7 +9,7 @@
 
 namespace quayrill::fleet {
 
-struct SiteBoot {
+struct SiteSettings {
   FleetPlan plan;
   Mix mix;
   std::size_t servers = 18;
@@ -21,15 +21,15 @@
 struct ChangeSeen {
   std::uint64_t version = 0;
   Span everywhereAfter{};   // from the acknowledgement to the last reachable daemon
-  bool everywhere = false;  // no daemon serves by an older spec
+  bool everywhere = false;  // no daemon serves by an older configuration
   bool closed = false;      // some daemon serves nobody
 };
 
 class Site {
  public:
-  Site(asio::io_context& io, SiteBoot boot);
+  Site(asio::io_context& io, SiteSettings settings);
   absl::Status start();
-  // Waits until every daemon is ready under a full copy set, having put the first spec.
+  // Waits until every daemon is ready under a full replica set, having put the first configuration.
   awaitable<bool> found(Span limit);
   awaitable<void> traffic(Span span, std::vector<Step> steps);
   void end();
@@ -39,7 +39,7 @@
   void showPrices();
   void showTenants();
   Instant trafficEnd() const { return trafficEnd_; }
-  int plannedExitDefects() const { return plannedExitDefects_; }
+  int plannedExitErrors() const { return plannedExitErrors_; }
   // What a daemon did not say of its changed settings file.
   const std::vector<std::string>& settingsMissed() const { return settingsMissed_; }
 
@@ -57,7 +57,7 @@
   awaitable<void> race(std::size_t changes);
   awaitable<void> raceAs(std::string name, std::size_t through, std::size_t changes);
   awaitable<void> readInEnd();
-  awaitable<void> refound(Daemon& daemon);
+  awaitable<void> recover(Daemon& daemon);
   // Performs a daemon's fault beside others.
   void spawnAt(const std::string& what, Daemon& daemon);
   void cutFrom(const std::string& ip, const std::set<std::string>& others, bool inward, bool cut);
@@ -70,11 +70,11 @@
                                                 std::string body);
   void note(const std::string& text);
   Daemon& daemonAt(std::size_t index, bool core) {
-    return daemons_.at(core ? index - 1 : boot_.plan.cores + index - 1);
+    return daemons_.at(core ? index - 1 : settings_.plan.cores + index - 1);
   }
 
   asio::io_context& io_;
-  SiteBoot boot_;
+  SiteSettings settings_;
   Ledger ledger_;
   std::vector<Daemon> daemons_;
   std::vector<std::unique_ptr<StandInServer>> servers_;
@@ -84,7 +84,7 @@
   std::unique_ptr<Gateway> gateway_;
   std::vector<ChangeSeen> changes_;
   Instant trafficEnd_{};
-  int plannedExitDefects_ = 0;
+  int plannedExitErrors_ = 0;
   std::vector<std::string> settingsMissed_;
   std::size_t stepsOpen_ = 0;
   Instant lostAt_{};                   // when a majority of disks was emptied
--- a/src/fleet/site_operators.cpp
+++ b/src/fleet/site_operators.cpp
@@ -13,7 +13,7 @@
 constexpr Span kInForceBound = 2s;
 }  // namespace
 
-// The spec that a proxy serves by, or nothing where it serves nobody.
+// The configuration that a proxy serves by, or nothing where it serves nobody.
 awaitable<std::optional<std::uint64_t>> Site::inForceAt(Address callers) {
   HttpCall call;
   call.to = callers;
@@ -71,7 +71,7 @@
     seen.everywhere = late.empty();
     seen.closed = !waiting.empty();
     changes_.push_back(seen);
-    note("spec " + std::to_string(seen.version) + " through " + taker.name + ", " +
+    note("configuration " + std::to_string(seen.version) + " through " + taker.name + ", " +
          (!late.empty() ? "SERVED WITHOUT IT by" + late
           : !waiting.empty()
               ? "in force wherever served; not serving:" + closed
@@ -89,7 +89,7 @@
   }
   if (what == "flood") {
     note("flood of " + argument);
-    co_await gateway_->drive(10s, 2 * boot_.rateFactor, argument);
+    co_await gateway_->drive(10s, 2 * settings_.rateFactor, argument);
     co_return;
   }
   Json patch;
@@ -106,9 +106,9 @@
     };
   } else if (what == "ways") {
     for (int i = 0; i < std::atoi(argument.c_str()); ++i)
-      patch["ways"]["way-" + argument + "-" + std::to_string(i)] = boot_.mix.ways.front().way;
+      patch["ways"]["way-" + argument + "-" + std::to_string(i)] = settings_.mix.ways.front().way;
   } else {
-    patch = {{"ways", {{argument, boot_.mix.ways.front().way}}}};
+    patch = {{"ways", {{argument, settings_.mix.ways.front().way}}}};
   }
   note(what + " " + argument);
   co_await change(patch.dump(), onAcknowledged);
@@ -134,13 +134,13 @@
     OperatorRow row;
     row.way = name + "-" + std::to_string(i);
     row.daemon = daemon.name;
-    const std::string contract = i % 5 == 4 ? "no-contract" : boot_.mix.ways.front().way;
+    const std::string policy = i % 5 == 4 ? "no-contract" : settings_.mix.ways.front().way;
     HttpCall call;
     call.to = daemon.operators;
     call.verb = http::verb::patch;
     call.target = "/q/spec?expect=" + (*known)["version"].dump();
-    Json patch{{"ways", {{row.way, contract}}}};
-    if (i % 7 == 6) patch["ways"][std::string(2 << 20, 'x')] = contract;  // over every limit
+    Json patch{{"ways", {{row.way, policy}}}};
+    if (i % 7 == 6) patch["ways"][std::string(2 << 20, 'x')] = policy;  // over every limit
     call.body = patch.dump();
     call.due = 8s;
     row.begun = BootClock::now();
@@ -159,7 +159,7 @@
   --stepsOpen_;
 }
 
-awaitable<void> Site::refound(Daemon& daemon) {
+awaitable<void> Site::recover(Daemon& daemon) {
   const auto members = co_await ask(daemon.operators, http::verb::get, "/q/members", "");
   if (!members.ok()) co_return note("refound: " + std::string(members.status().message()));
   const std::string target = "/q/refound?confirm=" + (*members)["copies"]["fleet"].dump();
@@ -176,7 +176,7 @@
     if (settled.ok()) {
       ledger_.with([&](Ledger& ledger) {
         ledger.versionInEnd = (*settled)["version"].get<std::uint64_t>();
-        for (const auto& [way, contract] : (*settled)["spec"]["ways"].items())
+        for (const auto& [way, policy] : (*settled)["spec"]["ways"].items())
           ledger.waysInEnd.insert(way);
       });
       co_return;
--- a/src/fleet/stand_in_server.cpp
+++ b/src/fleet/stand_in_server.cpp
@@ -10,9 +10,9 @@
 namespace {
 constexpr Span kOrderSpan = 120ms;
 
-Address callerOf(Circuit& circuit) {
+Address callerOf(Connection& connection) {
   ErrorCode code;
-  return Address{circuit.socket().remote_endpoint(code).address().to_string()};
+  return Address{connection.socket().remote_endpoint(code).address().to_string()};
 }
 }  // namespace
 
@@ -33,17 +33,17 @@
   return chain;
 }
 
-StandInServer::StandInServer(asio::io_context& io, StandInBoot boot, Ledger& ledger)
-    : io_(io), boot_(std::move(boot)), ledger_(ledger), weights_(boot_.weights) {}
+StandInServer::StandInServer(asio::io_context& io, StandInSettings settings, Ledger& ledger)
+    : io_(io), settings_(std::move(settings)), ledger_(ledger), weights_(settings_.weights) {}
 
 absl::Status StandInServer::start() {
   down_ = false;
-  identity_ = boot_.address.value + "#" + std::to_string(++life_);
-  HttpServerBoot serverBoot;
-  serverBoot.listen = boot_.address;
+  identity_ = settings_.address.value + "#" + std::to_string(++life_);
+  HttpServerSettings serverSettings;
+  serverSettings.listen = settings_.address;
   server_ = std::make_unique<HttpServer>(
-      io_, serverBoot,
-      [this](Circuit& circuit, HttpRequest& request) { return handle(circuit, request); });
+      io_, serverSettings,
+      [this](Connection& connection, HttpRequest& request) { return handle(connection, request); });
   return server_->start();
 }
 
@@ -63,9 +63,9 @@
 
 void StandInServer::restart() {
   if (!down_) return;
-  weights_ = boot_.weights;
+  weights_ = settings_.weights;
   (void)start();
-  ledger_.with([&](Ledger& ledger) { ledger.backAt[boot_.address.value] = BootClock::now(); });
+  ledger_.with([&](Ledger& ledger) { ledger.backAt[settings_.address.value] = BootClock::now(); });
 }
 
 HttpResponse StandInServer::notRun(const std::string& why) {
@@ -74,7 +74,7 @@
   return response;
 }
 
-awaitable<std::optional<HttpResponse>> StandInServer::handle(Circuit& circuit,
+awaitable<std::optional<HttpResponse>> StandInServer::handle(Connection& connection,
                                                              HttpRequest& request) {
   const std::string path = pathOf(request);
   if (down_) co_return std::nullopt;
@@ -83,25 +83,25 @@
     co_return std::nullopt;
   }
   co_await thaw();
-  if (path == wire::kGenerate) co_return co_await generate(circuit, request);
-  if (path == "/burden") co_return burden();
+  if (path == wire::kGenerate) co_return co_await generate(connection, request);
+  if (path == "/burden") co_return load();
   if (path == "/kv-events")
     co_return events(static_cast<std::uint64_t>(std::atoll(queryValue(request, "since").c_str())));
-  if (path == "/weights") co_return co_await order(request, callerOf(circuit));
+  if (path == "/weights") co_return co_await order(request, callerOf(connection));
   if (path == "/kv-pull") co_return co_await pull(request);
   if (path == "/kv-drop") co_return drop(request);
   if (path == "/kv-read") co_return readBlocks(request);
   co_return textResponse(404, "no such call\n");
 }
 
-HttpResponse StandInServer::burden() {
+HttpResponse StandInServer::load() {
   return jsonResponse(200, {{"identity", identity_},
-                            {"model", boot_.model},
+                            {"model", settings_.model},
                             {"weights", weights_},
                             {"running", running_},
                             {"queued", queued_},
-                            {"slots", boot_.slots},
-                            {"cache_tokens", boot_.cacheTokens},
+                            {"slots", settings_.slots},
+                            {"cache_tokens", settings_.cacheTokens},
                             {"state", loading_ ? "loading" : "ready"}});
 }
 
@@ -137,7 +137,7 @@
   co_await pauseFor(kOrderSpan);
   ledger_.with([&](Ledger& ledger) {
     ledger.orders.push_back(
-        {boot_.address.value, weights, fence, taken, begun, BootClock::now(), from.value});
+        {settings_.address.value, weights, fence, taken, begun, BootClock::now(), from.value});
   });
   if (!taken) co_return textResponse(409, "an order with a higher fence came before\n");
   co_return jsonResponse(200, Json::object());
@@ -149,14 +149,14 @@
 }
 
 awaitable<void> StandInServer::load(std::string weights, std::uint64_t life) {
-  co_await pauseFor(boot_.loadSpan);
+  co_await pauseFor(settings_.loadSpan);
   if (life != life_) co_return;
   weights_ = weights;
   cache_.clear();
   uses_.clear();
   loading_ = false;
   ledger_.with([&](Ledger& ledger) {
-    ledger.weightsReachedAt[weights][boot_.address.value] = BootClock::now();
+    ledger.weightsReachedAt[weights][settings_.address.value] = BootClock::now();
   });
 }
 
@@ -182,13 +182,13 @@
     uses_.push_back(chain[i]);
     cache_[chain[i]] = {weights[i], salt, shared, i, std::prev(uses_.end())};
   }
-  while (cache_.size() > boot_.cacheTokens / boot_.blockTokens) evictOldest();
+  while (cache_.size() > settings_.cacheTokens / settings_.blockTokens) evictOldest();
 }
 
 void StandInServer::evictOldest() {
   const Block& block = cache_.at(uses_.front());
   PromptPrefix upTo;
-  std::size_t left = (block.index + 1) * boot_.blockTokens;
+  std::size_t left = (block.index + 1) * settings_.blockTokens;
   for (const PromptPart& part : block.prefix->parts) {
     const auto take = static_cast<std::uint32_t>(std::min<std::size_t>(left, part.tokens));
     if (take > 0) upTo.parts.push_back({part.id, take});
@@ -207,7 +207,7 @@
   const Json json = Json::parse(request.body(), nullptr, false);
   const auto prefix = parsePrefix(json.value("prefix", ""));
   if (!prefix.ok()) return textResponse(400, "bad prefix\n");
-  for (const BlockName name : chainOf(json.value("salt", ""), *prefix, boot_.blockTokens)) {
+  for (const BlockName name : chainOf(json.value("salt", ""), *prefix, settings_.blockTokens)) {
     const auto block = cache_.find(name);
     if (block == cache_.end()) continue;
     uses_.erase(block->second.use);
@@ -221,7 +221,7 @@
   const auto prefix = parsePrefix(json.value("prefix", ""));
   Json weights = Json::array();
   if (prefix.ok()) {
-    for (const BlockName name : chainOf(json.value("salt", ""), *prefix, boot_.blockTokens)) {
+    for (const BlockName name : chainOf(json.value("salt", ""), *prefix, settings_.blockTokens)) {
       const auto block = cache_.find(name);
       if (block == cache_.end()) break;
       weights.push_back(block->second.weights);
@@ -248,19 +248,19 @@
   const Json blocks = Json::parse(response->body(), nullptr, false);
   auto weights = blocks.value("weights", std::vector<std::string>{});
   weights.resize(
-      std::min(weights.size(), json.value("tokens", std::size_t{0}) / boot_.blockTokens));
+      std::min(weights.size(), json.value("tokens", std::size_t{0}) / settings_.blockTokens));
   const int slower = slowLinks_ ? 20 : 1;
-  co_await pauseFor(boot_.fetchPerToken * static_cast<int>(weights.size() * boot_.blockTokens) *
-                    slower);
+  co_await pauseFor(settings_.fetchPerToken *
+                    static_cast<int>(weights.size() * settings_.blockTokens) * slower);
   if (BootClock::now() > due || life != life_) co_return textResponse(504, "the due passed\n");
   const std::string salt = json.value("salt", "");
-  store(chainOf(salt, *prefix, boot_.blockTokens), salt, weights, *prefix);
-  co_return jsonResponse(200, {{"tokens", weights.size() * boot_.blockTokens}});
+  store(chainOf(salt, *prefix, settings_.blockTokens), salt, weights, *prefix);
+  co_return jsonResponse(200, {{"tokens", weights.size() * settings_.blockTokens}});
 }
 
 awaitable<void> StandInServer::keep(std::string salt, std::string weights, std::string prefix) {
   HttpCall call;
-  call.to = boot_.store;
+  call.to = settings_.store;
   call.verb = http::verb::post;
   call.target = "/keep";
   call.body = Json{{"salt", salt}, {"weights", weights}, {"prefix", prefix}}.dump();
@@ -268,7 +268,7 @@
   (void)co_await httpCall(std::move(call));
 }
 
-awaitable<std::optional<HttpResponse>> StandInServer::generate(Circuit& circuit,
+awaitable<std::optional<HttpResponse>> StandInServer::generate(Connection& connection,
                                                                HttpRequest& request) {
   const Json body = Json::parse(request.body(), nullptr, false);
   const std::string wanted(request[wire::kWeights]);
@@ -278,10 +278,10 @@
   });
   if (wanted != weights_) co_return notRun("other weights");
   if (loading_) co_return notRun("loading weights");
-  if (queued_ >= boot_.queueLimit) co_return notRun("the queue is full");
+  if (queued_ >= settings_.queueLimit) co_return notRun("the queue is full");
   const std::uint64_t life = life_;
   ++queued_;
-  while (running_ >= boot_.slots && life == life_) co_await pauseFor(2ms);
+  while (running_ >= settings_.slots && life == life_) co_await pauseFor(2ms);
   if (life != life_) co_return std::nullopt;
   --queued_;
   if (weights_ != wanted || loading_) co_return notRun("weights changed while it waited");
@@ -289,25 +289,25 @@
   RunRow run;
   run.nonce = body.value("nonce", "");
   run.run = identity_ + "/" + std::to_string(++runs_);
-  run.server = boot_.address.value;
+  run.server = settings_.address.value;
   run.salt = std::string(request[wire::kSalt]);
   run.weights = weights_;
   run.at = BootClock::now();
   const std::string prefixText(request[wire::kPrefix]);
   const auto prefix = parsePrefix(prefixText);
   std::vector<BlockName> chain;
-  if (prefix.ok()) chain = chainOf(run.salt, *prefix, boot_.blockTokens);
+  if (prefix.ok()) chain = chainOf(run.salt, *prefix, settings_.blockTokens);
   const std::size_t held = cachedBlocks(chain, &run);
-  run.promptTokens = chain.size() * boot_.blockTokens;
-  run.cachedTokens = held * boot_.blockTokens;
+  run.promptTokens = chain.size() * settings_.blockTokens;
+  run.cachedTokens = held * settings_.blockTokens;
   const std::size_t missing = run.promptTokens - run.cachedTokens;
   ledger_.with([&](Ledger& ledger) { ledger.runs.push_back(run); });
-  co_await pauseFor(boot_.prefillPerToken * static_cast<int>(missing));
+  co_await pauseFor(settings_.prefillPerToken * static_cast<int>(missing));
   if (life != life_) co_return std::nullopt;
   if (weights_ == run.weights)
     store(chain, run.salt, std::vector<std::string>(chain.size(), run.weights),
           prefix.ok() ? *prefix : PromptPrefix{});
-  if (!boot_.store.value.empty() && missing > 512)
+  if (!settings_.store.value.empty() && missing > 512)
     asio::co_spawn(io_, keep(run.salt, run.weights, prefixText), asio::detached);
   ErrorCode code;
   const auto breakOff = [&] {
@@ -323,8 +323,8 @@
   answer.set(wire::kWeights, run.weights);
   answer.set(http::field::transfer_encoding, "chunked");
   http::response_serializer<http::empty_body> serializer(answer);
-  circuit.expires_after(10s);
-  co_await http::async_write_header(circuit, serializer, into(code));
+  connection.expires_after(10s);
+  co_await http::async_write_header(connection, serializer, into(code));
   const int pieces = body.value("pieces", 4);
   for (int piece = 0; piece < pieces && !code && life == life_; ++piece) {
     if (faults_.dropMidStream && piece == pieces / 2) code = asio::error::connection_reset;
@@ -332,10 +332,10 @@
         Json{{"nonce", run.nonce}, {"run", run.run}, {"piece", piece}}.dump() + "\n";
     const int times = faults_.repeatPiece && piece == 1 ? 2 : 1;
     for (int i = 0; i < times && !code; ++i) {
-      circuit.expires_after(10s);
-      co_await asio::async_write(circuit, http::make_chunk(asio::buffer(line)), into(code));
+      connection.expires_after(10s);
+      co_await asio::async_write(connection, http::make_chunk(asio::buffer(line)), into(code));
     }
-    co_await pauseFor(boot_.pieceEvery);
+    co_await pauseFor(settings_.pieceEvery);
     co_await thaw();
   }
   if (code || life != life_) breakOff();
@@ -344,9 +344,9 @@
   if (code) co_return std::nullopt;
   const int marked = pieces + (faults_.repeatPiece ? 1 : 0);
   const std::string mark = Json{{"run", run.run}, {"end", true}, {"pieces", marked}}.dump() + "\n";
-  circuit.expires_after(10s);
-  co_await asio::async_write(circuit, http::make_chunk(asio::buffer(mark)), into(code));
-  if (!code) co_await asio::async_write(circuit, http::make_chunk_last(), into(code));
+  connection.expires_after(10s);
+  co_await asio::async_write(connection, http::make_chunk(asio::buffer(mark)), into(code));
+  if (!code) co_await asio::async_write(connection, http::make_chunk_last(), into(code));
   co_return std::nullopt;
 }
 
--- a/src/fleet/stand_in_server.h
+++ b/src/fleet/stand_in_server.h
@@ -12,7 +12,7 @@
 
 namespace quayrill::fleet {
 
-struct StandInBoot {
+struct StandInSettings {
   Address address;
   std::string zone, model = "till", weights = "w0";
   std::size_t slots = 8, queueLimit = 24;
@@ -22,13 +22,13 @@
   Address store;
 };
 
-// Defects that a run can switch on, to show that a checker trips.
+// Errors that a run can switch on, to show that a checker trips.
 struct StandInFaults {
   bool dropMidStream = false;    // closes after some pieces
   bool dropBeforeFirst = false;  // runs, then closes with no answer
   bool repeatPiece = false;      // sends one piece twice
-  bool silent = false;           // takes circuits and answers nothing
-  bool frozen = false;           // stops in the middle of everything, circuits open
+  bool silent = false;           // takes connections and answers nothing
+  bool frozen = false;           // stops in the middle of everything, connections open
   bool eventsLate = false;       // cache events are told seconds after they happened
   bool eventsLost = false;       // the oldest half of the events told is forgotten
   bool eventsDoubled = false;    // events come twice and in reverse order
@@ -41,16 +41,16 @@
 
 class StandInServer {
  public:
-  StandInServer(asio::io_context& io, StandInBoot boot, Ledger& ledger);
+  StandInServer(asio::io_context& io, StandInSettings settings, Ledger& ledger);
   absl::Status start();
-  void crash();    // drops every circuit and the listener, forgets all
+  void crash();    // drops every connection and the listener, forgets all
   void restart();  // comes back empty, under a new identity
   void setFaults(const StandInFaults& faults) { faults_ = faults; }
   void slowLinks(bool slow) { slowLinks_ = slow; }
   const std::string& weights() const { return weights_; }
   bool isUp() const { return !down_; }
   bool isBusy() const { return running_ + queued_ > 0; }
-  const StandInBoot& boot() const { return boot_; }
+  const StandInSettings& settings() const { return settings_; }
 
  private:
   struct Block {
@@ -59,12 +59,12 @@
     std::size_t index = 0;
     std::list<BlockName>::iterator use;
   };
-  awaitable<std::optional<HttpResponse>> handle(Circuit& circuit, HttpRequest& request);
-  awaitable<std::optional<HttpResponse>> generate(Circuit& circuit, HttpRequest& request);
+  awaitable<std::optional<HttpResponse>> handle(Connection& connection, HttpRequest& request);
+  awaitable<std::optional<HttpResponse>> generate(Connection& connection, HttpRequest& request);
   awaitable<HttpResponse> pull(HttpRequest& request);
   awaitable<void> load(std::string weights, std::uint64_t life);
   awaitable<void> keep(std::string salt, std::string weights, std::string prefix);
-  HttpResponse burden();
+  HttpResponse load();
   HttpResponse events(std::uint64_t since);
   awaitable<HttpResponse> order(HttpRequest& request, Address from);
   HttpResponse drop(HttpRequest& request);
@@ -77,7 +77,7 @@
   HttpResponse notRun(const std::string& why);
 
   asio::io_context& io_;
-  StandInBoot boot_;
+  StandInSettings settings_;
   Ledger& ledger_;
   std::unique_ptr<HttpServer> server_;
   std::vector<std::unique_ptr<HttpServer>> retired_;  // coroutines of a crashed life still name it
--- a/src/fleet/stand_in_site.cpp
+++ b/src/fleet/stand_in_site.cpp
@@ -6,14 +6,14 @@
 using Json = nlohmann::json;
 
 namespace {
-HttpServerBoot listenOn(const Address& address) {
-  HttpServerBoot boot;
-  boot.listen = address;
-  return boot;
+HttpServerSettings listenOn(const Address& address) {
+  HttpServerSettings settings;
+  settings.listen = address;
+  return settings;
 }
-std::string ipOfCaller(Circuit& circuit) {
+std::string ipOfCaller(Connection& connection) {
   ErrorCode code;
-  return circuit.socket().remote_endpoint(code).address().to_string();
+  return connection.socket().remote_endpoint(code).address().to_string();
 }
 awaitable<std::optional<HttpResponse>> noAnswer() {
   co_await pauseFor(5s);
@@ -32,9 +32,10 @@
     : blockTokens_(blockTokens) {
   server_ = std::make_unique<HttpServer>(
       io, listenOn(address),
-      [this](Circuit& circuit, HttpRequest& request) -> awaitable<std::optional<HttpResponse>> {
+      [this](Connection& connection,
+             HttpRequest& request) -> awaitable<std::optional<HttpResponse>> {
         co_await pauseFor(delay_);
-        if (cuts_.contains(ipOfCaller(circuit))) co_return co_await noAnswer();
+        if (cuts_.contains(ipOfCaller(connection))) co_return co_await noAnswer();
         co_return co_await handle(request);
       });
 }
@@ -76,8 +77,8 @@
 StandInPlatform::StandInPlatform(asio::io_context& io, Address address) {
   server_ = std::make_unique<HttpServer>(
       io, listenOn(address),
-      [this](Circuit& circuit, HttpRequest&) -> awaitable<std::optional<HttpResponse>> {
-        if (down_ || cuts_.contains(ipOfCaller(circuit))) co_return co_await noAnswer();
+      [this](Connection& connection, HttpRequest&) -> awaitable<std::optional<HttpResponse>> {
+        if (down_ || cuts_.contains(ipOfCaller(connection))) co_return co_await noAnswer();
         Json rows = Json::array();
         for (const auto& [name, row] : rows_)
           rows.push_back(
@@ -113,7 +114,7 @@
 }
 
 awaitable<void> Relay::carry(Tcp::socket socket) {
-  Circuit inward(std::move(socket));
+  Connection inward(std::move(socket));
   ErrorCode code;
   std::string line;
   inward.expires_after(2s);
@@ -125,8 +126,8 @@
   const std::string from = line.substr(0, blank);
   const std::string to = line.substr(blank + 1, end - blank - 1);
   std::string waiting = line.substr(end + 1);
-  // A cut swallows: the sender's circuit stays open and nothing arrives, as on a lost route.
-  Circuit outward(io_);
+  // A cut swallows: the sender's connection stays open and nothing arrives, as on a lost route.
+  Connection outward(io_);
   const Tcp::endpoint endpoint = endpointOf(Address{to});
   outward.expires_after(2s);
   co_await outward.async_connect(endpoint, into(code));
@@ -136,7 +137,7 @@
       outward.close();
       inward.expires_after(60s);
       co_await inward.async_read_some(asio::buffer(block), into(code));
-      if (!isCut(from, to)) co_return;  // healed: the sender opens a fresh circuit
+      if (!isCut(from, to)) co_return;  // healed: the sender opens a fresh connection
       continue;
     }
     if (!waiting.empty()) {
--- a/src/fleet/stand_in_site.h
+++ b/src/fleet/stand_in_site.h
@@ -49,7 +49,7 @@
   std::unique_ptr<HttpServer> server_;
 };
 
-// A relay for cohort circuits. Cuts close what is open and refuse what is new, each way by itself.
+// A relay for peer connections. Cuts close what is open and refuse what is new, each way by itself.
 class Relay {
  public:
   Relay(asio::io_context& io, Address address)
--- a/src/fleet/steps.cpp
+++ b/src/fleet/steps.cpp
@@ -20,7 +20,7 @@
 }
 }  // namespace
 
-std::vector<Step> parseSteps(const std::string& text, std::string* defect) {
+std::vector<Step> parseSteps(const std::string& text, std::string* error) {
   std::vector<Step> steps;
   std::istringstream items(text);
   for (std::string item; std::getline(items, item, ',');) {
@@ -28,8 +28,8 @@
     const auto at = item.find('@');
     if (colon == std::string::npos || at == std::string::npos || at < colon ||
         !isKnownStep(item.substr(0, colon))) {
-      *defect = "'" + item + "' is no step: write STEP:ARGUMENT@SECOND, one of";
-#define QUAYRILL_LIST(step, target, help) *defect += std::string("\n  ") + step + " (" + help + ")";
+      *error = "'" + item + "' is no step: write STEP:ARGUMENT@SECOND, one of";
+#define QUAYRILL_LIST(step, target, help) *error += std::string("\n  ") + step + " (" + help + ")";
       QUAYRILL_STEPS(QUAYRILL_LIST)
 #undef QUAYRILL_LIST
       return {};
@@ -58,11 +58,11 @@
 #undef QUAYRILL_TARGET
   switch (target) {
     case StepTarget::Core:
-      if (number >= 1 && number <= boot_.plan.cores)
+      if (number >= 1 && number <= settings_.plan.cores)
         co_await atDaemon(step.what.substr(0, step.what.rfind('-')), daemonAt(number, true));
       break;
     case StepTarget::Edge:
-      if (number >= 1 && number <= boot_.plan.edges)
+      if (number >= 1 && number <= settings_.plan.edges)
         co_await atDaemon(step.what.substr(0, step.what.rfind('-')), daemonAt(number, false));
       break;
     case StepTarget::Many:
--- a/src/fleet/steps.h
+++ b/src/fleet/steps.h
@@ -47,7 +47,7 @@
   X("late-events", Server, "server number: its cache events come late for 6 s")                    \
   X("lost-events", Server, "server number: half of its cache events are lost for 6 s")             \
   X("doubled-events", Server, "server number: its cache events come twice, reversed, for 6 s")     \
-  X("repeat-piece", Server, "server number: a planted defect that the checker must find")          \
+  X("repeat-piece", Server, "server number: a planted error that the checker must find")          \
   X("release-servers", Outside, "milliseconds between one server's replacement and the next")      \
   X("slow-links", Outside, "0: pulls between servers take twenty times as long for 6 s")           \
   X("store-down", Outside, "0: the store is down for 6 s and comes back empty")                    \
@@ -67,8 +67,8 @@
   std::string argument;
   double atSecond = 0;
 };
-// Empty and *defect set when the text is no list of known steps.
-std::vector<Step> parseSteps(const std::string& text, std::string* defect);
+// Empty and *error set when the text is no list of known steps.
+std::vector<Step> parseSteps(const std::string& text, std::string* error);
 std::string formatSteps(const std::vector<Step>& steps);
 // Drawn from the seed alone, in any combination that the brief allows: no more than one disk lost.
 std::vector<Step> drawSteps(std::uint64_t seed, double seconds, std::size_t cores,
--- a/src/fleet/steps_daemons.cpp
+++ b/src/fleet/steps_daemons.cpp
@@ -1,4 +1,4 @@
-// Faults of daemons: processes, disks and circuits.
+// Faults of daemons: processes, disks and connections.
 #include <sys/resource.h>
 
 #include <csignal>
@@ -14,7 +14,7 @@
 
 namespace {
 std::string ipOf(const Daemon& daemon) {
-  return daemon.cohort.value.substr(0, daemon.cohort.value.rfind(':'));
+  return daemon.peer.value.substr(0, daemon.peer.value.rfind(':'));
 }
 
 // No file may grow: every write fails, as on a full disk, until the limit is lifted again.
@@ -51,7 +51,7 @@
   waitDaemon(&daemon, 2000);
   if (wipe) std::filesystem::remove_all(daemon.dataFolder);
   co_await pauseFor(backAfter);
-  startDaemon(&daemon, boot_.plan);
+  startDaemon(&daemon, settings_.plan);
   hinder(daemon.callers.value, begun);
 }
 
@@ -63,18 +63,18 @@
     status = waitDaemon(&daemon, 0);
     co_await pauseFor(10ms);
   }
-  if (status != 0) ++plannedExitDefects_;
+  if (status != 0) ++plannedExitErrors_;
   ledger_.with([&](Ledger& ledger) {
     ledger.planned.push_back({daemon.callers.value, begun, BootClock::now()});
   });
-  startDaemon(&daemon, boot_.plan);
+  startDaemon(&daemon, settings_.plan);
   hinder(daemon.callers.value, begun);
 }
 
 // Nothing is dropped for it: the daemon counts as not hindered.
 awaitable<void> Site::changeSettings(Daemon& daemon) {
   const std::vector<Address> first = daemon.seeds;
-  daemon.seeds = {daemonAt(boot_.plan.cores, true).cohort};
+  daemon.seeds = {daemonAt(settings_.plan.cores, true).peer};
   writeSettings(daemon, daemon.seeds);
   signalDaemon(daemon, SIGHUP);
   co_await awaitLog(daemon, "read anew, seeds " + daemon.seeds[0].value);
@@ -123,7 +123,7 @@
     setDrag(daemon, 0);
     co_await pauseFor(5s);
   } else if (what == "refound") {
-    co_await refound(daemon);
+    co_await recover(daemon);
   } else if (what == "platform") {
     platform_->cut(ip, true);
     co_await pauseFor(8s);
@@ -169,15 +169,15 @@
   const std::string action = what.substr(0, dash);
   const std::string object = what.substr(dash + 1);
   if (object == "cores" && action != "split") {
-    const std::size_t count = std::min(number, boot_.plan.cores);
+    const std::size_t count = std::min(number, settings_.plan.cores);
     // With a majority of disks lost, the rules close the fleet until an operator founds again.
-    if (action == "wipe" && count > boot_.plan.cores / 2) lostAt_ = BootClock::now();
+    if (action == "wipe" && count > settings_.plan.cores / 2) lostAt_ = BootClock::now();
     for (std::size_t i = 1; i <= count; ++i) spawnAt(action, daemonAt(i, true));
     co_return;
   }
   if (object == "orderer") {
     if (Daemon* orderer = newestOrderer()) spawnAt(action, *orderer);
-    for (std::size_t i = 1; action == "kill" && i <= std::min(number, boot_.plan.cores); ++i)
+    for (std::size_t i = 1; action == "kill" && i <= std::min(number, settings_.plan.cores); ++i)
       spawnAt("kill", daemonAt(i, true));
     co_return;
   }
--- a/src/fleet/steps_outside.cpp
+++ b/src/fleet/steps_outside.cpp
@@ -6,7 +6,7 @@
 using namespace std::chrono_literals;
 
 awaitable<void> Site::atServer(std::string what, StandInServer& server) {
-  const std::string name = server.boot().address.value;
+  const std::string name = server.settings().address.value;
   note(what + " " + name);
   if (what == "crash-server") {
     if (server.isUp()) server.crash();
@@ -63,7 +63,7 @@
   } else {
     // A release: each server in turn shows as leaving, ends, and comes back empty and new.
     for (auto& server : servers_) {
-      const std::string name = server->boot().address.value;
+      const std::string name = server->settings().address.value;
       if (!platform_->isStaying(name)) continue;
       ++stepsOpen_;
       asio::co_spawn(io_, replaceServer(*server), asio::detached);
@@ -73,7 +73,7 @@
 }
 
 awaitable<void> Site::replaceServer(StandInServer& server) {
-  const std::string name = server.boot().address.value;
+  const std::string name = server.settings().address.value;
   platform_->showLeaving(name);
   const Instant leavingAt = BootClock::now();
   // Four seconds: one more than may pass before work stops; then it ends what it has.
@@ -86,7 +86,7 @@
   platform_->remove(name);
   co_await pauseFor(1s);
   server.restart();
-  platform_->list(name, server.boot().zone);
+  platform_->list(name, server.settings().zone);
   --stepsOpen_;
 }
 
