--- a/src/model/caller.cpp
+++ b/src/model/caller.cpp
@@ -9,16 +9,16 @@
 // Within the share of the product's Amending that is left for the settling read alone.
 constexpr Span kLateBefore = 100ms;
 
-CopySet firstMemberOf(const CopySet& copies) {
-  CopySet one = copies;
+ReplicaSet firstMemberOf(const ReplicaSet& replicas) {
+  ReplicaSet one = replicas;
   one.members.resize(1);
   return one;
 }
 }  // namespace
 
-Caller::Caller(const Configuration* configuration, std::size_t index, const ChosenValue& copySet)
+Caller::Caller(const Configuration* configuration, std::size_t index, const ChosenValue& replicaSet)
     : configuration_(configuration), index_(index), proposer_(ProposerId{proposerId()}) {
-  known_.learnChosen(kCopySetKey, copySet);
+  known_.learnChosen(kReplicaSetKey, replicaSet);
 }
 
 std::uint64_t Caller::proposerId() const { return 10 + index_ + 100 * life_; }
@@ -34,7 +34,7 @@
   writes_.clear();
   isLate_ = false;
   const bool asNew = configuration_->plant == Plant::ResendAsNew;
-  amending_.emplace(amendmentOf(configuration_->orders[order()], asNew), kBodyLimit, kNever);
+  amending_.emplace(updateOf(configuration_->orders[order()], asNew), kBodyLimit, kNever);
   pump(acked, effects);
 }
 
@@ -50,19 +50,19 @@
   ackedBefore_ = acked;
   const bool minority = isRead_ && configuration_->plant == Plant::MinorityRead;
   Sends sends =
-      proposer_.begin(*asked, minority ? firstMemberOf(known_.copies()) : known_.copies());
+      proposer_.begin(*asked, minority ? firstMemberOf(known_.replicas()) : known_.replicas());
   if (!isRead_) writes_.push_back(proposer_.writeId());
   effects->sends = std::move(sends);
 }
 
-void Caller::report(AmendResult result, StepEffects* effects) {
+void Caller::report(UpdateResult result, StepEffects* effects) {
   Observed ended;
   ended.kind = Observed::Kind::OrderEnded;
   ended.order = order();
   ended.result = result;
   effects->observed.push_back(ended);
-  const bool mayHold = result == AmendResult::Taken || result == AmendResult::Holds ||
-                       result == AmendResult::Unknown;
+  const bool mayHold = result == UpdateResult::Taken || result == UpdateResult::Leases ||
+                       result == UpdateResult::Unknown;
   if (mayHold || writes_.empty()) return;
   Observed dead;
   dead.kind = Observed::Kind::DeadWrites;
@@ -72,7 +72,7 @@
 
 void Caller::take(const std::vector<ChangeDone>& done, OrderSet acked, StepEffects* effects) {
   for (const ChangeDone& ended : done) {
-    known_.adopt(ended.copies);
+    known_.adopt(ended.replicas);
     Observed seen;
     if (ended.result == ChangeResult::Chosen) {
       known_.learnChosen(ended.key, {ended.ballot, ended.value});
@@ -91,22 +91,22 @@
   }
 }
 
-void Caller::answer(const CopyAnswer& answer, OrderSet acked, StepEffects* effects) {
+void Caller::answer(const ReplicaAnswer& answer, OrderSet acked, StepEffects* effects) {
   std::vector<ChangeDone> done;
   effects->sends = proposer_.answer(answer, &done);
-  known_.adopt(answer.copies);
+  known_.adopt(answer.replicas);
   take(done, acked, effects);
 }
 
 void Caller::passPhase(OrderSet acked, StepEffects* effects) {
   std::vector<ChangeDone> done;
-  effects->sends = proposer_.passPhase(known_.copies(), &done);
+  effects->sends = proposer_.passPhase(known_.replicas(), &done);
   take(done, acked, effects);
 }
 
 void Caller::passDeadline(OrderSet acked, StepEffects* effects) {
   std::vector<ChangeDone> done;
-  proposer_.passDeadline(known_.copies(), &done);
+  proposer_.passDeadline(known_.replicas(), &done);
   isLate_ = true;
   take(done, acked, effects);
 }
@@ -125,8 +125,8 @@
 
 std::string Caller::ownBytes() const {
   std::string bytes = "caller" + encodeValue(index_) + encodeValue(life_) +
-                      encodeValue(known_.copies()) + encodeValue(known_.question({}, false)) +
-                      encodeValue(known_.copySetVersion()) + encodeValue(nextCall_) +
+                      encodeValue(known_.replicas()) + encodeValue(known_.question({}, false)) +
+                      encodeValue(known_.replicaSetVersion()) + encodeValue(nextCall_) +
                       encodeValue(writes_) + encodeValue(ackedBefore_);
   for (const bool flag : {isRead_, isLate_, amending_.has_value()}) bytes += flag ? '1' : '0';
   if (amending_) bytes += amending_->stateBytes();
--- a/src/model/caller.h
+++ b/src/model/caller.h
@@ -6,27 +6,27 @@
 #include "agent/core/freshness.h"
 #include "model/configuration.h"
 #include "model/observed.h"
-#include "register/amending.h"
+#include "register/update_operation.h"
 
 namespace quayrill::model {
 
 class Caller {
  public:
   // `configuration` outlives the caller.
-  Caller(const Configuration* configuration, std::size_t index, const ChosenValue& copySet);
+  Caller(const Configuration* configuration, std::size_t index, const ChosenValue& replicaSet);
 
   bool isBusy() const { return proposer_.isBusy(); }
   // The order that would be sent next, once the one before it has ended.
   std::optional<std::size_t> nextOrder() const;
   // `acked`: the orders acknowledged so far, by whomever.
   void start(OrderSet acked, StepEffects* effects);
-  void answer(const CopyAnswer& answer, OrderSet acked, StepEffects* effects);
+  void answer(const ReplicaAnswer& answer, OrderSet acked, StepEffects* effects);
   void passPhase(OrderSet acked, StepEffects* effects);
   void passDeadline(OrderSet acked, StepEffects* effects);
   // The daemon ends: the call gets no answer, and a new daemon sends the next one.
   void die();
-  void learn(const CopySet& copies) { known_.adopt(copies); }
-  const CopySet& copies() const { return known_.copies(); }
+  void learn(const ReplicaSet& replicas) { known_.adopt(replicas); }
+  const ReplicaSet& replicas() const { return known_.replicas(); }
   const TimedProposer* proposer(std::uint64_t id) const;
   std::string stateBytes() const;
   // The same in parts: what stands whoever answered, and what one replica answered.
@@ -36,7 +36,7 @@
  private:
   void take(const std::vector<ChangeDone>& done, OrderSet acked, StepEffects* effects);
   void pump(OrderSet acked, StepEffects* effects);
-  void report(AmendResult result, StepEffects* effects);
+  void report(UpdateResult result, StepEffects* effects);
   std::string ownBytes() const;
   std::uint64_t proposerId() const;
   std::size_t order() const { return configuration_->calls[index_][nextCall_ - 1]; }
@@ -46,7 +46,7 @@
   std::uint64_t life_ = 0;
   TimedProposer proposer_;
   Freshness known_{0};
-  std::optional<Amending> amending_;
+  std::optional<UpdateOperation> amending_;
   std::size_t nextCall_ = 0;
   std::vector<WriteId> writes_;  // proposed for the present call
   bool isRead_ = false;          // the operation under way
--- a/src/model/history.cpp
+++ b/src/model/history.cpp
@@ -5,12 +5,12 @@
 namespace quayrill::model {
 
 namespace {
-bool isYes(AmendResult result) {
-  return result == AmendResult::Taken || result == AmendResult::Holds;
+bool isYes(UpdateResult result) {
+  return result == UpdateResult::Taken || result == UpdateResult::Leases;
 }
-bool isNo(AmendResult result) {
-  return result == AmendResult::Refused || result == AmendResult::Stale ||
-         result == AmendResult::TooLarge;
+bool isNo(UpdateResult result) {
+  return result == UpdateResult::Refused || result == UpdateResult::Stale ||
+         result == UpdateResult::TooLarge;
 }
 std::string versionName(const Observed& seen) {
   return "version " + std::to_string(seen.value.version) + " of '" + seen.key.value + "'";
@@ -18,14 +18,14 @@
 }  // namespace
 
 // Two majorities are apart where each can be made of its own members and of different common ones.
-bool majoritiesMeet(const CopySet& one, const CopySet& other) {
+bool majoritiesMeet(const ReplicaSet& one, const ReplicaSet& other) {
   std::size_t common = 0;
-  for (const CopyMember& member : one.members) {
+  for (const ReplicaMember& member : one.members) {
     common += static_cast<std::size_t>(std::count_if(
         other.members.begin(), other.members.end(),
-        [&](const CopyMember& candidate) { return candidate.store == member.store; }));
+        [&](const ReplicaMember& candidate) { return candidate.store == member.store; }));
   }
-  const auto wantsOfCommon = [&](const CopySet& set) {
+  const auto wantsOfCommon = [&](const ReplicaSet& set) {
     const std::size_t own = set.members.size() - common;
     return majorityOf(set) > own ? majorityOf(set) - own : 0;
   };
@@ -65,10 +65,10 @@
   if (!isNew && !(row->second == seen.value))
     return "two values were chosen as " + versionName(seen);
   if (holdsDeadWrite(seen.value)) return "a write said to be dead was chosen: " + versionName(seen);
-  if (seen.key == kCopySetKey) {
-    CopySet copies;
-    if (!decodeValue(seen.value.body, &copies)) return "a chosen replica set can't be read";
-    return observeSet(copies);
+  if (seen.key == kReplicaSetKey) {
+    ReplicaSet replicas;
+    if (!decodeValue(seen.value.body, &replicas)) return "a chosen replica set can't be read";
+    return observeSet(replicas);
   }
   const OrderSet found = ordersIn(seen.value.body, orders);
   if (seen.isRead && (seen.ackedBefore & ~found) != 0)
@@ -77,16 +77,16 @@
   return "";
 }
 
-std::string History::observeSet(const CopySet& copies) {
-  for (CopySet& known : sets_) {
-    if (known.epoch != copies.epoch) continue;
-    if (known.members != copies.members) return "two replica sets were chosen under one epoch";
-    known.settled = known.settled || copies.settled;
+std::string History::observeSet(const ReplicaSet& replicas) {
+  for (ReplicaSet& known : sets_) {
+    if (known.epoch != replicas.epoch) continue;
+    if (known.members != replicas.members) return "two replica sets were chosen under one epoch";
+    known.settled = known.settled || replicas.settled;
     return "";
   }
-  sets_.push_back(copies);
+  sets_.push_back(replicas);
   std::sort(sets_.begin(), sets_.end(),
-            [](const CopySet& a, const CopySet& b) { return a.epoch < b.epoch; });
+            [](const ReplicaSet& a, const ReplicaSet& b) { return a.epoch < b.epoch; });
   for (std::size_t i = 1; i < sets_.size(); ++i) {
     const bool areNeighbours = sets_[i].epoch.value == sets_[i - 1].epoch.value + 1;
     if (areNeighbours && !majoritiesMeet(sets_[i - 1], sets_[i]))
@@ -107,7 +107,7 @@
     if (isRival && (acked_ & bit) != 0 && (acked_ & bitOf(i)) != 0)
       return "two changes were acknowledged under one number";
   }
-  for (const auto& [version, value] : chosen_[kSpecKey]) {
+  for (const auto& [version, value] : chosen_[kConfigurationKey]) {
     if ((ordersIn(value.body, orders) & refused_) != 0) return "a refused change was chosen before";
   }
   return "";
--- a/src/model/history.h
+++ b/src/model/history.h
@@ -10,7 +10,7 @@
 
 class History {
  public:
-  explicit History(const CopySet& founded) { sets_.push_back(founded); }
+  explicit History(const ReplicaSet& founded) { sets_.push_back(founded); }
 
   // The broken invariant in words; "" where none is.
   std::string observe(const Observed& seen, const std::vector<Order>& orders);
@@ -20,21 +20,21 @@
   // A write that was said never to take effect stands in this value or its history.
   bool holdsDeadWrite(const RegisterValue& value) const;
   // The chosen replica sets by epoch, each as it was seen last.
-  const std::vector<CopySet>& sets() const { return sets_; }
+  const std::vector<ReplicaSet>& sets() const { return sets_; }
   std::string stateBytes() const;
 
  private:
   std::string observeChosen(const Observed& seen, const std::vector<Order>& orders);
-  std::string observeSet(const CopySet& copies);
+  std::string observeSet(const ReplicaSet& replicas);
   std::string observeEnd(const Observed& seen, const std::vector<Order>& orders);
 
   OrderSet acked_ = 0, refused_ = 0;
   std::map<RegisterKey, std::map<std::uint64_t, RegisterValue>> chosen_;  // by version
   std::vector<WriteId> dead_;                                             // sorted
-  std::vector<CopySet> sets_;
+  std::vector<ReplicaSet> sets_;
 };
 
 // Whether every majority of one shares a member with every majority of the other.
-bool majoritiesMeet(const CopySet& one, const CopySet& other);
+bool majoritiesMeet(const ReplicaSet& one, const ReplicaSet& other);
 
 }  // namespace quayrill::model
--- a/src/model/machine.cpp
+++ b/src/model/machine.cpp
@@ -7,49 +7,49 @@
 }  // namespace
 
 Machine::Machine(StoreId store, bool forgetsPromises)
-    : copy_(store), forgetsPromises_(forgetsPromises) {
-  sync(copy_.identityWrites());
+    : replica_(store), forgetsPromises_(forgetsPromises) {
+  sync(replica_.identityWrites());
 }
 
 void Machine::sync(const std::vector<DiskWrite>& writes) {
   for (const DiskWrite& write : writes) disk_[write.key] = write.bytes;
 }
 
-std::optional<CopyAnswer> Machine::take(const Message& request) {
-  CopyEffects effects;
+std::optional<ReplicaAnswer> Machine::take(const Message& request) {
+  ReplicaEffects effects;
   if (const auto* prepare = std::get_if<Prepare>(&request)) {
-    effects = copy_.onPrepare(*prepare);
+    effects = replica_.onPrepare(*prepare);
     if (forgetsPromises_) {
       std::erase_if(effects.writes,
                     [](const DiskWrite& write) { return write.key.rfind("slot/", 0) == 0; });
     }
   }
-  if (const auto* accept = std::get_if<Accept>(&request)) effects = copy_.onAccept(*accept);
+  if (const auto* accept = std::get_if<Accept>(&request)) effects = replica_.onAccept(*accept);
   sync(effects.writes);
   if (!effects.answer) return std::nullopt;
-  return std::get<CopyAnswer>(*effects.answer);
+  return std::get<ReplicaAnswer>(*effects.answer);
 }
 
-void Machine::adopt(const CopySet& copies) { sync(copy_.adopt(copies)); }
+void Machine::adopt(const ReplicaSet& replicas) { sync(replica_.adopt(replicas)); }
 
 bool Machine::restart() {
-  RegisterCopy read(StoreId{});
+  RegisterReplica read(StoreId{});
   if (!read.restore(disk_)) return false;
-  copy_ = std::move(read);
+  replica_ = std::move(read);
   return true;
 }
 
 void Machine::empty(StoreId newStore) {
-  copy_ = RegisterCopy(newStore);
+  replica_ = RegisterReplica(newStore);
   disk_.clear();
-  sync(copy_.identityWrites());
+  sync(replica_.identityWrites());
 }
 
 ConfirmedKey Machine::accepted(const RegisterKey& key) const {
   Confirm question;
-  question.store = copy_.store();
+  question.store = replica_.store();
   question.known = {{key, Ballot{}}};
-  const CopyEffects effects = copy_.onConfirm(question);
+  const ReplicaEffects effects = replica_.onConfirm(question);
   if (!effects.answer) return {key, {}, {}};
   const auto& answer = std::get<ConfirmAnswer>(*effects.answer);
   return answer.keys.empty() ? ConfirmedKey{key, {}, {}} : answer.keys.front();
@@ -57,21 +57,21 @@
 
 std::vector<RegisterKey> Machine::keys() const {
   Confirm question;
-  question.store = copy_.store();
+  question.store = replica_.store();
   question.wantsKeys = true;
-  const CopyEffects effects = copy_.onConfirm(question);
+  const ReplicaEffects effects = replica_.onConfirm(question);
   if (!effects.answer) return {};
   return std::get<ConfirmAnswer>(*effects.answer).allKeys;
 }
 
 std::string Machine::bytesButStore() const {
-  std::string bytes = copy_.stateBytes();
+  std::string bytes = replica_.stateBytes();
   for (const auto& [key, row] : disk_) {
     if (key != kStoreRow) bytes += encodeValue(key) + encodeValue(row);
   }
   return bytes;
 }
 
-std::string Machine::stateBytes() const { return encodeValue(copy_.store()) + bytesButStore(); }
+std::string Machine::stateBytes() const { return encodeValue(replica_.store()) + bytesButStore(); }
 
 }  // namespace quayrill::model
--- a/src/model/machine.h
+++ b/src/model/machine.h
@@ -5,7 +5,7 @@
 #include <string>
 
 #include "model/orders.h"
-#include "register/copy.h"
+#include "register/replica.h"
 
 namespace quayrill::model {
 
@@ -13,11 +13,11 @@
  public:
   Machine(StoreId store, bool forgetsPromises);
 
-  const RegisterCopy& copy() const { return copy_; }
+  const RegisterReplica& replica() const { return replica_; }
   // Takes a request and syncs what it writes. The answer has left with that: a crash before it is a
   // request that was lost, one after it an answer that was lost.
-  std::optional<CopyAnswer> take(const Message& request);
-  void adopt(const CopySet& copies);
+  std::optional<ReplicaAnswer> take(const Message& request);
+  void adopt(const ReplicaSet& replicas);
   // The process ends and starts again on its disk. False where the product can't read the rows.
   bool restart();
   void empty(StoreId newStore);
@@ -31,7 +31,7 @@
  private:
   void sync(const std::vector<DiskWrite>& writes);
 
-  RegisterCopy copy_;
+  RegisterReplica replica_;
   std::map<std::string, std::string> disk_;
   bool forgetsPromises_;
 };
--- a/src/model/mover.cpp
+++ b/src/model/mover.cpp
@@ -3,13 +3,13 @@
 namespace quayrill::model {
 
 namespace {
-std::size_t proposerFor(const RegisterKey& key) { return key == kCopySetKey ? 0 : 1; }
+std::size_t proposerFor(const RegisterKey& key) { return key == kReplicaSetKey ? 0 : 1; }
 }  // namespace
 
-Mover::Mover(const Configuration* configuration, std::size_t index, const ChosenValue& copySet)
+Mover::Mover(const Configuration* configuration, std::size_t index, const ChosenValue& replicaSet)
     : configuration_(configuration), index_(index), isRead_(kProposers, false) {
   for (std::size_t i = 0; i < kProposers; ++i) proposers_.push_back(madeProposer(i));
-  known_.learnChosen(kCopySetKey, copySet);
+  known_.learnChosen(kReplicaSetKey, replicaSet);
 }
 
 std::uint64_t Mover::proposerId(std::size_t proposer) const {
@@ -24,26 +24,26 @@
   const std::size_t proposer = proposerFor(ask.key);
   if (proposers_[proposer].isBusy()) return;
   isRead_[proposer] = ask.isRead;
-  for (auto& send : proposers_[proposer].begin(ask, known_.copies()))
+  for (auto& send : proposers_[proposer].begin(ask, known_.replicas()))
     effects->sends.push_back(std::move(send));
 }
 
 void Mover::step(const std::optional<std::vector<RegisterKey>>& listed,
-                 const std::optional<CopySet>& following, StepEffects* effects) {
+                 const std::optional<ReplicaSet>& following, StepEffects* effects) {
   if (wantsRead_) {
-    begin({{}, kCopySetKey, true, 0, {}, {}, {}}, effects);
+    begin({{}, kReplicaSetKey, true, 0, {}, {}, {}}, effects);
     return;
   }
-  CopySet copies = known_.copies();
-  if (configuration_->plant == Plant::UnsettledEpoch) copies.settled = true;
+  ReplicaSet replicas = known_.replicas();
+  if (configuration_->plant == Plant::UnsettledEpoch) replicas.settled = true;
   const Instant now = proposers_[0].clock();
-  const auto asks = sweep_.next(copies, known_.copySetVersion(), listed, following, now);
+  const auto asks = sweep_.next(replicas, known_.replicaSetVersion(), listed, following, now);
   for (const ChangeAsked& ask : asks) begin(ask, effects);
 }
 
 void Mover::take(std::size_t proposer, const std::vector<ChangeDone>& done, StepEffects* effects) {
   for (const ChangeDone& ended : done) {
-    known_.adopt(ended.copies);
+    known_.adopt(ended.replicas);
     const bool isChosen = ended.result == ChangeResult::Chosen;
     if (isChosen) {
       known_.learnChosen(ended.key, {ended.ballot, ended.value});
@@ -53,29 +53,29 @@
       effects->observed.push_back(seen);
     }
     if (isRead_[proposer] && !wantsRead_) sweep_.onReadDone(ended);
-    if (ended.key == kCopySetKey) wantsRead_ = !isChosen && (wantsRead_ || !isRead_[proposer]);
+    if (ended.key == kReplicaSetKey) wantsRead_ = !isChosen && (wantsRead_ || !isRead_[proposer]);
   }
 }
 
-void Mover::answer(const CopyAnswer& answer, StepEffects* effects) {
+void Mover::answer(const ReplicaAnswer& answer, StepEffects* effects) {
   for (std::size_t i = 0; i < kProposers; ++i) {
     if (proposerOf(answer.operation) != proposerId(i)) continue;
     std::vector<ChangeDone> done;
     effects->sends = proposers_[i].answer(answer, &done);
-    known_.adopt(answer.copies);
+    known_.adopt(answer.replicas);
     take(i, done, effects);
   }
 }
 
 void Mover::passPhase(std::size_t proposer, StepEffects* effects) {
   std::vector<ChangeDone> done;
-  effects->sends = proposers_[proposer].passPhase(known_.copies(), &done);
+  effects->sends = proposers_[proposer].passPhase(known_.replicas(), &done);
   take(proposer, done, effects);
 }
 
 void Mover::passDeadline(std::size_t proposer, StepEffects* effects) {
   std::vector<ChangeDone> done;
-  proposers_[proposer].passDeadline(known_.copies(), &done);
+  proposers_[proposer].passDeadline(known_.replicas(), &done);
   take(proposer, done, effects);
 }
 
@@ -95,8 +95,8 @@
 
 std::string Mover::ownBytes() const {
   std::string bytes = "mover" + encodeValue(index_) + encodeValue(life_) +
-                      encodeValue(known_.copies()) + encodeValue(known_.question({}, false)) +
-                      encodeValue(known_.copySetVersion()) + sweep_.stateBytes() +
+                      encodeValue(known_.replicas()) + encodeValue(known_.question({}, false)) +
+                      encodeValue(known_.replicaSetVersion()) + sweep_.stateBytes() +
                       (wantsRead_ ? '1' : '0');
   for (const bool isRead : isRead_) bytes += isRead ? '1' : '0';
   return bytes;
--- a/src/model/mover.h
+++ b/src/model/mover.h
@@ -16,18 +16,18 @@
   static constexpr std::size_t kProposers = 2;  // of the replica set's key, of the configuration's
 
   // `configuration` outlives the mover.
-  Mover(const Configuration* configuration, std::size_t index, const ChosenValue& copySet);
+  Mover(const Configuration* configuration, std::size_t index, const ChosenValue& replicaSet);
 
   bool isBusy(std::size_t proposer) const { return proposers_[proposer].isBusy(); }
   // `listed` and `following` as EpochSweep asks for them.
   void step(const std::optional<std::vector<RegisterKey>>& listed,
-            const std::optional<CopySet>& following, StepEffects* effects);
-  void answer(const CopyAnswer& answer, StepEffects* effects);
+            const std::optional<ReplicaSet>& following, StepEffects* effects);
+  void answer(const ReplicaAnswer& answer, StepEffects* effects);
   void passPhase(std::size_t proposer, StepEffects* effects);
   void passDeadline(std::size_t proposer, StepEffects* effects);
   void die();
-  void learn(const CopySet& copies) { known_.adopt(copies); }
-  const CopySet& copies() const { return known_.copies(); }
+  void learn(const ReplicaSet& replicas) { known_.adopt(replicas); }
+  const ReplicaSet& replicas() const { return known_.replicas(); }
   const TimedProposer* proposer(std::uint64_t id) const;
   std::string stateBytes() const;
   // The same in parts: what stands whoever answered, and what one replica answered.
--- a/src/model/observed.h
+++ b/src/model/observed.h
@@ -2,9 +2,9 @@
 // What a step of a daemon lets the outside see: the material of the invariants.
 #include <vector>
 
+#include "configuration/update.h"
 #include "model/orders.h"
 #include "model/timed_proposer.h"
-#include "spec/amend.h"
 
 namespace quayrill::model {
 
@@ -21,7 +21,7 @@
   OrderSet ackedBefore = 0;  // what was acknowledged when the read began
   std::vector<WriteId> writes;
   std::size_t order = 0;
-  AmendResult result{};
+  UpdateResult result{};
 };
 
 // What one step of a daemon sends and shows.
--- a/src/model/orders.cpp
+++ b/src/model/orders.cpp
@@ -26,7 +26,7 @@
 }
 }  // namespace
 
-Amendment amendmentOf(const Order& order, bool judgesResendsAsNew) {
+Update updateOf(const Order& order, bool judgesResendsAsNew) {
   return [order, judgesResendsAsNew](
              const std::string& standing) -> absl::StatusOr<std::optional<std::string>> {
     TakenChanges taken = readBody(standing);
--- a/src/model/orders.h
+++ b/src/model/orders.h
@@ -5,7 +5,7 @@
 #include <string>
 #include <vector>
 
-#include "spec/amend.h"
+#include "configuration/update.h"
 
 namespace quayrill::model {
 
@@ -20,7 +20,7 @@
 inline OrderSet bitOf(std::size_t order) { return OrderSet{1} << order; }
 
 // `judgesResendsAsNew` plants the error that a taken change is not known again.
-Amendment amendmentOf(const Order& order, bool judgesResendsAsNew);
+Update updateOf(const Order& order, bool judgesResendsAsNew);
 
 // Those of `orders` that the body has taken.
 OrderSet ordersIn(const std::string& body, const std::vector<Order>& orders);
--- a/src/model/timed_proposer.cpp
+++ b/src/model/timed_proposer.cpp
@@ -30,37 +30,37 @@
   if (!done.empty()) isBusy_ = false;
 }
 
-Sends TimedProposer::begin(ChangeAsked change, const CopySet& copies) {
+Sends TimedProposer::begin(ChangeAsked change, const ReplicaSet& replicas) {
   change.operation = OperationId{id_.value * kOperationsEach + ++operations_};
   change.writeId = WriteId{change.operation.value};
   change.due = kNever;
   isBusy_ = true;
-  Sends sends = proposer_.begin(change, copies, clock_);
+  Sends sends = proposer_.begin(change, replicas, clock_);
   note(sends);
   return sends;
 }
 
-Sends TimedProposer::answer(const CopyAnswer& answer, std::vector<ChangeDone>* done) {
+Sends TimedProposer::answer(const ReplicaAnswer& answer, std::vector<ChangeDone>* done) {
   Sends sends = proposer_.onAnswer(answer, clock_, done);
   note(sends);
   end(*done);
   return sends;
 }
 
-Sends TimedProposer::passPhase(const CopySet& copies, std::vector<ChangeDone>* done) {
+Sends TimedProposer::passPhase(const ReplicaSet& replicas, std::vector<ChangeDone>* done) {
   clock_ += kLeap;
-  Sends sends = proposer_.onTick(copies, clock_, done);
+  Sends sends = proposer_.onTick(replicas, clock_, done);
   if (sends.empty() && done->empty()) {
     clock_ += kLeap;
-    sends = proposer_.onTick(copies, clock_, done);
+    sends = proposer_.onTick(replicas, clock_, done);
   }
   note(sends);
   end(*done);
   return sends;
 }
 
-void TimedProposer::passDeadline(const CopySet& copies, std::vector<ChangeDone>* done) {
-  proposer_.onTick(copies, kNever, done);
+void TimedProposer::passDeadline(const ReplicaSet& replicas, std::vector<ChangeDone>* done) {
+  proposer_.onTick(replicas, kNever, done);
   end(*done);
 }
 
--- a/src/model/timed_proposer.h
+++ b/src/model/timed_proposer.h
@@ -7,7 +7,7 @@
 
 namespace quayrill::model {
 
-using Sends = std::vector<std::pair<CopyMember, Message>>;
+using Sends = std::vector<std::pair<ReplicaMember, Message>>;
 
 // Later than any clock of the model: no deadline passes but by its own event.
 inline constexpr Instant kNever{std::chrono::hours(100000)};
@@ -20,11 +20,11 @@
   explicit TimedProposer(ProposerId id);
 
   // The operation gets the next id of this proposer.
-  Sends begin(ChangeAsked change, const CopySet& copies);
-  Sends answer(const CopyAnswer& answer, std::vector<ChangeDone>* done);
+  Sends begin(ChangeAsked change, const ReplicaSet& replicas);
+  Sends answer(const ReplicaAnswer& answer, std::vector<ChangeDone>* done);
   // The time of the present phase has passed, and the rest before the next round too.
-  Sends passPhase(const CopySet& copies, std::vector<ChangeDone>* done);
-  void passDeadline(const CopySet& copies, std::vector<ChangeDone>* done);
+  Sends passPhase(const ReplicaSet& replicas, std::vector<ChangeDone>* done);
+  void passDeadline(const ReplicaSet& replicas, std::vector<ChangeDone>* done);
   bool isBusy() const { return isBusy_; }
   // Whether an answer to this request could still move the operation under way.
   bool awaits(const Ballot& ballot, bool accepting) const {
--- a/src/model/world.cpp
+++ b/src/model/world.cpp
@@ -14,14 +14,14 @@
 StoreId emptiedStoreOf(std::size_t machine) { return StoreId{kEmptiedStores + machine + 1}; }
 Address addressOf(std::size_t machine) { return Address{"m" + std::to_string(machine + 1)}; }
 
-CopySet firstSet(std::size_t members) {
-  CopySet copies;
-  copies.epoch = Epoch{1};
-  copies.fleet = 1;
-  copies.settled = true;
+ReplicaSet firstSet(std::size_t members) {
+  ReplicaSet replicas;
+  replicas.epoch = Epoch{1};
+  replicas.fleet = 1;
+  replicas.settled = true;
   for (std::size_t i = 0; i < members; ++i)
-    copies.members.push_back({firstStoreOf(i), addressOf(i)});
-  return copies;
+    replicas.members.push_back({firstStoreOf(i), addressOf(i)});
+  return replicas;
 }
 
 const Ballot& ballotOf(const Message& request) {
@@ -42,7 +42,7 @@
 
 World::World(Configuration configuration)
     : configuration_(std::make_unique<Configuration>(std::move(configuration))) {
-  const CopySet copies = firstSet(configuration_->members);
+  const ReplicaSet replicas = firstSet(configuration_->members);
   std::vector<Machine> machines;
   for (std::size_t i = 0; i < configuration_->machines; ++i)
     machines.emplace_back(firstStoreOf(i), configuration_->plant == Plant::UnsyncedPromise);
@@ -51,24 +51,24 @@
     stores_.push_back(emptiedStoreOf(i));
   }
   markNamed();
-  const ChosenValue founded = found(&machines, copies);
+  const ChosenValue founded = found(&machines, replicas);
   for (std::size_t i = 0; i < machines.size(); ++i)
     initial_.machines[i] = machines_.idOf(machines[i]);
   for (std::size_t i = 0; i < configuration_->calls.size(); ++i)
     initial_.callers[i] = callers_.idOf(Caller(configuration_.get(), i, founded));
   for (std::size_t i = 0; i < configuration_->movers; ++i)
     initial_.movers[i] = movers_.idOf(Mover(configuration_.get(), i, founded));
-  initial_.history = histories_.idOf(History(copies));
+  initial_.history = histories_.idOf(History(replicas));
   initial_.budgets = configuration_->budgets;
 }
 
-ChosenValue World::found(std::vector<Machine>* machines, const CopySet& copies) const {
+ChosenValue World::found(std::vector<Machine>* machines, const ReplicaSet& replicas) const {
   TimedProposer founder{ProposerId{kFounder}};
   ChangeAsked ask;
-  ask.key = kCopySetKey;
-  ask.body = encodeValue(copies);
+  ask.key = kReplicaSetKey;
+  ask.body = encodeValue(replicas);
   std::vector<ChangeDone> done;
-  Sends sends = founder.begin(ask, copies);
+  Sends sends = founder.begin(ask, replicas);
   while (!sends.empty()) {
     Sends next;
     for (const auto& [member, message] : sends) {
@@ -183,7 +183,7 @@
 
 std::optional<std::size_t> World::machineOf(const State& state, StoreId store) const {
   for (std::size_t i = 0; i < configuration_->machines; ++i) {
-    if (machines_[state.machines[i]].copy().store() == store) return i;
+    if (machines_[state.machines[i]].replica().store() == store) return i;
   }
   return std::nullopt;
 }
--- a/src/model/world.h
+++ b/src/model/world.h
@@ -56,7 +56,7 @@
     std::string stateBytes() const;
   };
   struct Answer {
-    CopyAnswer body;
+    ReplicaAnswer body;
     std::string stateBytes() const { return encodeValue(body); }
   };
   struct Text {
@@ -81,7 +81,7 @@
   using StepKey = std::array<std::uint32_t, 4>;
 
   // Founds the first set by one proposer that reaches all of its members.
-  ChosenValue found(std::vector<Machine>* machines, const CopySet& copies) const;
+  ChosenValue found(std::vector<Machine>* machines, const ReplicaSet& replicas) const;
 
   // Which events may come; some of them may turn out to change nothing.
   std::vector<Event> events(const State& state) const;
@@ -106,7 +106,7 @@
                  StepEffects* effects) const;
   // What a mover's step builds on, as a number: the keys that were listed, and the set to follow.
   std::uint32_t moverArgument(const State& state, const Event& event) const;
-  std::optional<CopySet> following(const CopySet& copies, std::uint32_t argument) const;
+  std::optional<ReplicaSet> following(const ReplicaSet& replicas, std::uint32_t argument) const;
 
   const Taken& take(PartId machine, PartId request);
   PartId restarted(PartId machine);
@@ -128,7 +128,7 @@
   std::pair<std::uint8_t, const TimedProposer*> daemonOf(const State& state,
                                                          std::uint64_t proposer) const;
   bool isAwaited(const State& state, const Message& request) const;
-  const CopySet& newestSet(const State& state) const {
+  const ReplicaSet& newestSet(const State& state) const {
     return histories_[state.history].sets().back();
   }
   std::string describeRequest(PartId request) const;
--- a/src/model/world_events.cpp
+++ b/src/model/world_events.cpp
@@ -6,9 +6,9 @@
 namespace quayrill::model {
 
 namespace {
-bool isNewer(const CopySet& copies, const CopySet& than) {
-  return copies.epoch > than.epoch ||
-         (copies.epoch == than.epoch && copies.settled && !than.settled);
+bool isNewer(const ReplicaSet& replicas, const ReplicaSet& than) {
+  return replicas.epoch > than.epoch ||
+         (replicas.epoch == than.epoch && replicas.settled && !than.settled);
 }
 
 Event eventOf(Event::Kind kind, std::size_t who) {
@@ -64,8 +64,8 @@
 }
 
 void World::addDaemonEvents(const State& state, std::vector<Event>* events) const {
-  const CopySet& newest = newestSet(state);
-  const auto addFaults = [&](std::size_t who, bool isBusy, const CopySet& known) {
+  const ReplicaSet& newest = newestSet(state);
+  const auto addFaults = [&](std::size_t who, bool isBusy, const ReplicaSet& known) {
     if (isBusy && state.budgets.daemonDeaths > 0)
       events->push_back(eventOf(Event::Kind::DaemonDies, who));
     if (state.budgets.learns > 0 && isNewer(newest, known))
@@ -75,7 +75,7 @@
     const Caller& caller = callers_[state.callers[i]];
     if (mayStart(state, caller)) events->push_back(eventOf(Event::Kind::Start, i));
     if (caller.isBusy()) addTimeEvents(state, static_cast<std::uint8_t>(i), 0, events);
-    addFaults(i, caller.isBusy(), caller.copies());
+    addFaults(i, caller.isBusy(), caller.replicas());
   }
   for (std::size_t i = 0; i < configuration_->movers; ++i) {
     const Mover& mover = movers_[state.movers[i]];
@@ -85,7 +85,7 @@
       if (mover.isBusy(proposer))
         addTimeEvents(state, static_cast<std::uint8_t>(who), proposer, events);
     }
-    addFaults(who, mover.isBusy(0) || mover.isBusy(1), mover.copies());
+    addFaults(who, mover.isBusy(0) || mover.isBusy(1), mover.replicas());
   }
 }
 
@@ -95,10 +95,10 @@
 void World::addMoverSteps(const State& state, std::size_t mover, std::vector<Event>* events) const {
   const Mover& daemon = movers_[state.movers[mover]];
   if (daemon.isBusy(0)) return;
-  const CopySet& copies = daemon.copies();
+  const ReplicaSet& replicas = daemon.replicas();
   Event event = eventOf(Event::Kind::MoverSteps, kMostCallers + mover);
-  const bool mayMove = copies.settled || configuration_->plant == Plant::UnsettledEpoch;
-  const std::size_t index = copies.epoch.value - 1;
+  const bool mayMove = replicas.settled || configuration_->plant == Plant::UnsettledEpoch;
+  const std::size_t index = replicas.epoch.value - 1;
   if (mayMove && index < configuration_->steps.size()) {
     for (std::size_t i = 0; i < configuration_->steps[index].size(); ++i) {
       event.choice = static_cast<std::uint8_t>(i);
@@ -107,16 +107,16 @@
     return;
   }
   events->push_back(event);
-  if (copies.settled) return;
+  if (replicas.settled) return;
   std::uint8_t inside = 0;
   for (std::size_t i = 0; i < configuration_->machines; ++i) {
-    const RegisterCopy& copy = machines_[state.machines[i]].copy();
-    if (copy.copies().epoch == copies.epoch && copy.isMember())
+    const RegisterReplica& replica = machines_[state.machines[i]].replica();
+    if (replica.replicas().epoch == replicas.epoch && replica.isMember())
       inside = static_cast<std::uint8_t>(inside | (1u << i));
   }
   for (unsigned quorum = 1; quorum <= inside; ++quorum) {
     const bool isInside = (quorum & ~static_cast<unsigned>(inside)) == 0;
-    if (!isInside || static_cast<std::size_t>(std::popcount(quorum)) != majorityOf(copies))
+    if (!isInside || static_cast<std::size_t>(std::popcount(quorum)) != majorityOf(replicas))
       continue;
     event.quorum = static_cast<std::uint8_t>(quorum);
     events->push_back(event);
@@ -124,12 +124,12 @@
 }
 
 void World::addMachineEvents(const State& state, std::vector<Event>* events) const {
-  const CopySet& newest = newestSet(state);
+  const ReplicaSet& newest = newestSet(state);
   for (std::size_t i = 0; i < configuration_->machines; ++i) {
-    const RegisterCopy& copy = machines_[state.machines[i]].copy();
+    const RegisterReplica& replica = machines_[state.machines[i]].replica();
     if (state.budgets.restarts > 0) events->push_back(eventOf(Event::Kind::Restart, i));
     if (state.budgets.emptied > 0) events->push_back(eventOf(Event::Kind::Empty, i));
-    if (state.budgets.learns > 0 && isNewer(newest, copy.copies()))
+    if (state.budgets.learns > 0 && isNewer(newest, replica.replicas()))
       events->push_back(eventOf(Event::Kind::ReplicaLearns, i));
   }
 }
--- a/src/model/world_steps.cpp
+++ b/src/model/world_steps.cpp
@@ -7,7 +7,7 @@
 
 namespace {
 // The parts of a mover's argument.
-constexpr std::uint32_t kListed = 1, kListsSpec = 2;
+constexpr std::uint32_t kListed = 1, kListsConfiguration = 2;
 constexpr unsigned kChoiceShift = 4, kStoreShift = 8;
 }  // namespace
 
@@ -64,9 +64,9 @@
       return mover->answer(answers_[argument].body, effects);
     case Event::Kind::MoverSteps: {
       std::optional<std::vector<RegisterKey>> listed;
-      if ((argument & kListed) != 0) listed.emplace({kCopySetKey});
-      if ((argument & kListsSpec) != 0) listed->push_back(kSpecKey);
-      return mover->step(listed, following(mover->copies(), argument), effects);
+      if ((argument & kListed) != 0) listed.emplace({kReplicaSetKey});
+      if ((argument & kListsConfiguration) != 0) listed->push_back(kConfigurationKey);
+      return mover->step(listed, following(mover->replicas(), argument), effects);
     }
     case Event::Kind::Phase:
       return mover->passPhase(event.choice, effects);
@@ -83,12 +83,12 @@
 
 std::uint32_t World::moverArgument(const State& state, const Event& event) const {
   std::uint32_t argument = static_cast<std::uint32_t>(event.choice) << kChoiceShift;
-  const CopySet& copies = movers_[state.movers[event.who - kMostCallers]].copies();
-  const std::size_t index = copies.epoch.value - 1;
+  const ReplicaSet& replicas = movers_[state.movers[event.who - kMostCallers]].replicas();
+  const std::size_t index = replicas.epoch.value - 1;
   if (index < configuration_->steps.size()) {
     const auto& options = configuration_->steps[index];
     const MembershipStep& step = options[event.choice < options.size() ? event.choice : 0];
-    const StoreId store = machines_[state.machines[step.machine]].copy().store();
+    const StoreId store = machines_[state.machines[step.machine]].replica().store();
     argument |= static_cast<std::uint32_t>(store.value) << kStoreShift;
   }
   if (event.quorum == 0) return argument;
@@ -96,24 +96,26 @@
   for (std::size_t i = 0; i < configuration_->machines; ++i) {
     if (((event.quorum >> i) & 1) == 0) continue;
     const auto keys = machines_[state.machines[i]].keys();
-    if (std::find(keys.begin(), keys.end(), kSpecKey) != keys.end()) argument |= kListsSpec;
+    if (std::find(keys.begin(), keys.end(), kConfigurationKey) != keys.end())
+      argument |= kListsConfiguration;
   }
   return argument;
 }
 
-std::optional<CopySet> World::following(const CopySet& copies, std::uint32_t argument) const {
-  const std::size_t index = copies.epoch.value - 1;
+std::optional<ReplicaSet> World::following(const ReplicaSet& replicas,
+                                           std::uint32_t argument) const {
+  const std::size_t index = replicas.epoch.value - 1;
   if (index >= configuration_->steps.size()) return std::nullopt;
   const auto& options = configuration_->steps[index];
   const std::uint32_t choice = (argument >> kChoiceShift) & 0xf;
   if (choice >= options.size()) return std::nullopt;
   const MembershipStep& step = options[choice];
   const Address address{"m" + std::to_string(step.machine + 1)};
-  CopySet next = copies;
-  next.epoch = Epoch{copies.epoch.value + 1};
+  ReplicaSet next = replicas;
+  next.epoch = Epoch{replicas.epoch.value + 1};
   next.settled = false;
   if (step.kind == MembershipStep::Kind::Join) {
-    const CopyMember joining{StoreId{argument >> kStoreShift}, address};
+    const ReplicaMember joining{StoreId{argument >> kStoreShift}, address};
     if (std::find(next.members.begin(), next.members.end(), joining) != next.members.end())
       return std::nullopt;
     next.members.push_back(joining);
@@ -122,7 +124,7 @@
   }
   const auto leaving = std::find_if(
       next.members.begin(), next.members.end(),
-      [&](const CopyMember& member) { return member.store == StoreId{step.machine + 1}; });
+      [&](const ReplicaMember& member) { return member.store == StoreId{step.machine + 1}; });
   if (leaving == next.members.end()) return std::nullopt;
   next.members.erase(leaving);
   return next;
--- a/src/model/world_symmetry.cpp
+++ b/src/model/world_symmetry.cpp
@@ -31,7 +31,7 @@
 // One whose disk was emptied is no member any more.
 bool World::isAlike(const State& state, std::size_t machine) const {
   return !isNamed_[machine] &&
-         machines_[state.machines[machine]].copy().store() == StoreId{machine + 1};
+         machines_[state.machines[machine]].replica().store() == StoreId{machine + 1};
 }
 
 template <class Daemon>
@@ -74,7 +74,7 @@
       append(&bytes, partsOf(id, movers_[id], &moverParts_).heard[store]);
     }
   }
-  const StoreId store = machines_[state.machines[machine]].copy().store();
+  const StoreId store = machines_[state.machines[machine]].replica().store();
   std::vector<PartId> contents;
   for (const PartId request : state.requests) {
     if (requests_[request].store == store) contents.push_back(contentOfRequest(request));
@@ -104,7 +104,7 @@
       alike.push_back(bytesAbout(state, i));
       continue;
     }
-    const auto store = static_cast<PartId>(machines_[state.machines[i]].copy().store().value);
+    const auto store = static_cast<PartId>(machines_[state.machines[i]].replica().store().value);
     append(&bytes, store);
     bytes += bytesAbout(state, i);
   }
--- a/src/model/world_words.cpp
+++ b/src/model/world_words.cpp
@@ -18,11 +18,11 @@
 
 std::string machineName(std::size_t index) { return "replica " + std::to_string(index + 1); }
 
-std::string setName(const CopySet& copies) {
-  std::string text = "epoch " + std::to_string(copies.epoch.value) + " {";
-  for (const CopyMember& member : copies.members)
+std::string setName(const ReplicaSet& replicas) {
+  std::string text = "epoch " + std::to_string(replicas.epoch.value) + " {";
+  for (const ReplicaMember& member : replicas.members)
     text += (text.back() == '{' ? "" : " ") + std::to_string(member.store.value);
-  return text + (copies.settled ? "} settled" : "}");
+  return text + (replicas.settled ? "} settled" : "}");
 }
 
 // The names of the orders in a set, as "a b".
@@ -43,12 +43,12 @@
   const auto& accept = std::get<Accept>(request.body);
   std::string text = "Accept " + nameOf(accept.ballot) + " '" + accept.key.value + "' version " +
                      std::to_string(accept.value.version);
-  CopySet copies;
-  if (accept.key == kSpecKey)
+  ReplicaSet replicas;
+  if (accept.key == kConfigurationKey)
     text += " with " +
             ordersName(ordersIn(accept.value.body, configuration_->orders), configuration_->orders);
-  else if (decodeValue(accept.value.body, &copies))
-    text += " " + setName(copies);
+  else if (decodeValue(accept.value.body, &replicas))
+    text += " " + setName(replicas);
   return text + store;
 }
 
--- a/src/net/asio.h
+++ b/src/net/asio.h
@@ -23,7 +23,7 @@
 using asio::use_awaitable;
 using Tcp = asio::ip::tcp;
 using ErrorCode = boost::system::error_code;
-using Circuit = beast::tcp_stream;
+using Connection = beast::tcp_stream;
 
 inline asio::redirect_error_t<std::decay_t<decltype(use_awaitable)>> into(ErrorCode& code) {
   return asio::redirect_error(use_awaitable, code);
@@ -31,7 +31,7 @@
 
 Tcp::endpoint endpointOf(const Address& address);
 
-// Opens, binds and listens; the defect names the address and the remedy.
+// Opens, binds and listens; the error names the address and the remedy.
 absl::Status listenAt(Tcp::acceptor& acceptor, const Address& address, int backlog);
 
 // Waits on the executor's own timer.
--- a/src/net/disk.cpp
+++ b/src/net/disk.cpp
@@ -19,10 +19,10 @@
 }
 }  // namespace
 
-Disk::Disk(DiskBoot boot, ReadAnew readAnew)
-    : boot_(std::move(boot)), readAnew_(std::move(readAnew)) {
-  env_ = syncedFolderEnv(boot_.files.env ? boot_.files : systemFiles());
-  if (!boot_.dragFile.empty()) dragged_ = draggedEnv(boot_.dragFile, env_.get());
+Disk::Disk(DiskSettings settings, ReadAnew readAnew)
+    : settings_(std::move(settings)), readAnew_(std::move(readAnew)) {
+  env_ = syncedFolderEnv(settings_.files.env ? settings_.files : systemFiles());
+  if (!settings_.dragFile.empty()) dragged_ = draggedEnv(settings_.dragFile, env_.get());
 }
 
 Disk::~Disk() {
@@ -56,10 +56,10 @@
   leveldb::Options options;
   options.create_if_missing = true;
   options.paranoid_checks = strictly;
-  options.write_buffer_size = boot_.writeBuffer;
+  options.write_buffer_size = settings_.writeBuffer;
   options.env = dragged_ ? dragged_.get() : env_.get();
   leveldb::DB* db = nullptr;
-  auto status = leveldb::DB::Open(options, boot_.folder + "/register", &db);
+  auto status = leveldb::DB::Open(options, settings_.folder + "/register", &db);
   if (status.IsCorruption()) return damaged(status.ToString());
   if (!status.ok() && status.ToString().find("lock") != std::string::npos)
     return absl::FailedPreconditionError("data folder: " + status.ToString() +
@@ -129,15 +129,15 @@
     if (waits) firstRows_ = rows;
   }
   wake_.notify_all();
-  defect_ = status;
+  error_ = status;
   if (waits || !status.ok()) return;
-  defect_ = absl::UnavailableError("the rows of a late opening are not taken yet");
+  error_ = absl::UnavailableError("the rows of a late opening are not taken yet");
   told_ = true;
   readAnew_(*rows);
 }
 
 void Disk::openAnew() {
-  nextOpening_ = BootClock::now() + boot_.retryEvery;
+  nextOpening_ = BootClock::now() + settings_.retryEvery;
   db_.reset();
   told_ = openFolder().ok();
   if (told_) readAnew_(std::move(rows_));
@@ -154,8 +154,8 @@
 void Disk::resume() { write({}, nullptr); }
 
 void Disk::sync(const std::deque<Job>& batch) {
-  if (defect_.ok()) put(batch);
-  for (const Job& job : batch) job.done(defect_);
+  if (error_.ok()) put(batch);
+  for (const Job& job : batch) job.done(error_);
 }
 
 void Disk::put(const std::deque<Job>& batch) {
@@ -174,7 +174,7 @@
   options.sync = true;
   const auto status = db_->Write(options, &changes);
   if (status.ok()) return;
-  defect_ = absl::DataLossError(status.ToString());
+  error_ = absl::DataLossError(status.ToString());
   told_ = false;
 }
 
@@ -184,10 +184,10 @@
     {
       std::unique_lock lock(mutex_);
       const auto woken = [this] { return stopping_ || !jobs_.empty(); };
-      if (defect_.ok() || told_)
+      if (error_.ok() || told_)
         wake_.wait(lock, woken);
       else
-        wake_.wait_for(lock, boot_.retryEvery, woken);
+        wake_.wait_for(lock, settings_.retryEvery, woken);
       if (stopping_ && jobs_.empty()) return;
       // A batch ends before a mark, so that what came earlier fails and what comes later is kept.
       while (!jobs_.empty() && jobs_.front().done) {
@@ -196,12 +196,12 @@
       }
       if (batch.empty() && !jobs_.empty()) {
         jobs_.pop_front();
-        if (told_) defect_ = absl::OkStatus();
+        if (told_) error_ = absl::OkStatus();
         told_ = false;
       }
     }
     sync(batch);
-    if (!defect_.ok() && !told_ && BootClock::now() >= nextOpening_) openAnew();
+    if (!error_.ok() && !told_ && BootClock::now() >= nextOpening_) openAnew();
   }
 }
 
--- a/src/net/disk.h
+++ b/src/net/disk.h
@@ -16,7 +16,7 @@
 
 #include "base/clock.h"
 #include "net/synced_folder_env.h"
-#include "register/copy.h"
+#include "register/replica.h"
 
 namespace leveldb {
 class DB;
@@ -29,7 +29,7 @@
 // about 13 tables and two logs of up to 2 MB each; and an opening has little to read.
 inline constexpr std::size_t kWriteBuffer = 1 << 20;
 
-struct DiskBoot {
+struct DiskSettings {
   std::string folder;
   std::string dragFile;                        // "" but in runs with a slow disk
   std::chrono::milliseconds retryEvery{1000};  // how often a defective disk is opened anew
@@ -43,13 +43,13 @@
   using Rows = std::map<std::string, std::string>;
   // Told on the disk's thread, each time that a defective folder was opened and read anew.
   using ReadAnew = std::function<void(Rows)>;
-  Disk(DiskBoot boot, ReadAnew readAnew);
+  Disk(DiskSettings settings, ReadAnew readAnew);
   ~Disk();
   // The rows kept; nothing where the folder can't be written now (full) or takes over a second
   // (stalled): the rows come by readAnew then. An error is for the operator: a folder that is
   // damaged, or in use by another process.
   absl::StatusOr<std::optional<Rows>> open();
-  // `done` is called on the disk's thread, after the sync. After one defect every later call fails
+  // `done` is called on the disk's thread, after the sync. After one error every later call fails
   // until the folder was read anew and the reader, who has taken those rows, said resume.
   void write(std::vector<DiskWrite> writes, Done done);
   void resume();
@@ -72,14 +72,14 @@
   // Adds a row's hash to the sum, in place of that of the row it replaces.
   void countRow(const DiskWrite& write);
 
-  DiskBoot boot_;
+  DiskSettings settings_;
   ReadAnew readAnew_;
   std::unique_ptr<leveldb::Env> env_;
   std::unique_ptr<leveldb::Env> dragged_;  // null but in runs with a slow disk
   std::unique_ptr<leveldb::DB> db_;        // null while the folder can't be opened
   std::mutex mutex_;
   std::condition_variable wake_;
-  std::deque<Job> jobs_;  // bounded by the core's limit on copy work
+  std::deque<Job> jobs_;  // bounded by the core's limit on replica work
   bool stopping_ = false;
   // What the first opening came to, and whether open() still waits for it.
   std::optional<absl::Status> firstOpening_;
@@ -91,7 +91,7 @@
   std::uint64_t rowSum_ = 0;
   // Once set, nothing is written until a resume; told_ says that the rows of
   // the present opening were handed over.
-  absl::Status defect_;
+  absl::Status error_;
   bool told_ = false;
   Instant nextOpening_{};
   std::thread thread_;
--- a/src/net/http.cpp
+++ b/src/net/http.cpp
@@ -8,9 +8,9 @@
 
 Tcp::endpoint endpointOf(const Address& address) {
   const auto colon = address.value.rfind(':');
-  ErrorCode defect;
-  const auto ip = asio::ip::make_address(address.value.substr(0, colon), defect);
-  if (defect || colon == std::string::npos) return {};
+  ErrorCode error;
+  const auto ip = asio::ip::make_address(address.value.substr(0, colon), error);
+  if (error || colon == std::string::npos) return {};
   return {ip, static_cast<unsigned short>(std::atoi(address.value.c_str() + colon + 1))};
 }
 
@@ -34,17 +34,17 @@
 }
 
 awaitable<absl::StatusOr<HttpResponse>> httpCall(HttpCall call) {
-  Circuit circuit(co_await asio::this_coro::executor);
+  Connection connection(co_await asio::this_coro::executor);
   // One expiry for everything below: it is never pushed back, so a dripping peer can't stretch it.
-  circuit.expires_after(call.due);
+  connection.expires_after(call.due);
   ErrorCode code;
   if (!call.from.value.empty()) {
-    circuit.socket().open(Tcp::v4(), code);
+    connection.socket().open(Tcp::v4(), code);
     const Tcp::endpoint from(endpointOf(call.from).address(), 0);
-    circuit.socket().bind(from, code);
+    connection.socket().bind(from, code);
   }
   const Tcp::endpoint endpoint = endpointOf(call.to);
-  co_await circuit.async_connect(endpoint, into(code));
+  co_await connection.async_connect(endpoint, into(code));
   if (code) co_return absl::UnavailableError("connect: " + code.message());
   if (call.sendBefore && BootClock::now() > *call.sendBefore)
     co_return absl::DeadlineExceededError("connect: it took too long to send after it");
@@ -54,25 +54,25 @@
   for (const auto& [name, value] : call.headers) request.set(name, value);
   request.body() = std::move(call.body);
   request.prepare_payload();
-  co_await http::async_write(circuit, request, into(code));
+  co_await http::async_write(connection, request, into(code));
   if (code) co_return absl::UnknownError("send: " + code.message());
   beast::flat_buffer buffer;
   http::response_parser<http::string_body> parser;
   parser.body_limit(call.bodyLimit);
-  co_await http::async_read(circuit, buffer, parser, into(code));
+  co_await http::async_read(connection, buffer, parser, into(code));
   if (code) co_return absl::UnknownError("answer: " + code.message());
   co_return parser.release();
 }
 
-HttpServer::HttpServer(asio::io_context& io, HttpServerBoot boot, HttpHandler handler)
+HttpServer::HttpServer(asio::io_context& io, HttpServerSettings settings, HttpHandler handler)
     : io_(io),
-      boot_(std::move(boot)),
+      settings_(std::move(settings)),
       handler_(std::move(handler)),
       acceptor_(asio::make_strand(io)),
-      circuits_(std::make_shared<std::atomic<std::size_t>>(0)) {}
+      connections_(std::make_shared<std::atomic<std::size_t>>(0)) {}
 
 absl::Status HttpServer::start() {
-  if (auto status = listenAt(acceptor_, boot_.listen, 512); !status.ok()) return status;
+  if (auto status = listenAt(acceptor_, settings_.listen, 512); !status.ok()) return status;
   asio::co_spawn(acceptor_.get_executor(), accept(), asio::detached);
   return absl::OkStatus();
 }
@@ -96,14 +96,14 @@
       co_await pauseFor(10ms);  // out of descriptors: let some go
       continue;
     }
-    if (circuits_->load() >= boot_.circuitLimit) continue;  // closes it
+    if (connections_->load() >= settings_.connectionLimit) continue;  // closes it
     asio::co_spawn(executor, serve(std::move(socket)), asio::detached);
   }
 }
 
 // Waits for the next request's first byte, in short steps so that a stop is seen.
 awaitable<bool> HttpServer::waitReadable(Tcp::socket& socket) {
-  const Instant idleDue = BootClock::now() + boot_.idleDue;
+  const Instant idleDue = BootClock::now() + settings_.idleDue;
   asio::steady_timer step(co_await asio::this_coro::executor);
   while (!stopping_ && BootClock::now() < idleDue) {
     step.expires_after(250ms);
@@ -128,44 +128,44 @@
       ++*count;
     }
     ~Counted() { --*count; }
-  } counted(circuits_);
+  } counted(connections_);
   ErrorCode code;
   socket.set_option(Tcp::no_delay(true), code);
-  Circuit circuit(std::move(socket));
+  Connection connection(std::move(socket));
   beast::flat_buffer buffer;
   while (!stopping_) {
     http::request_parser<http::string_body> parser;
-    parser.body_limit(boot_.bodyLimit);
-    parser.header_limit(static_cast<std::uint32_t>(boot_.headerLimit));
+    parser.body_limit(settings_.bodyLimit);
+    parser.header_limit(static_cast<std::uint32_t>(settings_.headerLimit));
     if (buffer.size() == 0) {
-      const bool readable = co_await waitReadable(circuit.socket());
+      const bool readable = co_await waitReadable(connection.socket());
       if (!readable) co_return;
     }
-    circuit.expires_after(boot_.readDue);
-    co_await http::async_read(circuit, buffer, parser, into(code));
+    connection.expires_after(settings_.readDue);
+    co_await http::async_read(connection, buffer, parser, into(code));
     if (code == http::error::end_of_stream) co_return;
     if (code) {
-      if (code == beast::error::timeout || !circuit.socket().is_open()) co_return;
+      if (code == beast::error::timeout || !connection.socket().is_open()) co_return;
       const bool large = code == http::error::body_limit || code == http::error::header_limit;
       HttpResponse response =
-          defectResponse({large ? DefectKind::Oversize : DefectKind::MalformedRequest,
-                          "the request can't be read (" + code.message() + ")"});
+          errorResponse({large ? ErrorKind::Oversize : ErrorKind::MalformedRequest,
+                         "the request can't be read (" + code.message() + ")"});
       response.keep_alive(false);
-      circuit.expires_after(2s);
-      co_await http::async_write(circuit, response, into(code));
+      connection.expires_after(2s);
+      co_await http::async_write(connection, response, into(code));
       co_return;
     }
     HttpRequest request = parser.release();
     const bool keepAlive = request.keep_alive();
-    std::optional<HttpResponse> response = co_await handler_(circuit, request);
+    std::optional<HttpResponse> response = co_await handler_(connection, request);
     if (!response) co_return;
     response->version(11);
     response->keep_alive(keepAlive && !stopping_);
     response->prepare_payload();
-    circuit.expires_after(boot_.readDue);
-    co_await http::async_write(circuit, *response, into(code));
+    connection.expires_after(settings_.readDue);
+    co_await http::async_write(connection, *response, into(code));
     if (code || !response->keep_alive()) {
-      circuit.socket().shutdown(Tcp::socket::shutdown_send, code);
+      connection.socket().shutdown(Tcp::socket::shutdown_send, code);
       co_return;
     }
   }
@@ -185,9 +185,9 @@
   return response;
 }
 
-HttpResponse defectResponse(const Defect& defect) {
-  return jsonResponse(static_cast<unsigned>(httpStatus(defect.kind)),
-                      {{"defect", defectName(defect.kind)}, {"message", message(defect)}});
+HttpResponse errorResponse(const Error& error) {
+  return jsonResponse(static_cast<unsigned>(httpStatus(error.kind)),
+                      {{"defect", errorName(error.kind)}, {"message", message(error)}});
 }
 
 std::string pathOf(const HttpRequest& request) {
--- a/src/net/http.h
+++ b/src/net/http.h
@@ -8,7 +8,7 @@
 #include <memory>
 #include <nlohmann/json.hpp>
 
-#include "base/defect.h"
+#include "base/error.h"
 #include "net/asio.h"
 
 namespace quayrill {
@@ -31,26 +31,27 @@
 
 awaitable<absl::StatusOr<HttpResponse>> httpCall(HttpCall call);
 
-// Answers one request. A handler that streams writes to the circuit itself and returns nullopt;
-// the circuit is then closed.
-using HttpHandler = std::function<awaitable<std::optional<HttpResponse>>(Circuit&, HttpRequest&)>;
+// Answers one request. A handler that streams writes to the connection itself and returns nullopt;
+// the connection is then closed.
+using HttpHandler =
+    std::function<awaitable<std::optional<HttpResponse>>(Connection&, HttpRequest&)>;
 
-struct HttpServerBoot {
+struct HttpServerSettings {
   Address listen;
   std::size_t bodyLimit = 1 << 20;
   std::size_t headerLimit = 16 << 10;
-  std::size_t circuitLimit = 4096;
+  std::size_t connectionLimit = 4096;
   Span readDue = std::chrono::seconds(10);
   Span idleDue = std::chrono::seconds(60);
 };
 
 class HttpServer {
  public:
-  HttpServer(asio::io_context& io, HttpServerBoot boot, HttpHandler handler);
+  HttpServer(asio::io_context& io, HttpServerSettings settings, HttpHandler handler);
   absl::Status start();
-  // No new circuits; those that wait for a next request are closed, the others finish.
+  // No new connections; those that wait for a next request are closed, the others finish.
   void stopAccepting();
-  std::size_t circuits() const { return circuits_->load(); }
+  std::size_t connections() const { return connections_->load(); }
 
  private:
   awaitable<void> accept();
@@ -58,16 +59,16 @@
   awaitable<void> serve(Tcp::socket socket);
 
   asio::io_context& io_;
-  HttpServerBoot boot_;
+  HttpServerSettings settings_;
   HttpHandler handler_;
   Tcp::acceptor acceptor_;
-  std::shared_ptr<std::atomic<std::size_t>> circuits_;
+  std::shared_ptr<std::atomic<std::size_t>> connections_;
   std::atomic<bool> stopping_{false};
 };
 
 HttpResponse jsonResponse(unsigned status, const nlohmann::json& body);
 HttpResponse textResponse(unsigned status, std::string body);
-HttpResponse defectResponse(const Defect& defect);
+HttpResponse errorResponse(const Error& error);
 
 // The target's path, and one value of its query.
 std::string pathOf(const HttpRequest& request);
--- a/src/net/model_server.cpp
+++ b/src/net/model_server.cpp
@@ -44,11 +44,11 @@
     state.queued = json->at("queued").get<std::uint32_t>();
     state.slots = json->at("slots").get<std::uint32_t>();
     state.cacheTokens = json->at("cache_tokens").get<std::uint64_t>();
-    state.sound = json->at("state").get<std::string>() == "ready";
+    state.healthy = json->at("state").get<std::string>() == "ready";
     state.polledAt = askedAt;
     co_return state;
-  } catch (const std::exception& defect) {
-    co_return absl::DataLossError(defect.what());
+  } catch (const std::exception& error) {
+    co_return absl::DataLossError(error.what());
   }
 }
 
@@ -85,8 +85,8 @@
       result.events.push_back(std::move(event));
     }
     co_return result;
-  } catch (const std::exception& defect) {
-    co_return absl::DataLossError(defect.what());
+  } catch (const std::exception& error) {
+    co_return absl::DataLossError(error.what());
   }
 }
 
@@ -135,8 +135,8 @@
                          row.at("zone").get<std::string>(), row.at("state") != "live"});
     }
     co_return servers;
-  } catch (const std::exception& defect) {
-    co_return absl::DataLossError(defect.what());
+  } catch (const std::exception& error) {
+    co_return absl::DataLossError(error.what());
   }
 }
 
--- a/src/net/model_server.h
+++ b/src/net/model_server.h
@@ -2,8 +2,8 @@
 // Every detail of the model servers' wire, in one place: it may change.
 #include <optional>
 
-#include "cohort/messages.h"
 #include "net/http.h"
+#include "peers/messages.h"
 #include "placement/placement.h"
 
 namespace quayrill {
--- a/src/net/cohort_link.cpp
+++ b/src/net/peer_link.cpp
@@ -1,4 +1,4 @@
-#include "net/cohort_link.h"
+#include "net/peer_link.h"
 
 #include <netinet/in.h>
 #include <netinet/tcp.h>
@@ -22,20 +22,20 @@
 }
 }  // namespace
 
-CohortLink::CohortLink(asio::io_context& io, Address self, Address via, Receiver receiver)
+PeerLink::PeerLink(asio::io_context& io, Address self, Address via, Receiver receiver)
     : io_(io),
       self_(std::move(self)),
       via_(std::move(via)),
       receiver_(std::move(receiver)),
       acceptor_(io) {}
 
-absl::Status CohortLink::start() {
+absl::Status PeerLink::start() {
   if (auto status = listenAt(acceptor_, self_, 256); !status.ok()) return status;
   asio::co_spawn(io_, accept(), asio::detached);
   return absl::OkStatus();
 }
 
-awaitable<void> CohortLink::accept() {
+awaitable<void> PeerLink::accept() {
   for (;;) {
     ErrorCode code;
     Tcp::socket socket(io_);
@@ -48,29 +48,29 @@
   }
 }
 
-awaitable<void> CohortLink::receive(Tcp::socket socket) {
-  Circuit circuit(std::move(socket));
+awaitable<void> PeerLink::receive(Tcp::socket socket) {
+  Connection connection(std::move(socket));
   for (;;) {
     ErrorCode code;
     unsigned char head[4];
-    circuit.expires_after(60s);
-    co_await asio::async_read(circuit, asio::buffer(head), into(code));
+    connection.expires_after(60s);
+    co_await asio::async_read(connection, asio::buffer(head), into(code));
     if (code) co_return;
     const std::uint32_t size =
         static_cast<std::uint32_t>(head[0]) | static_cast<std::uint32_t>(head[1]) << 8 |
         static_cast<std::uint32_t>(head[2]) << 16 | static_cast<std::uint32_t>(head[3]) << 24;
     if (size > kFrameLimit) co_return;
     std::string bytes(size, '\0');
-    circuit.expires_after(5s);
-    co_await asio::async_read(circuit, asio::buffer(bytes), into(code));
+    connection.expires_after(5s);
+    co_await asio::async_read(connection, asio::buffer(bytes), into(code));
     if (code) co_return;
     auto envelope = decodeEnvelope(bytes);
-    if (!envelope.ok()) co_return;  // the sender opens a fresh circuit
+    if (!envelope.ok()) co_return;  // the sender opens a fresh connection
     if (envelope->to == self_) receiver_(std::move(*envelope));
   }
 }
 
-void CohortLink::send(const Envelope& envelope) {
+void PeerLink::send(const Envelope& envelope) {
   if (envelope.to == self_) {
     asio::post(io_, [this, envelope] { receiver_(envelope); });
     return;
@@ -96,24 +96,24 @@
   }
 }
 
-awaitable<void> CohortLink::drain(Address to, std::shared_ptr<Lane> lane) {
-  Circuit circuit(io_);
+awaitable<void> PeerLink::drain(Address to, std::shared_ptr<Lane> lane) {
+  Connection connection(io_);
   ErrorCode code;
-  circuit.expires_after(kConnectDue);
-  circuit.socket().open(Tcp::v4(), code);
+  connection.expires_after(kConnectDue);
+  connection.socket().open(Tcp::v4(), code);
   // A machine without power answers nothing: what is sent there must not wait for hours.
   using UserTimeout = asio::detail::socket_option::integer<IPPROTO_TCP, TCP_USER_TIMEOUT>;
-  circuit.socket().set_option(UserTimeout(kUserTimeoutMs), code);
+  connection.socket().set_option(UserTimeout(kUserTimeoutMs), code);
   const Tcp::endpoint from(endpointOf(self_).address(), 0);
-  circuit.socket().bind(from, code);
+  connection.socket().bind(from, code);
   const Tcp::endpoint endpoint = endpointOf(via_.value.empty() ? to : via_);
-  co_await circuit.async_connect(endpoint, into(code));
+  co_await connection.async_connect(endpoint, into(code));
   if (!code && !via_.value.empty()) {
-    // A relay is told whose circuit this is and where it leads.
+    // A relay is told whose connection this is and where it leads.
     const std::string line = self_.value + " " + to.value + "\n";
-    co_await asio::async_write(circuit, asio::buffer(line), into(code));
+    co_await asio::async_write(connection, asio::buffer(line), into(code));
   }
-  if (!code) circuit.socket().set_option(Tcp::no_delay(true), code);
+  if (!code) connection.socket().set_option(Tcp::no_delay(true), code);
   while (!code) {
     if (lane->frames.empty()) {
       lane->wake.expires_after(30s);
@@ -123,8 +123,8 @@
     }
     const std::string frame = std::move(lane->frames.front());
     lane->frames.pop_front();
-    circuit.expires_after(2s);
-    co_await asio::async_write(circuit, asio::buffer(frame), into(code));
+    connection.expires_after(2s);
+    co_await asio::async_write(connection, asio::buffer(frame), into(code));
   }
   if (code) {
     dropped_ += lane->frames.size();
--- a/src/net/cohort_link.h
+++ b/src/net/peer_link.h
@@ -1,28 +1,28 @@
 #pragma once
-// Carries envelopes between daemons: frames over TCP, one circuit each way, lossy by contract.
-// A full queue or a broken circuit drops envelopes; the control logic is built for that.
+// Carries envelopes between daemons: frames over TCP, one connection each way, lossy by policy.
+// A full queue or a broken connection drops envelopes; the control logic is built for that.
 #include <deque>
 #include <functional>
 #include <map>
 #include <memory>
 
-#include "cohort/messages.h"
 #include "net/asio.h"
+#include "peers/messages.h"
 
 namespace quayrill {
 
 inline constexpr std::size_t kFrameLimit = 8 << 20;
 
-class CohortLink {
+class PeerLink {
  public:
   using Receiver = std::function<void(Envelope)>;
-  CohortLink(asio::io_context& io, Address self, Address via, Receiver receiver);
+  PeerLink(asio::io_context& io, Address self, Address via, Receiver receiver);
   absl::Status start();
   void send(const Envelope& envelope);
   std::uint64_t dropped() const { return dropped_; }
 
  private:
-  // Frames wait here for one circuit; past kQueueLimit new ones are dropped.
+  // Frames wait here for one connection; past kQueueLimit new ones are dropped.
   struct Lane {
     std::deque<std::string> frames;
     bool running = false;
--- a/src/net/precompiled.h
+++ b/src/net/precompiled.h
@@ -2,5 +2,5 @@
 // Compiled once for all sources of the shells: what takes longest to read.
 #include <nlohmann/json.hpp>
 
-#include "cohort/messages.h"
 #include "net/asio.h"
+#include "peers/messages.h"
--- a/src/operator/fleet_tables.h
+++ b/src/operator/fleet_tables.h
@@ -15,7 +15,7 @@
 };
 
 // `read` answers a path of the operator API with its JSON; a table is read only where the query
-// names it. Nothing but reading is allowed; a defect names the remedy.
+// names it. Nothing but reading is allowed; a error names the remedy.
 using ReadPath = std::function<absl::StatusOr<nlohmann::json>(const std::string& path)>;
 absl::StatusOr<TableText> queryFleet(const std::string& sql, const ReadPath& read);
 
--- a/src/operator/vostok.cpp
+++ b/src/operator/quayrillctl.cpp
@@ -1,34 +1,34 @@
-// vostok: the operator's command line.
+// quayrillctl: the operator's command line.
 #include <docopt/docopt.h>
 
 #include <fstream>
 #include <iostream>
 
 #include "base/digest.h"
-#include "boot/boot.h"
 #include "net/http.h"
 #include "operator/fleet_tables.h"
+#include "settings/settings.h"
 
 namespace {
 using namespace quayrill;
 using namespace std::chrono_literals;
 using Json = nlohmann::json;
 
-constexpr char kUsage[] = R"(vostok: talks to a quayrill fleet. Any daemon will do.
+constexpr char kUsage[] = R"(quayrillctl: talks to a quayrill fleet. Any daemon will do.
 
 Usage:
-  vostok [--daemon=ADDR] [--json] spec get
-  vostok [--daemon=ADDR] [--json] spec put FILE --expect=VERSION
-  vostok [--daemon=ADDR] [--json] spec patch FILE [--expect=VERSION]
-  vostok [--daemon=ADDR] [--json] key add TENANT SECRET
-  vostok [--daemon=ADDR] [--json] key withdraw TENANT SECRET
-  vostok [--daemon=ADDR] [--json] weights name MODEL VERSION
-  vostok [--daemon=ADDR] [--json] members
-  vostok [--daemon=ADDR] [--json] query SQL
-  vostok [--daemon=ADDR] [--json] refound [--spec=FILE] [--confirm=FLEET]
-  vostok [--daemon=ADDR] [--json] decisions [--from=POSITION] [--callers=ADDR] [--follow]
-  vostok [--json] explain REQUEST
-  vostok --help | --version
+  quayrillctl [--daemon=ADDR] [--json] spec get
+  quayrillctl [--daemon=ADDR] [--json] spec put FILE --expect=VERSION
+  quayrillctl [--daemon=ADDR] [--json] spec patch FILE [--expect=VERSION]
+  quayrillctl [--daemon=ADDR] [--json] key add TENANT SECRET
+  quayrillctl [--daemon=ADDR] [--json] key withdraw TENANT SECRET
+  quayrillctl [--daemon=ADDR] [--json] weights name MODEL VERSION
+  quayrillctl [--daemon=ADDR] [--json] members
+  quayrillctl [--daemon=ADDR] [--json] query SQL
+  quayrillctl [--daemon=ADDR] [--json] refound [--spec=FILE] [--confirm=FLEET]
+  quayrillctl [--daemon=ADDR] [--json] decisions [--from=POSITION] [--callers=ADDR] [--follow]
+  quayrillctl [--json] explain REQUEST
+  quayrillctl --help | --version
 
 Options:
   --daemon=ADDR      Operator address of a daemon [default: 127.0.0.1:7101].
@@ -74,15 +74,15 @@
   if (!response.ok()) {
     const bool sent = response.status().code() != absl::StatusCode::kUnavailable;
     const bool changes = verb != http::verb::get;
-    std::cerr << "vostok: " << to.value << ": " << response.status().message() << ": "
-              << (sent && changes ? "read the spec to see whether the change was made"
+    std::cerr << "quayrillctl: " << to.value << ": " << response.status().message() << ": "
+              << (sent && changes ? "read the configuration to see whether the change was made"
                                   : "name another daemon with --daemon")
               << "\n";
     return {sent && changes ? kUnknownExit : kUnreachable, {}};
   }
   if (response->result_int() == 200) return {kDone, *response};
   const Json json = Json::parse(response->body(), nullptr, false);
-  std::cerr << "vostok: "
+  std::cerr << "quayrillctl: "
             << (json.is_object() ? json.value("message", response->body()) : response->body())
             << "\n";
   return {response->result_int() == 504 ? kUnknownExit : kTurnedAway, *response};
@@ -91,18 +91,18 @@
 struct Held {
   int exit = kDone;
   std::uint64_t version = 0;
-  Json spec;
+  Json configuration;
 };
 
-Held readSpec(const Address& daemon) {
+Held readConfiguration(const Address& daemon) {
   const Answer answer = call(daemon, http::verb::get, "/q/spec?settled=1");
   if (answer.exit != kDone) return {answer.exit, 0, {}};
   const Json json = Json::parse(answer.response.body());
   return {kDone, json["version"].get<std::uint64_t>(), json["spec"]};
 }
 
-int sendSpec(const Address& daemon, http::verb verb, std::uint64_t expect, const std::string& body,
-             bool json) {
+int sendConfiguration(const Address& daemon, http::verb verb, std::uint64_t expect,
+                      const std::string& body, bool json) {
   const Answer answer = call(daemon, verb, "/q/spec?expect=" + std::to_string(expect), body);
   if (answer.exit != kDone) return answer.exit;
   if (json)
@@ -122,26 +122,27 @@
 
 int changeKey(const Address& daemon, const std::string& tenant, const std::string& secret, bool add,
               bool json) {
-  const Held held = readSpec(daemon);
+  const Held held = readConfiguration(daemon);
   if (held.exit != kDone) return held.exit;
-  if (!held.spec["tenants"].contains(tenant)) {
-    std::cerr << "vostok: no tenant '" << tenant << "': add it with spec patch first\n";
+  if (!held.configuration["tenants"].contains(tenant)) {
+    std::cerr << "quayrillctl: no tenant '" << tenant
+              << "': add it with configuration patch first\n";
     return kTurnedAway;
   }
   const std::string digest = keyDigest(secret);
   Json keys = Json::array();
   bool found = false;
-  for (const auto& key : held.spec["tenants"][tenant].value("keys", Json::array())) {
+  for (const auto& key : held.configuration["tenants"][tenant].value("keys", Json::array())) {
     found = found || key == digest;
     if (add || key != digest) keys.push_back(key);
   }
   if (!add && !found) {
-    std::cerr << "vostok: that is no key of '" << tenant << "': nothing was withdrawn\n";
+    std::cerr << "quayrillctl: that is no key of '" << tenant << "': nothing was withdrawn\n";
     return kTurnedAway;
   }
   if (add && !found) keys.push_back(digest);
   const Json patch{{"tenants", {{tenant, {{"keys", keys}}}}}};
-  return sendSpec(daemon, http::verb::patch, held.version, patch.dump(), json);
+  return sendConfiguration(daemon, http::verb::patch, held.version, patch.dump(), json);
 }
 
 int showMembers(const Address& daemon, bool json) {
@@ -154,12 +155,13 @@
   const Json all = Json::parse(answer.response.body());
   for (const auto& row : all["members"])
     std::cout << row["cohort"].get<std::string>() << "  " << row["zone"].get<std::string>()
-              << "  spec " << row["spec_in_force"] << (row["leaving"] == true ? "  leaving" : "")
-              << (row["store"] != 0 ? "  disk" : "") << "\n";
-  const Json& copies = all["copies"];
-  std::cout << "fleet " << copies["fleet"] << ", register copies, epoch " << copies["epoch"]
-            << (copies["settled"] == true ? "" : ", being settled") << ":";
-  for (const auto& row : copies["members"]) std::cout << " " << row["cohort"].get<std::string>();
+              << "  configuration " << row["spec_in_force"]
+              << (row["leaving"] == true ? "  leaving" : "") << (row["store"] != 0 ? "  disk" : "")
+              << "\n";
+  const Json& replicas = all["copies"];
+  std::cout << "fleet " << replicas["fleet"] << ", register replicas, epoch " << replicas["epoch"]
+            << (replicas["settled"] == true ? "" : ", being settled") << ":";
+  for (const auto& row : replicas["members"]) std::cout << " " << row["cohort"].get<std::string>();
   std::cout << "\n";
   return kDone;
 }
@@ -197,7 +199,7 @@
   });
   if (unread != kDone) return unread;
   if (!table.ok()) {
-    std::cerr << "vostok: " << table.status().message() << "\n";
+    std::cerr << "quayrillctl: " << table.status().message() << "\n";
     return kUsageExit;
   }
   for (std::size_t i = 0; !json && i < table->columns.size(); ++i)
@@ -217,14 +219,14 @@
   return kDone;
 }
 
-// The newest spec that any live daemon serves by, so that as little as can be is lost.
-Json newestSpec(const Json& members, const Address& daemon) {
+// The newest configuration that any live daemon serves by, so that as little as can be is lost.
+Json newestConfiguration(const Json& members, const Address& daemon) {
   Json newest;
   std::vector<std::string> asked{daemon.value};
   for (const auto& row : members["members"]) {
-    const std::string cohort = row["cohort"].get<std::string>();
+    const std::string peer = row["cohort"].get<std::string>();
     const std::string port = daemon.value.substr(daemon.value.rfind(':'));
-    asked.push_back(cohort.substr(0, cohort.rfind(':')) + port);
+    asked.push_back(peer.substr(0, peer.rfind(':')) + port);
   }
   for (const std::string& address : asked) {
     const Answer answer = call(Address{address}, http::verb::get, "/q/spec");
@@ -236,34 +238,38 @@
   return newest;
 }
 
-int refound(const Address& daemon, const std::string& file, const std::string& confirm, bool json) {
+int recover(const Address& daemon, const std::string& file, const std::string& confirm, bool json) {
   const Answer known = call(daemon, http::verb::get, "/q/members");
   if (known.exit != kDone) return known.exit;
   const Json all = Json::parse(known.response.body());
   const std::string fleet = all["copies"]["fleet"].dump();
-  const Json spec =
-      file.empty() ? newestSpec(all, daemon) : Json::parse(readFile(file), nullptr, false);
-  if (!spec.is_object() || !spec.contains("version") || !spec.contains("spec")) {
-    std::cerr << "vostok: no daemon that lives serves by a spec, or FILE is none that 'spec get' "
+  const Json configuration =
+      file.empty() ? newestConfiguration(all, daemon) : Json::parse(readFile(file), nullptr, false);
+  if (!configuration.is_object() || !configuration.contains("version") ||
+      !configuration.contains("spec")) {
+    std::cerr << "quayrillctl: no daemon that lives serves by a configuration, or FILE is none "
+                 "that 'configuration get' "
                  "printed: give one with --spec\n";
     return kUsageExit;
   }
   if (confirm != fleet) {
-    std::cerr << "vostok: this gives fleet " << fleet << " up and founds another on "
-              << daemon.value << " with spec version " << spec["version"]
+    std::cerr << "quayrillctl: this gives fleet " << fleet << " up and founds another on "
+              << daemon.value << " with configuration version " << configuration["version"]
               << ". Changes acknowledged after that version are lost for good, and disks of the "
                  "old fleet never vote again: empty them before they join. Do it only when a "
                  "majority of the register's disks can't come back, with --confirm="
               << fleet << "\n";
     return confirm.empty() ? kTurnedAway : kUsageExit;
   }
-  const Answer made = call(daemon, http::verb::post, "/q/refound?confirm=" + fleet, spec.dump());
+  const Answer made =
+      call(daemon, http::verb::post, "/q/refound?confirm=" + fleet, configuration.dump());
   if (made.exit != kDone) return made.exit;
   const Json told = Json::parse(made.response.body());
   if (json)
     std::cout << made.response.body();
   else
-    std::cout << "fleet " << told["fleet"] << " founded, spec version " << told["version"] << "\n";
+    std::cout << "fleet " << told["fleet"] << " founded, configuration version " << told["version"]
+              << "\n";
   return kDone;
 }
 
@@ -279,7 +285,7 @@
             << " pieces, first after " << attempt["first_piece_us"] << " us\n";
   for (const auto& candidate : attempt["candidates"])
     std::cout << "    " << candidate["server"].get<std::string>() << "  held "
-              << candidate["matched_tokens"] << "  burden " << candidate["burden"]
+              << candidate["matched_tokens"] << "  load " << candidate["burden"]
               << (candidate["capped"] == true ? "  over the cap: its match did not count" : "")
               << "\n";
 }
@@ -287,7 +293,7 @@
 int explain(const std::string& id, bool json) {
   const Address daemon{id.substr(0, id.find('/'))};
   if (const auto status = checkAddress("REQUEST", daemon.value); !status.ok()) {
-    std::cerr << "vostok: '" << id << "' is no request id: take it from Quayrill-Request-Id\n";
+    std::cerr << "quayrillctl: '" << id << "' is no request id: take it from Quayrill-Request-Id\n";
     return kUsageExit;
   }
   const Answer answer = call(daemon, http::verb::get, "/q/explain?id=" + id);
@@ -316,10 +322,10 @@
     std::cout << kUsage;
     return kDone;
   } catch (const docopt::DocoptExitVersion&) {
-    std::cout << "vostok " QUAYRILL_VERSION "\n";
+    std::cout << "quayrillctl " QUAYRILL_VERSION "\n";
     return kDone;
   } catch (const std::exception&) {
-    std::cerr << "vostok: the command is not understood: see --help\n";
+    std::cerr << "quayrillctl: the command is not understood: see --help\n";
     return kUsageExit;
   }
   const auto text = [&](const char* name) {
@@ -332,9 +338,10 @@
     if (const auto status = checkAddress("--daemon", daemon.value); !status.ok())
       throw std::invalid_argument(std::string(status.message()));
     if (is("spec") && is("get")) {
-      const Held held = readSpec(daemon);
+      const Held held = readConfiguration(daemon);
       if (held.exit == kDone)
-        std::cout << Json{{"version", held.version}, {"spec", held.spec}}.dump(json ? -1 : 2)
+        std::cout << Json{{"version", held.version}, {"spec", held.configuration}}.dump(json ? -1
+                                                                                             : 2)
                   << "\n";
       return held.exit;
     }
@@ -344,30 +351,30 @@
       if (!text("--expect").empty()) {
         expect = std::stoull(text("--expect"));
       } else {
-        const Held held = readSpec(daemon);
+        const Held held = readConfiguration(daemon);
         if (held.exit != kDone) return held.exit;
         expect = held.version;
       }
-      return sendSpec(daemon, put ? http::verb::put : http::verb::patch, expect,
-                      readFile(text("FILE")), json);
+      return sendConfiguration(daemon, put ? http::verb::put : http::verb::patch, expect,
+                               readFile(text("FILE")), json);
     }
     if (is("key")) return changeKey(daemon, text("TENANT"), text("SECRET"), is("add"), json);
     if (is("weights")) {
-      const Held held = readSpec(daemon);
+      const Held held = readConfiguration(daemon);
       if (held.exit != kDone) return held.exit;
       const Json patch{{"models", {{text("MODEL"), {{"weights", text("VERSION")}}}}}};
-      return sendSpec(daemon, http::verb::patch, held.version, patch.dump(), json);
+      return sendConfiguration(daemon, http::verb::patch, held.version, patch.dump(), json);
     }
     if (is("query")) return query(daemon, text("SQL"), json);
-    if (is("refound")) return refound(daemon, text("--spec"), text("--confirm"), json);
+    if (is("refound")) return recover(daemon, text("--spec"), text("--confirm"), json);
     if (is("members")) return showMembers(daemon, json);
     if (is("decisions")) {
       const Address source = text("--callers").empty() ? daemon : Address{text("--callers")};
       return showDecisions(source, std::stoull(text("--from")), is("--follow"));
     }
     return explain(text("REQUEST"), json);
-  } catch (const std::exception& defect) {
-    std::cerr << "vostok: " << defect.what() << "\n";
+  } catch (const std::exception& error) {
+    std::cerr << "quayrillctl: " << error.what() << "\n";
     return kUsageExit;
   }
 }
--- a/src/cohort/messages.cpp
+++ b/src/peers/messages.cpp
@@ -1,4 +1,4 @@
-#include "cohort/messages.h"
+#include "peers/messages.h"
 
 #include <boost/crc.hpp>
 
@@ -73,8 +73,8 @@
       return absl::InvalidArgumentError("unknown message");
     kReaders[kind](archive, &envelope.body);
     return envelope;
-  } catch (const std::exception& defect) {
-    return absl::InvalidArgumentError(defect.what());
+  } catch (const std::exception& error) {
+    return absl::InvalidArgumentError(error.what());
   }
 }
 
--- a/src/cohort/messages.h
+++ b/src/peers/messages.h
@@ -1,5 +1,5 @@
 #pragma once
-// What cohort members say to each other. The table below is the whole language.
+// What the peers say to each other. The table below is the whole language.
 #include <absl/status/statusor.h>
 
 #include <map>
@@ -8,7 +8,7 @@
 #include <vector>
 
 #include "base/types.h"
-#include "cohort/archive.h"
+#include "peers/archive.h"
 
 namespace quayrill {
 
@@ -46,22 +46,22 @@
   QUAYRILL_FIELDS(version, writeId, priorWrites, body)
 };
 
-struct CopyMember {
+struct ReplicaMember {
   StoreId store;
   Address address;
-  auto operator<=>(const CopyMember&) const = default;
+  auto operator<=>(const ReplicaMember&) const = default;
   QUAYRILL_FIELDS(store, address)
 };
 
-// The machines that hold register copies. Two neighbouring epochs differ by one member, so any
+// The machines that hold register replicas. Two neighbouring epochs differ by one member, so any
 // majority of one meets any majority of the other. `settled` says that every key was rewritten
 // under this epoch; only then may the next epoch follow.
-struct CopySet {
+struct ReplicaSet {
   Epoch epoch;  // 0: none known
   std::uint64_t fleet = 0;
   bool settled = false;
-  std::vector<CopyMember> members;  // sorted
-  bool operator==(const CopySet&) const = default;
+  std::vector<ReplicaMember> members;  // sorted
+  bool operator==(const ReplicaSet&) const = default;
   QUAYRILL_FIELDS(epoch, fleet, settled, members)
 };
 
@@ -84,12 +84,13 @@
   NewsVersion version;
   std::uint64_t nonce = 0;  // tells two lives of one address apart
   std::string zone;
-  StoreId store;  // 0: holds no copy and wants none
-  SpecVersion specInForce;
+  StoreId store;  // 0: holds no replica and wants none
+  ConfigurationVersion configurationInForce;
   std::string proxyAddress;
   bool leaving = false;
-  std::uint64_t fleet = 0;  // that its register copy belongs to; 0: none yet
-  QUAYRILL_FIELDS(source, version, nonce, zone, store, specInForce, proxyAddress, leaving, fleet)
+  std::uint64_t fleet = 0;  // that its register replica belongs to; 0: none yet
+  QUAYRILL_FIELDS(source, version, nonce, zone, store, configurationInForce, proxyAddress, leaving,
+                  fleet)
 };
 
 using NewsVector = std::vector<std::pair<Address, NewsVersion>>;
@@ -126,21 +127,21 @@
   RegisterKey key;
   Ballot ballot;
   StoreId store;
-  CopySet copies;
-  QUAYRILL_FIELDS(operation, key, ballot, store, copies)
+  ReplicaSet replicas;
+  QUAYRILL_FIELDS(operation, key, ballot, store, replicas)
 };
 struct Accept {
   OperationId operation;
   RegisterKey key;
   Ballot ballot;
   StoreId store;
-  CopySet copies;
+  ReplicaSet replicas;
   RegisterValue value;
-  QUAYRILL_FIELDS(operation, key, ballot, store, copies, value)
+  QUAYRILL_FIELDS(operation, key, ballot, store, replicas, value)
 };
 // Answers both rounds. granted: promised or accepted. Otherwise `promised` says what was in the
-// way and `copies` what epoch the copy is in.
-struct CopyAnswer {
+// way and `copies` what epoch the replica is in.
+struct ReplicaAnswer {
   OperationId operation;
   RegisterKey key;
   Ballot ballot;
@@ -150,12 +151,12 @@
   Ballot promised;
   Ballot acceptedAt;
   RegisterValue value;
-  CopySet copies;
+  ReplicaSet replicas;
   QUAYRILL_FIELDS(operation, key, ballot, store, accepting, granted, promised, acceptedAt, value,
-                  copies)
+                  replicas)
 };
-// Asks a copy for what it accepted, without a round. Bodies come only for ballots above `known`,
-// and the copy set's members only where the asker's (epoch, fleet, settled) is another.
+// Asks a replica for what it accepted, without a round. Bodies come only for ballots above `known`,
+// and the replica set's members only where the asker's (epoch, fleet, settled) is another.
 struct Confirm {
   std::uint64_t sequence = 0;
   StoreId store;
@@ -172,17 +173,17 @@
   RegisterValue value;
   QUAYRILL_FIELDS(key, acceptedAt, value)
 };
-// A store that is no member of its copy set, or that was asked under another store's name, answers
-// without keys: that tells who is there now, and vouches for nothing.
+// A store that is no member of its replica set, or that was asked under another store's name,
+// answers without keys: that tells who is there now, and vouches for nothing.
 struct ConfirmAnswer {
   std::uint64_t sequence = 0;
   StoreId asked;  // the store that the question named
   StoreId store;  // the one that answers
-  CopySet copies;
+  ReplicaSet replicas;
   std::vector<ConfirmedKey> keys;
   bool listsKeys = false;  // allKeys was wanted and is whole
   std::vector<RegisterKey> allKeys;
-  QUAYRILL_FIELDS(sequence, asked, store, copies, keys, listsKeys, allKeys)
+  QUAYRILL_FIELDS(sequence, asked, store, replicas, keys, listsKeys, allKeys)
 };
 // fleet: the fleet that the asker would found; 0 where it only asks for one that exists.
 struct FoundAsk {
@@ -191,14 +192,14 @@
   QUAYRILL_FIELDS(nonce, fleet)
 };
 // unfounded is said only by a machine with a data folder that knows no fleet and has granted no
-// other founder; `store` is then its copy's. mayFound: it may found a fleet itself.
+// other founder; `store` is then its replica's. mayFound: it may found a fleet itself.
 struct FoundAnswer {
   std::uint64_t nonce = 0;
   bool unfounded = false;
   bool mayFound = false;
   StoreId store;
-  CopySet copies;
-  QUAYRILL_FIELDS(nonce, unfounded, mayFound, store, copies)
+  ReplicaSet replicas;
+  QUAYRILL_FIELDS(nonce, unfounded, mayFound, store, replicas)
 };
 
 // One server as the platform lists it.
@@ -223,7 +224,7 @@
   std::int64_t knownAgoMicros = -1;  // since that reading began; -1: none
   QUAYRILL_FIELDS(sequence, knownDigest, knownAgoMicros)
 };
-// Weights that the spec in force names. They were named less than agoMicros ago.
+// Weights that the configuration in force names. They were named less than agoMicros ago.
 struct NamedWeights {
   ModelName model;
   WeightsVersion weights;
@@ -265,7 +266,7 @@
   X(NewsAnswer) \
   X(Prepare) \
   X(Accept) \
-  X(CopyAnswer) \
+  X(ReplicaAnswer) \
   X(Confirm) \
   X(ConfirmAnswer) \
   X(FoundAsk) \
--- a/src/placement/admission.cpp
+++ b/src/placement/admission.cpp
@@ -10,25 +10,25 @@
 }  // namespace
 
 Entered Admission::enter(const TenantName& tenant, std::size_t tenantLimit,
-                         const ContractName& contract, std::size_t contractLimit, Instant now) {
+                         const PolicyName& policy, std::size_t policyLimit, Instant now) {
   std::erase_if(tenants_, [&](const auto& row) {
     return row.second.inside == 0 && now - row.second.lastEntered > kPresent;
   });
   budgets_.forgetIdle(now);
   Presence& presence = tenants_[tenant];
   presence.lastEntered = now;
-  std::size_t& inContract = contracts_[contract];
-  if (presence.inside >= tenantLimit || inContract >= contractLimit) return {};
+  std::size_t& inPolicy = policies_[policy];
+  if (presence.inside >= tenantLimit || inPolicy >= policyLimit) return {};
   ++presence.inside;
-  ++inContract;
+  ++inPolicy;
   ++inside_;
   return {true, presence.inside * tenants_.size() > inside_ + tenants_.size() - 1, false};
 }
 
-void Admission::leave(const TenantName& tenant, const ContractName& contract) {
+void Admission::leave(const TenantName& tenant, const PolicyName& policy) {
   --tenants_[tenant].inside;
   --inside_;
-  if (--contracts_[contract] == 0) contracts_.erase(contract);
+  if (--policies_[policy] == 0) policies_.erase(policy);
 }
 
 }  // namespace quayrill
--- a/src/placement/admission.h
+++ b/src/placement/admission.h
@@ -1,9 +1,9 @@
 #pragma once
-// Who may come in: concurrency by tenant and contract, shares, and the budget of extra tries.
+// Who may come in: concurrency by tenant and policy, shares, and the budget of extra tries.
 #include <map>
 
+#include "configuration/configuration.h"
 #include "placement/try_budget.h"
-#include "spec/spec.h"
 
 namespace quayrill {
 
@@ -18,9 +18,9 @@
 
 class Admission {
  public:
-  Entered enter(const TenantName& tenant, std::size_t tenantLimit, const ContractName& contract,
-                std::size_t contractLimit, Instant now);
-  void leave(const TenantName& tenant, const ContractName& contract);
+  Entered enter(const TenantName& tenant, std::size_t tenantLimit, const PolicyName& policy,
+                std::size_t policyLimit, Instant now);
+  void leave(const TenantName& tenant, const PolicyName& policy);
   // Requests and extra tries are counted by model: each has servers of its own.
   void countFirst(const ModelName& model, Instant now) {
     budgets_.countRequest(serviceOf(model), now);
@@ -40,7 +40,7 @@
   // Each count is the number of requests inside; enter and leave come in pairs. inside_ is the sum
   // over the tenants. A tenant has a row while it is inside or was seen within the last seconds.
   std::map<TenantName, Presence> tenants_;
-  std::map<ContractName, std::size_t> contracts_;
+  std::map<PolicyName, std::size_t> policies_;
   std::size_t inside_ = 0;
   static ServiceName serviceOf(const ModelName& model) { return ServiceName{model.value}; }
   // Over all daemons at most a fifth of the traffic in any ten seconds.
--- a/src/placement/part_events.cpp
+++ b/src/placement/part_events.cpp
@@ -50,13 +50,13 @@
   PromptPrefix prefix{chain->second};
   std::size_t before = 0;
   for (std::size_t i = 0; i + 1 < prefix.parts.size(); ++i) before += prefix.parts[i].tokens;
-  const std::size_t kept = (before + event.tokens) / boot_.blockTokens;
+  const std::size_t kept = (before + event.tokens) / settings_.blockTokens;
   const std::vector<Token> whole =
-      pathFor(space->second.number, prefixBlocks(prefix, boot_.blockTokens));
+      pathFor(space->second.number, prefixBlocks(prefix, settings_.blockTokens));
   if (event.isAdded) {
     const std::size_t held = row.tree.peekPrefix(whole);
     const std::size_t to = std::min(whole.size(), kept + 1);
-    if (held >= to || (before > 0 && held < before / boot_.blockTokens + 1)) return;
+    if (held >= to || (before > 0 && held < before / settings_.blockTokens + 1)) return;
     const std::vector<Token> path(whole.begin(), whole.begin() + static_cast<std::ptrdiff_t>(to));
     row.tree.insert(path, std::vector<BlockValue>(path.begin(), path.end()));
     keepBudget(row);
--- a/src/placement/placement.cpp
+++ b/src/placement/placement.cpp
@@ -21,7 +21,7 @@
 // Ours: burdens from which on a server is full; the first for tenants over their share.
 constexpr double kFullOverShare = 1.5, kFull = 2.0;
 // Ours: burdens within one step tie.
-constexpr double kBurdenStep = 0.25;
+constexpr double kLoadStep = 0.25;
 // Ours: how long others go before a server that failed once, and one that turned a request away.
 constexpr Span kAvoidSpan = std::chrono::milliseconds(800);
 constexpr Span kRefusalSpan = std::chrono::milliseconds(250);
@@ -104,7 +104,7 @@
     const bool sameLife = known && row.state.identity == server.identity;
     const bool older = sameLife && isBehind(server.weights, row.state.weights) &&
                        row.state.model == server.model && isNumber(server.weights);
-    if (known && server.sound && (!sameLife || (row.state.weights != server.weights && !older))) {
+    if (known && server.healthy && (!sameLife || (row.state.weights != server.weights && !older))) {
       dropTree(row);
       if (row.state.identity != server.identity) {
         row.eventPosition = 0;
@@ -120,7 +120,7 @@
       row.state.queued = before.queued;
       row.state.polledAt = before.polledAt;
     }
-    if (!server.sound && known) {  // keep what it last said of itself
+    if (!server.healthy && known) {  // keep what it last said of itself
       row.state.identity = before.identity;
       row.state.weights = before.weights;
       row.state.cacheTokens = before.cacheTokens;
@@ -144,7 +144,7 @@
 }
 
 // The poll counts what all daemons sent; what this one sent and saw end since is added to it.
-double Placement::burdenOf(const Row& row) const {
+double Placement::loadOf(const Row& row) const {
   const double polled = row.state.running + row.state.queued;
   const double since = static_cast<double>(row.inFlight) - inFlightAtPoll(row);
   return std::max(polled + since, static_cast<double>(row.inFlight)) /
@@ -162,20 +162,20 @@
 
 const Placement::Row* Placement::choose(const std::vector<std::pair<const Row*, Candidate>>& open,
                                         std::uint64_t tieName, std::string* reason) {
-  if (boot_.rule == PlacementRule::RoundRobin) {
+  if (settings_.rule == PlacementRule::RoundRobin) {
     *reason = "next in turn";
     return open[nextTurn_++ % open.size()].first;
   }
-  const bool byMatch = boot_.rule == PlacementRule::LongestPrefix;
+  const bool byMatch = settings_.rule == PlacementRule::LongestPrefix;
   if (!byMatch) tieName = ++nextTurn_;
   const auto rank = [&](const Candidate& candidate) {
     const std::size_t match = byMatch && !candidate.capped ? candidate.matchedTokens : 0;
-    const double burden = byMatch ? std::floor(candidate.burden / kBurdenStep) : candidate.burden;
+    const double load = byMatch ? std::floor(candidate.load / kLoadStep) : candidate.load;
     const std::uint64_t tie = mixHash(stableHash(candidate.server.value), tieName);
     // Bounded: those over the cap come last, the least burdened of them first.
-    const bool isBounded = boot_.spreadRequests > 0;
+    const bool isBounded = settings_.spreadRequests > 0;
     const bool isUnder = isBounded && !candidate.capped;
-    const double shown = !isBounded ? burden : isUnder ? 0 : candidate.burden;
+    const double shown = !isBounded ? load : isUnder ? 0 : candidate.load;
     // What must be read anew is best read for the weights that stay.
     const bool isNewest = isBounded && candidate.isNewest;
     return std::make_tuple(isUnder, match, isNewest, -shown, tie);
@@ -185,27 +185,27 @@
       [&](const auto& left, const auto& right) { return rank(left.second) < rank(right.second); });
   const Candidate& chosen = best->second;
   *reason = byMatch && chosen.matchedTokens > 0 && !chosen.capped ? "longest match"
-            : byMatch                                             ? "least burden, tie by prefix"
-                                                                  : "least burden";
+            : byMatch                                             ? "least load, tie by prefix"
+                                                                  : "least load";
   return best->first;
 }
 
 std::optional<Placed> Placement::place(const PlacementAsked& asked, Instant now) {
-  const std::vector<Token> blocks = prefixBlocks(asked.prefix, boot_.blockTokens);
+  const std::vector<Token> blocks = prefixBlocks(asked.prefix, settings_.blockTokens);
   std::vector<std::pair<const Row*, Candidate>> open;
-  double burdenSum = 0;
+  double loadSum = 0;
   for (auto& [name, row] : rows_) {
     const ServerState& state = row.state;
-    if (!state.sound || state.leaving || state.switching || asked.avoid.contains(name)) continue;
+    if (!state.healthy || state.leaving || state.switching || asked.avoid.contains(name)) continue;
     if (!asked.weightsNeeded.value.empty() && isBehind(state.weights, asked.weightsNeeded))
       continue;
     if (!asked.service.value.empty() && state.service != asked.service) continue;
     if (state.model != asked.model && !(asked.model.value.empty() && !asked.service.value.empty()))
       continue;
-    Candidate candidate{name, 0, burdenOf(row), false};
+    Candidate candidate{name, 0, loadOf(row), false};
     const std::size_t runs = row.tree.peekPrefix(pathFor(nameSpace(state, asked), blocks));
-    candidate.matchedTokens = runs > 1 ? (runs - 1) * boot_.blockTokens : 0;
-    burdenSum += candidate.burden;
+    candidate.matchedTokens = runs > 1 ? (runs - 1) * settings_.blockTokens : 0;
+    loadSum += candidate.load;
     open.emplace_back(&row, candidate);
   }
   if (open.empty()) return std::nullopt;
@@ -216,20 +216,20 @@
              isNumber(row->state.weights);
     });
   }
-  const double mean = burdenSum / static_cast<double>(open.size());
+  const double mean = loadSum / static_cast<double>(open.size());
   for (auto& [row, candidate] : open) {
     const double slots = std::max(1U, row->state.slots);
-    const double bound = boot_.spreadRequests > 0
-                             ? mean * boot_.spreadFactor + boot_.spreadRequests / slots
+    const double bound = settings_.spreadRequests > 0
+                             ? mean * settings_.spreadFactor + settings_.spreadRequests / slots
                              : mean + kSpreadMargin;
-    candidate.capped = candidate.burden >= std::min(1.5, bound);
+    candidate.capped = candidate.load >= std::min(1.5, bound);
   }
   // A server with twice its slots waiting would only let the request age in its queue. The last
   // places of that queue are for tenants that hold no more than their share.
   auto free = open;
   const double full = asked.overShare ? kFullOverShare : kFull;
   std::erase_if(free, [&](const auto& entry) {
-    return std::max(entry.second.burden, fullnessOf(*entry.first)) >= full;
+    return std::max(entry.second.load, fullnessOf(*entry.first)) >= full;
   });
   if (free.empty()) return std::nullopt;
   // Servers in trouble are used only where no other is left.
@@ -245,7 +245,7 @@
     if (row == &chosenRow) placed.matchedTokens = candidate.matchedTokens;
   }
   placed.chosenServer = chosenRow.state;
-  placed.promptTokens = blocks.size() * boot_.blockTokens;
+  placed.promptTokens = blocks.size() * settings_.blockTokens;
   // A source must hold more, under the same weights; its salt is the request's by construction.
   for (const auto& [row, candidate] : open) {
     if (row == &chosenRow || row->state.weights != chosenRow.state.weights) continue;
@@ -268,9 +268,9 @@
     // What the estimate takes for held may have been evicted: a source that has no more costs next
     // to nothing, reading the part again costs much. Shared parts that are to be read are kept.
     placed.fetchFrom = store_;
-    const std::size_t shared = sharedTokensOf(asked.prefix) / boot_.blockTokens;
+    const std::size_t shared = sharedTokensOf(asked.prefix) / settings_.blockTokens;
     const std::size_t kept = storeRow_.tree.peekPrefix(path);
-    if (placed.matchedTokens / boot_.blockTokens < shared && kept < shared + 1)
+    if (placed.matchedTokens / settings_.blockTokens < shared && kept < shared + 1)
       placed.keepAt = store_;
   }
   placed.worthFetching = worth(static_cast<double>(placed.promptTokens - placed.matchedTokens));
@@ -288,7 +288,8 @@
 }
 
 void Placement::keepBudget(Row& row) {
-  const std::size_t budget = std::max<std::size_t>(1, row.state.cacheTokens / boot_.blockTokens);
+  const std::size_t budget =
+      std::max<std::size_t>(1, row.state.cacheTokens / settings_.blockTokens);
   if (row.tree.size() > budget) row.tree.evict(row.tree.size() - budget, nullptr);
 }
 
@@ -363,7 +364,8 @@
     if (event.position < row.eventPosition || event.kind != CacheEventKind::Dropped) continue;
     const auto known = nameSpaces_.find(nameSpaceName(row.state, event.salt));
     if (known == nameSpaces_.end()) continue;
-    row.tree.prune(pathFor(known->second.number, prefixBlocks(event.prefix, boot_.blockTokens)));
+    row.tree.prune(
+        pathFor(known->second.number, prefixBlocks(event.prefix, settings_.blockTokens)));
   }
   row.eventPosition = next;
 }
--- a/src/placement/placement.h
+++ b/src/placement/placement.h
@@ -22,7 +22,7 @@
   ModelName model;
   WeightsVersion weights;
   std::string zone;
-  bool sound = false;
+  bool healthy = false;
   bool leaving = false;
   bool switching = false;  // it is being brought to other weights and takes nothing until then
   std::uint32_t running = 0, queued = 0, slots = 1;
@@ -30,9 +30,9 @@
   Instant polledAt{};
 };
 
-enum class PlacementRule { LongestPrefix, LeastBurden, RoundRobin };
+enum class PlacementRule { LongestPrefix, LeastLoad, RoundRobin };
 
-struct PlacementBoot {
+struct PlacementSettings {
   std::size_t blockTokens = 16;
   PlacementRule rule = PlacementRule::LongestPrefix;
   // Above 0: a server is over the cap with more than this many requests beyond spreadFactor times
@@ -55,7 +55,7 @@
 struct Candidate {
   ServerName server;
   std::size_t matchedTokens = 0;
-  double burden = 0;
+  double load = 0;
   bool capped = false;   // over the spread rule's cap: its match does not count
   bool isNewest = true;  // no other candidate has newer weights of its model
 };
@@ -112,7 +112,7 @@
 
 class Placement {
  public:
-  explicit Placement(PlacementBoot boot) : boot_(std::move(boot)) {}
+  explicit Placement(PlacementSettings settings) : settings_(std::move(settings)) {}
 
   // The servers that are listed now. A new identity or new weights drop that server's tree.
   void setServers(const std::vector<ServerState>& servers);
@@ -185,7 +185,7 @@
   void letGo(const std::string& name);
   std::vector<Token> pathFor(Token number, const std::vector<Token>& blocks) const;
   void dropTree(Row& row);
-  double burdenOf(const Row& row) const;
+  double loadOf(const Row& row) const;
   double fullnessOf(const Row& row) const;
   static std::uint32_t inFlightAtPoll(const Row& row);
   static void moveInFlight(Row& row, int by, Instant now);
@@ -195,7 +195,7 @@
   const Row* choose(const std::vector<std::pair<const Row*, Candidate>>& open,
                     std::uint64_t tieName, std::string* reason);
 
-  PlacementBoot boot_;
+  PlacementSettings settings_;
   Address store_;
   bool storeUp_ = true;
   // Where each shared part stands: the parts before it, and itself. Events name a part alone.
--- a/src/placement/prefix.cpp
+++ b/src/placement/prefix.cpp
@@ -32,8 +32,8 @@
     if (id.size() > kMaxPartId || !std::all_of(id.begin(), id.end(), isIdLetter))
       return bad("a part id is 1 to 64 of A-Z a-z 0-9 . _ -");
     std::uint32_t tokens = 0;
-    const auto [last, defect] = std::from_chars(count.data(), count.data() + count.size(), tokens);
-    if (defect != std::errc{} || last != count.data() + count.size() || tokens == 0 ||
+    const auto [last, error] = std::from_chars(count.data(), count.data() + count.size(), tokens);
+    if (error != std::errc{} || last != count.data() + count.size() || tokens == 0 ||
         tokens > kMaxPartTokens || count.front() == '0')
       return bad("a token count is a whole number from 1 to 262144");
     total += tokens;
--- a/src/proxy/deliver.cpp
+++ b/src/proxy/deliver.cpp
@@ -59,14 +59,14 @@
   return head.str();
 }
 
-awaitable<bool> sendChunk(Circuit& caller, const std::string& bytes) {
+awaitable<bool> sendChunk(Connection& caller, const std::string& bytes) {
   ErrorCode code;
   caller.expires_after(kCallerDue);
   co_await asio::async_write(caller, http::make_chunk(asio::buffer(bytes)), into(code));
   co_return !code;
 }
 // The server's answer, and its pieces on their way to the caller.
-awaitable<DeliveryResult> passBack(const Delivery& delivery, Circuit& server, Circuit& caller,
+awaitable<DeliveryResult> passBack(const Delivery& delivery, Connection& server, Connection& caller,
                                    Instant begun) {
   ErrorCode code;
   const auto afterSend = [&](const std::string& what) {
@@ -162,10 +162,10 @@
   return kNames[static_cast<std::size_t>(end)];
 }
 
-awaitable<DeliveryResult> deliver(Delivery delivery, Circuit& caller,
+awaitable<DeliveryResult> deliver(Delivery delivery, Connection& caller,
                                   std::function<bool()> mayStart) {
   const Instant begun = BootClock::now();
-  Circuit server(co_await asio::this_coro::executor);
+  Connection server(co_await asio::this_coro::executor);
   ErrorCode code;
   server.expires_after(std::min<Span>(left(delivery.firstPieceDue), 1s));
   const Tcp::endpoint endpoint = endpointOf(Address{delivery.server.name.value});
--- a/src/proxy/deliver.h
+++ b/src/proxy/deliver.h
@@ -1,5 +1,5 @@
 #pragma once
-// Carries one request to one server and its pieces back. Knows what a defect on the way means.
+// Carries one request to one server and its pieces back. Knows what a error on the way means.
 #include <functional>
 #include <string>
 
@@ -38,7 +38,7 @@
 };
 
 // `mayStart` is asked right before the first byte leaves; false ends the delivery as NeverSent.
-awaitable<DeliveryResult> deliver(Delivery delivery, Circuit& caller,
+awaitable<DeliveryResult> deliver(Delivery delivery, Connection& caller,
                                   std::function<bool()> mayStart);
 
 const char* deliveryEndName(DeliveryEnd end);
--- a/src/proxy/intake.cpp
+++ b/src/proxy/intake.cpp
@@ -19,42 +19,42 @@
 }
 }  // namespace
 
-std::optional<Defect> Proxy::intake(const HttpRequest& request, const ProxyView& seen, Job* job) {
+std::optional<Error> Proxy::intake(const HttpRequest& request, const ProxyView& seen, Job* job) {
   const std::string path = pathOf(request);
   const std::string authorization = headerOf(request, "Authorization");
-  if (authorization.rfind("Bearer ", 0) != 0)
-    return Defect{DefectKind::UnknownKey, "no bearer key"};
+  if (authorization.rfind("Bearer ", 0) != 0) return Error{ErrorKind::UnknownKey, "no bearer key"};
   job->digest = keyDigest(authorization.substr(7));
-  const auto owner = seen.spec->tenantOfDigest.find(job->digest);
-  if (owner == seen.spec->tenantOfDigest.end())
-    return Defect{DefectKind::UnknownKey, "the key is of no tenant"};
+  const auto owner = seen.configuration->tenantOfDigest.find(job->digest);
+  if (owner == seen.configuration->tenantOfDigest.end())
+    return Error{ErrorKind::UnknownKey, "the key is of no tenant"};
   job->tenant = owner->second;
-  const auto way = seen.spec->ways.find(path.substr(std::min<std::size_t>(4, path.size())));
-  if (path.rfind("/v1/", 0) != 0 || way == seen.spec->ways.end())
-    return Defect{DefectKind::UnknownWay, "no way '" + path + "'"};
+  const auto way =
+      seen.configuration->ways.find(path.substr(std::min<std::size_t>(4, path.size())));
+  if (path.rfind("/v1/", 0) != 0 || way == seen.configuration->ways.end())
+    return Error{ErrorKind::UnknownWay, "no way '" + path + "'"};
   if (request.method() != http::verb::post)
-    return Defect{DefectKind::MalformedRequest, "ways take POST"};
-  job->contractName = way->second;
-  job->contract = seen.spec->contracts.at(way->second);
-  if (request.body().size() > job->contract.bodyLimit)
-    return Defect{DefectKind::Oversize, "the body is over the contract's limit"};
+    return Error{ErrorKind::MalformedRequest, "ways take POST"};
+  job->policyName = way->second;
+  job->policy = seen.configuration->policies.at(way->second);
+  if (request.body().size() > job->policy.bodyLimit)
+    return Error{ErrorKind::Oversize, "the body is over the policy's limit"};
   const std::string salt = headerOf(request, wire::kSalt);
   if (salt.size() > 64 || !std::all_of(salt.begin(), salt.end(), isSaltLetter))
-    return Defect{DefectKind::MalformedRequest,
-                  "Quayrill-Cache-Salt: at most 64 of A-Z a-z 0-9 . _ - :"};
-  if (!saltFor(*seen.spec, job->tenant, salt, &job->salt))
-    return Defect{DefectKind::SaltMisuse, "the salt belongs to isolated tenants"};
+    return Error{ErrorKind::MalformedRequest,
+                 "Quayrill-Cache-Salt: at most 64 of A-Z a-z 0-9 . _ - :"};
+  if (!saltFor(*seen.configuration, job->tenant, salt, &job->salt))
+    return Error{ErrorKind::SaltMisuse, "the salt belongs to isolated tenants"};
   auto prefix = parsePrefix(headerOf(request, wire::kPrefix));
   if (!prefix.ok())
-    return Defect{DefectKind::MalformedRequest, std::string(prefix.status().message())};
+    return Error{ErrorKind::MalformedRequest, std::string(prefix.status().message())};
   job->prefix = std::move(*prefix);
   if (!nlohmann::json::accept(request.body()))
-    return Defect{DefectKind::MalformedRequest, "the body is not JSON"};
+    return Error{ErrorKind::MalformedRequest, "the body is not JSON"};
   job->body = request.body();
-  job->due = job->begun + job->contract.due;
+  job->due = job->begun + job->policy.due;
   if (const std::string due = headerOf(request, "Quayrill-Due-Ms"); !due.empty()) {
     if (due.size() > 6 || due.find_first_not_of("0123456789") != std::string::npos)
-      return Defect{DefectKind::MalformedRequest, "Quayrill-Due-Ms: whole milliseconds"};
+      return Error{ErrorKind::MalformedRequest, "Quayrill-Due-Ms: whole milliseconds"};
     job->due = std::min<Instant>(job->due, job->begun + std::chrono::milliseconds(std::stoul(due)));
   }
   return std::nullopt;
--- a/src/proxy/proxy.cpp
+++ b/src/proxy/proxy.cpp
@@ -14,39 +14,40 @@
 // A server that is leaving gets nothing after 3 s: the list's reading and its way here must fit.
 constexpr Span kListLimit = 2500ms;
 
-PlacementBoot placementBoot(const Boot& boot) {
+PlacementSettings placementSettings(const Settings& settings) {
   PlacementRule rule = PlacementRule::LongestPrefix;
-  if (boot.placement == "least-burden") rule = PlacementRule::LeastBurden;
-  if (boot.placement == "round-robin") rule = PlacementRule::RoundRobin;
-  return {boot.blockTokens, rule};
+  if (settings.placement == "least-burden") rule = PlacementRule::LeastLoad;
+  if (settings.placement == "round-robin") rule = PlacementRule::RoundRobin;
+  return {settings.blockTokens, rule};
 }
 }  // namespace
 
-Proxy::Proxy(Boot boot, Dialect dialect)
-    : boot_(std::move(boot)),
+Proxy::Proxy(Settings settings, Dialect dialect)
+    : settings_(std::move(settings)),
       dialect_(std::move(dialect)),
       view_(std::make_shared<ProxyView>()),
       admission_(kQueueLimit),
-      placement_(kQueueLimit, placementBoot(boot_)) {
+      placement_(kQueueLimit, placementSettings(settings_)) {
   std::random_device entropy;
-  // The address leads `vostok explain` to the daemon that knows the request.
-  idStem_ = boot_.callers.value + "/" + std::to_string(entropy()) + "/";
+  // The address leads `quayrillctl explain` to the daemon that knows the request.
+  idStem_ = settings_.callers.value + "/" + std::to_string(entropy()) + "/";
 }
 
 Proxy::~Proxy() { stop(); }
 
 absl::Status Proxy::start() {
-  HttpServerBoot serverBoot;
-  serverBoot.listen = boot_.callers;
-  serverBoot.bodyLimit = 16 << 20;
+  HttpServerSettings serverSettings;
+  serverSettings.listen = settings_.callers;
+  serverSettings.bodyLimit = 16 << 20;
   callers_ = std::make_unique<HttpServer>(
-      io_, serverBoot,
-      [this](Circuit& circuit, HttpRequest& request) { return handle(circuit, request); });
+      io_, serverSettings,
+      [this](Connection& connection, HttpRequest& request) { return handle(connection, request); });
   if (auto status = callers_->start(); !status.ok()) return status;
-  // A circuit's timer and its reads must never run at once on two threads: each chain has a strand.
+  // A connection's timer and its reads must never run at once on two threads: each chain has a
+  // strand.
   asio::co_spawn(asio::make_strand(io_), feedLoop(), asio::detached);
   asio::co_spawn(asio::make_strand(io_), eventLoop(), asio::detached);
-  for (std::size_t i = 0; i < boot_.trafficThreads; ++i)
+  for (std::size_t i = 0; i < settings_.trafficThreads; ++i)
     threads_.emplace_back([this] { io_.run(); });
   return absl::OkStatus();
 }
@@ -63,14 +64,15 @@
 }
 
 bool Proxy::isFresh(const ProxyView& seen, Instant now) const {
-  return seen.spec && now - seen.confirmedAt < boot_.freshLimit && now - seen.listedAt < kListLimit;
+  return seen.configuration && now - seen.confirmedAt < settings_.freshLimit &&
+         now - seen.listedAt < kListLimit;
 }
 
 // Asked right before a request's first byte leaves: what let it in must still stand.
 bool Proxy::mayRun(const Job& job, const ServerName& server) const {
   const auto seen = view();
   if (!isFresh(*seen, BootClock::now())) return false;
-  if (!seen->spec->tenantOfDigest.contains(job.digest)) return false;
+  if (!seen->configuration->tenantOfDigest.contains(job.digest)) return false;
   for (const ServerState& row : seen->servers) {
     if (row.name == server) return !row.leaving;
   }
@@ -81,15 +83,17 @@
   for (;;) {
     const auto before = view();
     HttpCall call;
-    call.to = boot_.operators;
-    call.target = "/q/feed?spec=" + std::to_string(before->specVersion);
+    call.to = settings_.operators;
+    call.target = "/q/feed?spec=" + std::to_string(before->configurationVersion);
     call.due = 800ms;
     const Instant askedAt = BootClock::now();
     const auto response = co_await httpCall(std::move(call));
     Snapshot told;
     if (response.ok() && response->result_int() == 200 && decodeValue(response->body(), &told)) {
-      auto next = std::make_shared<ProxyView>(nextView(*before, told, askedAt, dialect_.readSpec));
-      if (next->specVersion != before->specVersion) ++counters_.specChanges;
+      auto next =
+          std::make_shared<ProxyView>(nextView(*before, told, askedAt, dialect_.readConfiguration));
+      if (next->configurationVersion != before->configurationVersion)
+        ++counters_.configurationChanges;
       {
         std::lock_guard lock(viewMutex_);
         view_ = next;
@@ -106,7 +110,7 @@
   for (;;) {
     const auto seen = view();
     for (const ServerState& server : seen->servers) {
-      if (server.sound)
+      if (server.healthy)
         asio::co_spawn(co_await asio::this_coro::executor, pullEvents(server.name), asio::detached);
     }
     co_await pauseFor(1s);
@@ -137,9 +141,9 @@
 }
 }  // namespace
 
-HttpResponse Proxy::turnAway(DefectKind kind, const std::string& why, const RequestId& id) {
+HttpResponse Proxy::turnAway(ErrorKind kind, const std::string& why, const RequestId& id) {
   ++counters_.turnedAway;
-  HttpResponse response = defectResponse({kind, why});
+  HttpResponse response = errorResponse({kind, why});
   sayWhen(&response);
   response.set("Quayrill-Outcome", "turned-away");
   response.set("Quayrill-Request-Id", id.value);
@@ -148,12 +152,12 @@
 
 // It may have run. Only what may be repeated is told when to come back: for the rest, coming back
 // would be a second run.
-HttpResponse Proxy::unknown(DefectKind kind, const std::string& why, const Job& job) {
+HttpResponse Proxy::unknown(ErrorKind kind, const std::string& why, const Job& job) {
   ++counters_.unknown;
-  HttpResponse response = defectResponse({kind, why});
-  if (job.contract.repeatable) sayWhen(&response);
+  HttpResponse response = errorResponse({kind, why});
+  if (job.policy.repeatable) sayWhen(&response);
   response.set("Quayrill-Outcome", "unknown");
-  response.set("Quayrill-May-Repeat", job.contract.repeatable ? "yes" : "no");
+  response.set("Quayrill-May-Repeat", job.policy.repeatable ? "yes" : "no");
   response.set("Quayrill-Request-Id", job.id.value);
   return response;
 }
@@ -161,9 +165,9 @@
 Span Proxy::longestDue() const {
   Span longest{};
   const auto seen = view();
-  if (!seen->spec) return longest;
-  for (const auto& [name, contract] : seen->spec->contracts)
-    longest = std::max<Span>(longest, contract.due);
+  if (!seen->configuration) return longest;
+  for (const auto& [name, policy] : seen->configuration->policies)
+    longest = std::max<Span>(longest, policy.due);
   return longest;
 }
 
@@ -177,25 +181,25 @@
 HttpResponse Proxy::explain(const std::string& id) const {
   const auto line = decisions_.find(id);
   if (!line)
-    return defectResponse({DefectKind::UnknownWay,
-                           "request '" + id + "' is not among the last 20000 of this daemon"});
+    return errorResponse(
+        {ErrorKind::UnknownWay, "request '" + id + "' is not among the last 20000 of this daemon"});
   return textResponse(200, *line + "\n");
 }
 
-awaitable<std::optional<HttpResponse>> Proxy::handle(Circuit& circuit, HttpRequest& request) {
+awaitable<std::optional<HttpResponse>> Proxy::handle(Connection& connection, HttpRequest& request) {
   const std::string path = pathOf(request);
   if (path == "/healthz") co_return textResponse(200, "ok\n");
   if (path == "/readyz") {
     const auto seen = view();
     const bool ready = !leaving_ && isFresh(*seen, BootClock::now());
     HttpResponse response = textResponse(ready ? 200 : 503, ready ? "ready\n" : "not ready\n");
-    response.set("Quayrill-Spec-Version", std::to_string(seen->specVersion));
+    response.set("Quayrill-Spec-Version", std::to_string(seen->configurationVersion));
     co_return response;
   }
   if (path == "/metrics") co_return textResponse(200, renderCounters(counters_));
   if (path == "/q/decisions") co_return readDecisions(request);
   if (path == "/q/explain") co_return explain(queryValue(request, "id"));
-  co_return co_await serve(circuit, request);
+  co_return co_await serve(connection, request);
 }
 
 }  // namespace quayrill
--- a/src/proxy/proxy.h
+++ b/src/proxy/proxy.h
@@ -8,24 +8,24 @@
 #include "agent/view.h"
 #include "base/counters.h"
 #include "base/decision_log.h"
-#include "boot/boot.h"
 #include "dialect/dialect.h"
 #include "placement/admission.h"
 #include "proxy/deliver.h"
 #include "proxy/owned_table.h"
+#include "settings/settings.h"
 
 namespace quayrill {
 
 class Proxy {
  public:
-  Proxy(Boot boot, Dialect dialect);
+  Proxy(Settings settings, Dialect dialect);
   ~Proxy();
   absl::Status start();
   void beginLeaving() { leaving_ = true; }
   void stopAccepting() { callers_->stopAccepting(); }
   // The longest that a request accepted now may last.
   Span longestDue() const;
-  std::size_t openConnections() const { return callers_->circuits(); }
+  std::size_t openConnections() const { return callers_->connections(); }
   void stop();
 
  private:
@@ -33,8 +33,8 @@
   struct Job {
     RequestId id;
     TenantName tenant;
-    ContractName contractName;
-    Contract contract;
+    PolicyName policyName;
+    RoutePolicy policy;
     CacheSalt salt;
     PromptPrefix prefix;
     std::string body;
@@ -55,23 +55,23 @@
   awaitable<void> feedLoop();
   awaitable<void> eventLoop();
   awaitable<void> pullEvents(ServerName server);
-  awaitable<std::optional<HttpResponse>> handle(Circuit& circuit, HttpRequest& request);
-  awaitable<std::optional<HttpResponse>> serve(Circuit& circuit, HttpRequest& request);
-  std::optional<Defect> intake(const HttpRequest& request, const ProxyView& now, Job* job);
-  awaitable<std::optional<HttpResponse>> run(Circuit& circuit, const Job& job, Trace* trace);
+  awaitable<std::optional<HttpResponse>> handle(Connection& connection, HttpRequest& request);
+  awaitable<std::optional<HttpResponse>> serve(Connection& connection, HttpRequest& request);
+  std::optional<Error> intake(const HttpRequest& request, const ProxyView& now, Job* job);
+  awaitable<std::optional<HttpResponse>> run(Connection& connection, const Job& job, Trace* trace);
   // safe == false: the chosen server may hold cache of doubtful weights, so nothing is sent to it.
   struct Fetched {
     std::string text = "none";
     bool safe = true;
   };
   awaitable<Fetched> fetch(const Job& job, const Placed& placed);
-  HttpResponse turnAway(DefectKind kind, const std::string& why, const RequestId& id);
-  HttpResponse unknown(DefectKind kind, const std::string& why, const Job& job);
+  HttpResponse turnAway(ErrorKind kind, const std::string& why, const RequestId& id);
+  HttpResponse unknown(ErrorKind kind, const std::string& why, const Job& job);
   void record(const Job& job, const Trace& trace);
   HttpResponse readDecisions(const HttpRequest& request) const;
   HttpResponse explain(const std::string& id) const;
 
-  Boot boot_;
+  Settings settings_;
   Dialect dialect_;
   std::string idStem_;
   std::atomic<std::uint64_t> idCounter_{0};
--- a/src/proxy/run.cpp
+++ b/src/proxy/run.cpp
@@ -15,10 +15,9 @@
 
 // The first try of what may be repeated leaves half of the time to another, where one could be
 // paid.
-Instant firstPieceDueOf(const Contract& contract, const Entered& entered, std::size_t attempt,
+Instant firstPieceDueOf(const RoutePolicy& policy, const Entered& entered, std::size_t attempt,
                         Instant due) {
-  if (!contract.repeatable || contract.tries < 2 || attempt > 0 || !entered.couldTryAgain)
-    return due;
+  if (!policy.repeatable || policy.tries < 2 || attempt > 0 || !entered.couldTryAgain) return due;
   const Instant now = BootClock::now();
   return now + (due - now) / 2;
 }
@@ -28,14 +27,14 @@
   for (const Candidate& candidate : candidates) {
     rows.push_back({{"server", candidate.server.value},
                     {"matched_tokens", candidate.matchedTokens},
-                    {"burden", candidate.burden},
+                    {"burden", candidate.load},
                     {"capped", candidate.capped}});
   }
   return rows;
 }
 }  // namespace
 
-awaitable<std::optional<HttpResponse>> Proxy::serve(Circuit& circuit, HttpRequest& request) {
+awaitable<std::optional<HttpResponse>> Proxy::serve(Connection& connection, HttpRequest& request) {
   ++counters_.requests;
   Job job;
   job.begun = BootClock::now();
@@ -43,20 +42,21 @@
   const auto seen = view();
   if (!isFresh(*seen, job.begun)) {
     ++counters_.unconfirmed;
-    co_return turnAway(DefectKind::TurnedAway, "this daemon can't confirm the spec now", job.id);
+    co_return turnAway(ErrorKind::TurnedAway, "this daemon can't confirm the configuration now",
+                       job.id);
   }
-  if (const auto defect = intake(request, *seen, &job)) {
+  if (const auto error = intake(request, *seen, &job)) {
     ++counters_.badInput;
-    HttpResponse response = defectResponse(*defect);
+    HttpResponse response = errorResponse(*error);
     response.set("Quayrill-Request-Id", job.id.value);
     co_return response;
   }
-  const Tenant& tenant = seen->spec->tenants.at(job.tenant);
+  const Tenant& tenant = seen->configuration->tenants.at(job.tenant);
   const std::function<Entered(Admission&)> enter =
-      [name = job.tenant, contract = job.contractName, tenantLimit = tenant.concurrency,
-       contractLimit = job.contract.concurrency, model = job.contract.model](Admission& admission) {
+      [name = job.tenant, policy = job.policyName, tenantLimit = tenant.concurrency,
+       policyLimit = job.policy.concurrency, model = job.policy.model](Admission& admission) {
         const Instant now = BootClock::now();
-        Entered entered = admission.enter(name, tenantLimit, contract, contractLimit, now);
+        Entered entered = admission.enter(name, tenantLimit, policy, policyLimit, now);
         entered.couldTryAgain = admission.couldTakeExtra(model, now);
         return entered;
       };
@@ -66,30 +66,31 @@
   if (!entered || !entered->isIn) {
     trace.outcome = "turned away at admission";
     response =
-        turnAway(DefectKind::TurnedAwayBusy, "the tenant or the contract is at its limit", job.id);
+        turnAway(ErrorKind::TurnedAwayBusy, "the tenant or the policy is at its limit", job.id);
   } else {
-    AtEnd exit([this, name = job.tenant, contract = job.contractName] {
-      admission_.mustPost([=](Admission& admission) { admission.leave(name, contract); });
+    AtEnd exit([this, name = job.tenant, policy = job.policyName] {
+      admission_.mustPost([=](Admission& admission) { admission.leave(name, policy); });
     });
     job.entered = *entered;
-    response = co_await run(circuit, job, &trace);
+    response = co_await run(connection, job, &trace);
   }
   record(job, trace);
   co_return response;
 }
 
-awaitable<std::optional<HttpResponse>> Proxy::run(Circuit& circuit, const Job& job, Trace* trace) {
+awaitable<std::optional<HttpResponse>> Proxy::run(Connection& connection, const Job& job,
+                                                  Trace* trace) {
   std::set<ServerName> tried;
   // mayHaveRun only rises. While it is false, turning the request away is the truth.
   bool mayHaveRun = false, late = false, wasSent = false;
   std::string lastDetail = "no server is free";
-  for (std::size_t attempt = 0; attempt < std::max<std::size_t>(1, job.contract.tries); ++attempt) {
+  for (std::size_t attempt = 0; attempt < std::max<std::size_t>(1, job.policy.tries); ++attempt) {
     if (BootClock::now() >= job.due) {
       late = true;
       break;
     }
-    const PlacementAsked asked{job.contract.model, job.tenant, job.salt,
-                               job.prefix,         tried,      job.entered.overShare};
+    const PlacementAsked asked{job.policy.model, job.tenant, job.salt,
+                               job.prefix,       tried,      job.entered.overShare};
     const std::function<std::optional<Placed>(Placement&)> place = [asked](Placement& placement) {
       return placement.place(asked, BootClock::now());
     };
@@ -107,8 +108,7 @@
     });
     // An extra try is one more send; where nothing was sent before, this is still the first.
     if (wasSent) {
-      const std::function<bool(Admission&)> pay = [model =
-                                                       job.contract.model](Admission& admission) {
+      const std::function<bool(Admission&)> pay = [model = job.policy.model](Admission& admission) {
         return admission.takeExtra(model, BootClock::now());
       };
       const auto paid = co_await admission_.ask<bool>(pay);
@@ -123,18 +123,18 @@
                       formatPrefix(job.prefix),
                       job.body,
                       job.due,
-                      firstPieceDueOf(job.contract, job.entered, attempt, job.due)};
+                      firstPieceDueOf(job.policy, job.entered, attempt, job.due)};
     const ServerName chosenName = placed.chosenServer.name;
     const std::function<bool()> mayStart = [this, &job, chosenName, wasSent] {
       if (!mayRun(job, chosenName)) return false;
       if (!wasSent)
-        admission_.mustPost([model = job.contract.model](Admission& admission) {
+        admission_.mustPost([model = job.policy.model](Admission& admission) {
           admission.countFirst(model, BootClock::now());
         });
       return true;
     };
     DeliveryResult result{DeliveryEnd::NeverSent, "a fetch left cache of doubtful weights there"};
-    if (fetched.safe) result = co_await deliver(std::move(delivery), circuit, mayStart);
+    if (fetched.safe) result = co_await deliver(std::move(delivery), connection, mayStart);
     wasSent = wasSent || result.end != DeliveryEnd::NeverSent;
     ran = result.end != DeliveryEnd::NeverSent && result.end != DeliveryEnd::NotRun;
     trace->tries.push_back(
@@ -173,18 +173,18 @@
         mayHaveRun = true;
         break;
     }
-    if (late || (mayHaveRun && !job.contract.repeatable)) break;
+    if (late || (mayHaveRun && !job.policy.repeatable)) break;
   }
   if (mayHaveRun) {
     trace->outcome = "unknown";
-    const DefectKind kind =
-        job.contract.repeatable
-            ? (late ? DefectKind::DuePassedRepeatable : DefectKind::OutcomeUnknownRepeatable)
-            : (late ? DefectKind::DuePassed : DefectKind::OutcomeUnknown);
+    const ErrorKind kind =
+        job.policy.repeatable
+            ? (late ? ErrorKind::DuePassedRepeatable : ErrorKind::OutcomeUnknownRepeatable)
+            : (late ? ErrorKind::DuePassed : ErrorKind::OutcomeUnknown);
     co_return unknown(kind, "the request may have run (" + lastDetail + ")", job);
   }
   trace->outcome = "turned away";
-  co_return turnAway(DefectKind::TurnedAway, late ? "the due passed before it ran" : lastDetail,
+  co_return turnAway(ErrorKind::TurnedAway, late ? "the due passed before it ran" : lastDetail,
                      job.id);
 }
 
@@ -198,26 +198,28 @@
   if (placed.source) {
     source = Address{placed.source->server.value};
     from = "peer " + source.value;
-  } else if (placed.worthFetching && !boot_.store.value.empty()) {
-    source = boot_.store;
+  } else if (placed.worthFetching && !settings_.store.value.empty()) {
+    source = settings_.store;
     from = "store";
   }
   // A model whose weights are on the move is no time for fetching: a source may switch any moment.
   const auto seen = view();
-  const auto named = seen->spec->weights.find(job.contract.model);
-  const bool steady = named != seen->spec->weights.end() && named->second == server.weights;
-  if (!boot_.fetch || !steady || source.value.empty() || job.due - BootClock::now() < 2 * kFetchDue)
+  const auto named = seen->configuration->weights.find(job.policy.model);
+  const bool steady =
+      named != seen->configuration->weights.end() && named->second == server.weights;
+  if (!settings_.fetch || !steady || source.value.empty() ||
+      job.due - BootClock::now() < 2 * kFetchDue)
     co_return Fetched{};
   // How many tokens the source is seen to hold under the request's weights; 0 where in doubt. A
   // store keeps blocks of several weights side by side: only the part it vouches for is pulled.
   const auto heldBySource = [&]() -> awaitable<std::size_t> {
     if (placed.source) {
       const auto state = co_await readServer(source, kFetchDue);
-      const bool same = state.ok() && state->sound && state->weights == server.weights &&
+      const bool same = state.ok() && state->healthy && state->weights == server.weights &&
                         state->identity == placed.source->identity;
       co_return same ? placed.source->matchedTokens : 0;
     }
-    const auto kept = co_await readKept(source, boot_.callers, job.contract.model, job.salt,
+    const auto kept = co_await readKept(source, settings_.callers, job.policy.model, job.salt,
                                         server.weights, job.prefix, kFetchDue);
     co_return kept.ok() ? *kept : 0;
   };
@@ -225,14 +227,14 @@
   if (before < placed.matchedTokens + kFetchGain)
     co_return Fetched{from + ": not there under these weights", true};
   ++counters_.fetches;
-  const auto pulled = co_await pullPrefix(chosenAddress, source, job.contract.model, job.salt,
+  const auto pulled = co_await pullPrefix(chosenAddress, source, job.policy.model, job.salt,
                                           server.weights, job.prefix, before, kFetchDue);
   const std::size_t after = co_await heldBySource();
   const auto target = co_await readServer(chosenAddress, kFetchDue);
   const bool sameTarget =
       target.ok() && target->identity == server.identity && target->weights == server.weights;
   if (pulled.ok() && after >= before && sameTarget) co_return Fetched{from + ": fetched", true};
-  ++counters_.fetchDefects;
+  ++counters_.fetchErrors;
   const auto dropped = co_await dropPrefix(chosenAddress, job.salt, job.prefix, kFetchDue);
   // A pull that failed here may still land there until its own due has passed.
   const bool safe = pulled.ok() && dropped.ok();
@@ -244,8 +246,8 @@
       {"decision", "request"},
       {"request", job.id.value},
       {"tenant", job.tenant.value},
-      {"contract", job.contractName.value},
-      {"repeatable", job.contract.repeatable},
+      {"contract", job.policyName.value},
+      {"repeatable", job.policy.repeatable},
       {"outcome", trace.outcome},
       {"took_us",
        std::chrono::duration_cast<std::chrono::microseconds>(BootClock::now() - job.begun).count()},
--- a/src/sonnblick.cpp
+++ b/src/quayrilld.cpp
@@ -1,19 +1,19 @@
-// sonnblick: the one daemon. Every machine runs it; all are equal.
+// quayrilld: the one daemon. Every machine runs it; all are equal.
 #include <docopt/docopt.h>
 #include <iostream>
 
-#include "boot/boot.h"
 #include "daemon/daemon.h"
+#include "settings/settings.h"
 
 namespace {
-constexpr char kUsage[] = R"(sonnblick: one daemon of a quayrill fleet.
+constexpr char kUsage[] = R"(quayrilld: one daemon of a quayrill fleet.
 
 Usage:
-  sonnblick [--settings=FILE] [--role=ROLE] [--cohort=ADDR] [--operators=ADDR] [--callers=ADDR]
+  quayrilld [--settings=FILE] [--role=ROLE] [--cohort=ADDR] [--operators=ADDR] [--callers=ADDR]
             [--zone=ZONE] [--seeds=LIST] [--data-folder=DIR] [--platform=ADDR] [--store=ADDR]
             [--cohort-via=ADDR] [--disk-drag=FILE] [--placement=RULE] [--fetch=ON]
             [--copies-wanted=N] [--block-tokens=N] [--traffic-threads=N] [--fresh-limit-ms=MS] [--grace-ms=MS] [--check]
-  sonnblick --help | --version
+  quayrilld --help | --version
 
 Options:
   --settings=FILE      JSON settings; flags win over it. Names are those below with '_' for '-'.
@@ -51,7 +51,7 @@
 }  // namespace
 
 int main(int argc, char** argv) {
-  const std::string program = "sonnblick " QUAYRILL_VERSION;
+  const std::string program = "quayrilld " QUAYRILL_VERSION;
   std::map<std::string, docopt::value> flags;
   try {
     flags = docopt::docopt_parse(kUsage, {argv + 1, argv + argc}, true, true);
@@ -61,11 +61,11 @@
   } catch (const docopt::DocoptExitVersion&) {
     std::cout << program << "\n";
     return 0;
-  } catch (const std::exception& defect) {
-    std::cerr << "sonnblick: " << defect.what() << ": see --help\n";
+  } catch (const std::exception& error) {
+    std::cerr << "quayrilld: " << error.what() << ": see --help\n";
     return 2;
   }
-  quayrill::BootAsked asked;
+  quayrill::SettingsAsked asked;
   for (const auto& [flag, value] : flags) {
     if (!value || !value.isString()) continue;
     if (flag == "--settings")
@@ -73,15 +73,16 @@
     else
       asked.flags[settingName(flag)] = value.asString();
   }
-  quayrill::SettingsSource source{
-      asked.settingsFile, "{}",
-      [given = asked.flags](const std::string& text) { return quayrill::readBoot(text, given); }};
-  const auto boot = quayrill::loadSettings(&source);
-  if (!boot.ok()) {
-    std::cerr << "sonnblick: " << boot.status().message() << "\n";
+  quayrill::SettingsSource source{asked.settingsFile, "{}",
+                                  [given = asked.flags](const std::string& text) {
+                                    return quayrill::readSettings(text, given);
+                                  }};
+  const auto settings = quayrill::loadSettings(&source);
+  if (!settings.ok()) {
+    std::cerr << "quayrilld: " << settings.status().message() << "\n";
     return 2;
   }
   if (flags["--check"].asBool()) return 0;
 
-  return quayrill::runDaemon(*boot, quayrill::ownDialect(), argv[0], std::move(source));
+  return quayrill::runDaemon(*settings, quayrill::ownDialect(), argv[0], std::move(source));
 }
--- a/src/register/epoch_sweep.cpp
+++ b/src/register/epoch_sweep.cpp
@@ -11,41 +11,41 @@
 
 ChangeAsked readOf(const RegisterKey& key, Instant due) { return {{}, key, true, 0, {}, {}, due}; }
 
-ChangeAsked changeTo(const CopySet& copies, std::uint64_t version, Instant due) {
-  return {{}, kCopySetKey, false, version, encodeValue(copies), {}, due};
+ChangeAsked changeTo(const ReplicaSet& replicas, std::uint64_t version, Instant due) {
+  return {{}, kReplicaSetKey, false, version, encodeValue(replicas), {}, due};
 }
 }  // namespace
 
-std::vector<ChangeAsked> EpochSweep::next(const CopySet& copies, std::uint64_t version,
+std::vector<ChangeAsked> EpochSweep::next(const ReplicaSet& replicas, std::uint64_t version,
                                           const std::optional<std::vector<RegisterKey>>& listed,
-                                          const std::optional<CopySet>& following, Instant now) {
-  if (!copies.settled) return sweep(copies, version, listed, now);
+                                          const std::optional<ReplicaSet>& following, Instant now) {
+  if (!replicas.settled) return sweep(replicas, version, listed, now);
   if (!following) return {};
   return {changeTo(*following, version, now + kStepSpan)};
 }
 
-std::vector<ChangeAsked> EpochSweep::sweep(const CopySet& copies, std::uint64_t version,
+std::vector<ChangeAsked> EpochSweep::sweep(const ReplicaSet& replicas, std::uint64_t version,
                                            const std::optional<std::vector<RegisterKey>>& listed,
                                            Instant now) {
-  if (epoch_ != copies.epoch) {
-    epoch_ = copies.epoch;
+  if (epoch_ != replicas.epoch) {
+    epoch_ = replicas.epoch;
     unswept_.clear();
     hasList_ = false;
   }
   // A majority inside this epoch meets every majority of the older one, and none of its members
   // takes part in the older epoch any more: no key can come up behind the list. The read brings
-  // the copies into the epoch.
+  // the replicas into the epoch.
   if (!hasList_) {
-    if (!listed) return {readOf(kCopySetKey, now + kListSpan)};
+    if (!listed) return {readOf(kReplicaSetKey, now + kListSpan)};
     unswept_.insert(listed->begin(), listed->end());
-    unswept_.insert(kCopySetKey);
+    unswept_.insert(kReplicaSetKey);
     hasList_ = true;
     return {};
   }
   std::vector<ChangeAsked> asks;
   for (const RegisterKey& key : unswept_) asks.push_back(readOf(key, now + kStepSpan));
   if (!asks.empty()) return asks;
-  CopySet settled = copies;
+  ReplicaSet settled = replicas;
   settled.settled = true;
   return {changeTo(settled, version, now + kStepSpan)};
 }
--- a/src/register/proposer.cpp
+++ b/src/register/proposer.cpp
@@ -31,10 +31,11 @@
                      [&](const auto& entry) { return entry.second.change.key == key; });
 }
 
-Proposer::Sends Proposer::begin(const ChangeAsked& change, const CopySet& copies, Instant now) {
+Proposer::Sends Proposer::begin(const ChangeAsked& change, const ReplicaSet& replicas,
+                                Instant now) {
   Operation& operation = operations_[change.operation];
   operation.change = change;
-  operation.copies = copies;
+  operation.replicas = replicas;
   return startRound(operation, now);
 }
 
@@ -42,25 +43,25 @@
   operation.phase = Phase::Preparing;
   operation.granted.clear();
   operation.turnedAway.clear();
-  operation.ballot = {operation.copies.epoch, ++highestRound_, id_};
+  operation.ballot = {operation.replicas.epoch, ++highestRound_, id_};
   operation.phaseDue = now + kPhaseSpan;
   operation.repeatAt = now + kRepeatAfter;
   return ask(operation);
 }
 
-// The present phase's question, to the copies that have not answered it.
+// The present phase's question, to the replicas that have not answered it.
 Proposer::Sends Proposer::ask(const Operation& operation) const {
   const ChangeAsked& change = operation.change;
   Sends sends;
-  for (const CopyMember& member : operation.copies.members) {
+  for (const ReplicaMember& member : operation.replicas.members) {
     if (operation.granted.contains(member.store) || operation.turnedAway.contains(member.store))
       continue;
     if (operation.phase == Phase::Preparing)
       sends.emplace_back(member, Prepare{change.operation, change.key, operation.ballot,
-                                         member.store, operation.copies});
+                                         member.store, operation.replicas});
     else
       sends.emplace_back(member, Accept{change.operation, change.key, operation.ballot,
-                                        member.store, operation.copies, operation.proposal});
+                                        member.store, operation.replicas, operation.proposal});
   }
   return sends;
 }
@@ -111,14 +112,14 @@
 void Proposer::finish(Operation& operation, ChangeResult result, const RegisterValue& value,
                       std::vector<ChangeDone>* done) {
   done->push_back({operation.change.operation, operation.change.key, result, value,
-                   operation.ballot, newestCopies_});
+                   operation.ballot, newestReplicas_});
   operations_.erase(operation.change.operation);
 }
 
-Proposer::Sends Proposer::onAnswer(const CopyAnswer& answer, Instant now,
+Proposer::Sends Proposer::onAnswer(const ReplicaAnswer& answer, Instant now,
                                    std::vector<ChangeDone>* done) {
   highestRound_ = std::max(highestRound_, answer.promised.round);
-  if (answer.copies.epoch > newestCopies_.epoch) newestCopies_ = answer.copies;
+  if (answer.replicas.epoch > newestReplicas_.epoch) newestReplicas_ = answer.replicas;
   const auto entry = operations_.find(answer.operation);
   if (entry == operations_.end()) return {};
   Operation& operation = entry->second;
@@ -127,20 +128,20 @@
   if (!expected) return {};
   if (!answer.granted) {
     operation.turnedAway.insert(answer.store);
-    const std::size_t members = operation.copies.members.size();
-    if (operation.turnedAway.size() > members - majorityOf(operation.copies) ||
-        answer.copies.epoch > operation.copies.epoch)
+    const std::size_t members = operation.replicas.members.size();
+    if (operation.turnedAway.size() > members - majorityOf(operation.replicas) ||
+        answer.replicas.epoch > operation.replicas.epoch)
       rest(operation, now);
     return {};
   }
   operation.granted[answer.store] = answer;
-  if (operation.granted.size() < majorityOf(operation.copies)) return {};
+  if (operation.granted.size() < majorityOf(operation.replicas)) return {};
   if (operation.phase == Phase::Preparing) return startAccept(operation, now);
   finish(operation, resultOf(operation), operation.proposal, done);
   return {};
 }
 
-Proposer::Sends Proposer::onTick(const CopySet& copies, Instant now,
+Proposer::Sends Proposer::onTick(const ReplicaSet& replicas, Instant now,
                                  std::vector<ChangeDone>* done) {
   Sends sends;
   std::vector<OperationId> ids;
@@ -155,7 +156,7 @@
         rest(operation, now);
         continue;
       }
-      if (copies.epoch > operation.copies.epoch) operation.copies = copies;
+      if (replicas.epoch > operation.replicas.epoch) operation.replicas = replicas;
       for (auto& send : startRound(operation, now)) sends.push_back(std::move(send));
     } else if (operation.phase != Phase::Resting && now >= operation.repeatAt) {
       operation.repeatAt = operation.phaseDue;
@@ -169,7 +170,7 @@
   const ChangeAsked& change = operation.change;
   std::string bytes = encodeValue(change.operation) + encodeValue(change.key) +
                       encodeValue(change.expectedVersion) + encodeValue(change.body) +
-                      encodeValue(change.writeId) + encodeValue(operation.copies) +
+                      encodeValue(change.writeId) + encodeValue(operation.replicas) +
                       encodeValue(operation.ballot);
   for (const bool flag : {change.isRead, operation.acceptSent, operation.proposesOwn})
     bytes += flag ? '1' : '0';
@@ -189,7 +190,7 @@
 }
 
 std::string Proposer::sharedBytes() const {
-  std::string bytes = encodeValue(id_) + encodeValue(highestRound_) + encodeValue(newestCopies_);
+  std::string bytes = encodeValue(id_) + encodeValue(highestRound_) + encodeValue(newestReplicas_);
   for (const auto& [id, operation] : operations_) bytes += sharedBytesOf(operation);
   return bytes;
 }
--- a/src/register/proposer.h
+++ b/src/register/proposer.h
@@ -6,7 +6,7 @@
 #include <set>
 
 #include "base/clock.h"
-#include "register/copy.h"
+#include "register/replica.h"
 
 namespace quayrill {
 
@@ -25,7 +25,7 @@
 enum class ChangeResult {
   Chosen,    // in the register; for a read, the value read
   Conflict,  // another value than expected was chosen: never takes effect
-  NotTried,  // no copy was asked to accept it: never takes effect
+  NotTried,  // no replica was asked to accept it: never takes effect
   Unknown,   // some copy may hold it: a read settles it
 };
 
@@ -35,19 +35,19 @@
   ChangeResult result{};
   RegisterValue value;  // what was chosen; on a conflict, what was chosen in its place
   Ballot ballot;        // at which it was chosen
-  CopySet copies;       // a newer copy set that was met on the way, if any
+  ReplicaSet replicas;  // a newer replica set that was met on the way, if any
 };
 
 class Proposer {
  public:
   Proposer(ProposerId id, std::uint64_t seed) : id_(id), random_(seed) {}
 
-  std::vector<std::pair<CopyMember, Message>> begin(const ChangeAsked& change,
-                                                    const CopySet& copies, Instant now);
-  std::vector<std::pair<CopyMember, Message>> onAnswer(const CopyAnswer& answer, Instant now,
-                                                       std::vector<ChangeDone>* done);
-  std::vector<std::pair<CopyMember, Message>> onTick(const CopySet& copies, Instant now,
-                                                     std::vector<ChangeDone>* done);
+  std::vector<std::pair<ReplicaMember, Message>> begin(const ChangeAsked& change,
+                                                       const ReplicaSet& replicas, Instant now);
+  std::vector<std::pair<ReplicaMember, Message>> onAnswer(const ReplicaAnswer& answer, Instant now,
+                                                          std::vector<ChangeDone>* done);
+  std::vector<std::pair<ReplicaMember, Message>> onTick(const ReplicaSet& replicas, Instant now,
+                                                        std::vector<ChangeDone>* done);
   bool isBusy(const RegisterKey& key) const;
   // The state but for deadlines and jitter, as bytes: two of equal bytes take the same steps from
   // here on, if perhaps at other times. For the model check.
@@ -59,15 +59,15 @@
 
  private:
   enum class Phase { Preparing, Accepting, Resting };
-  // acceptSent: of a value of its own. It never turns false again: once any copy was asked to
+  // acceptSent: of a value of its own. It never turns false again: once any replica was asked to
   // accept one, only a chosen value that names this write, or one that rules it out, can end the
   // operation as anything but Unknown.
   struct Operation {
     ChangeAsked change;
-    CopySet copies;
+    ReplicaSet replicas;
     Ballot ballot;
     Phase phase = Phase::Preparing;
-    std::map<StoreId, CopyAnswer> granted;
+    std::map<StoreId, ReplicaAnswer> granted;
     std::set<StoreId> turnedAway;
     RegisterValue proposal;
     bool acceptSent = false;
@@ -75,7 +75,7 @@
     Instant phaseDue;
     Instant repeatAt;  // what got no answer is asked once more
   };
-  using Sends = std::vector<std::pair<CopyMember, Message>>;
+  using Sends = std::vector<std::pair<ReplicaMember, Message>>;
   static std::string sharedBytesOf(const Operation& operation);
   static std::string bytesHeardFrom(const Operation& operation, StoreId store);
   Sends startRound(Operation& operation, Instant now);
@@ -89,7 +89,7 @@
   ProposerId id_;
   std::mt19937_64 random_;
   std::uint64_t highestRound_ = 0;  // never falls; each round begun uses a higher one
-  CopySet newestCopies_;
+  ReplicaSet newestReplicas_;
   std::map<OperationId, Operation> operations_;
 };
 
--- a/src/register/copy.cpp
+++ b/src/register/replica.cpp
@@ -1,4 +1,4 @@
-#include "register/copy.h"
+#include "register/replica.h"
 
 #include <algorithm>
 
@@ -9,49 +9,49 @@
 constexpr char kDisowned[] = "disowned";
 }  // namespace
 
-std::size_t majorityOf(const CopySet& copies) { return copies.members.size() / 2 + 1; }
-std::size_t meetsEveryMajority(const CopySet& copies) {
-  return copies.members.size() - majorityOf(copies) + 1;
+std::size_t majorityOf(const ReplicaSet& replicas) { return replicas.members.size() / 2 + 1; }
+std::size_t meetsEveryMajority(const ReplicaSet& replicas) {
+  return replicas.members.size() - majorityOf(replicas) + 1;
 }
 
-bool RegisterCopy::isMember() const {
-  return std::any_of(copies_.members.begin(), copies_.members.end(),
-                     [&](const CopyMember& member) { return member.store == store_; });
+bool RegisterReplica::isMember() const {
+  return std::any_of(replicas_.members.begin(), replicas_.members.end(),
+                     [&](const ReplicaMember& member) { return member.store == store_; });
 }
 
-DiskWrite RegisterCopy::slotWrite(const RegisterKey& key, const Slot& slot) const {
+DiskWrite RegisterReplica::slotWrite(const RegisterKey& key, const Slot& slot) const {
   return {"slot/" + key.value,
           encodeValue(slot.promised) + encodeValue(ConfirmedKey{key, slot.acceptedAt, slot.value})};
 }
 
-std::vector<DiskWrite> RegisterCopy::identityWrites() const {
+std::vector<DiskWrite> RegisterReplica::identityWrites() const {
   return {{"format", kDiskFormat}, {"store", std::to_string(store_.value)}};
 }
 
-std::vector<DiskWrite> RegisterCopy::adopt(const CopySet& copies) {
-  const bool newer = copies.epoch > copies_.epoch ||
-                     (copies.epoch == copies_.epoch && copies.settled && !copies_.settled);
+std::vector<DiskWrite> RegisterReplica::adopt(const ReplicaSet& replicas) {
+  const bool newer = replicas.epoch > replicas_.epoch ||
+                     (replicas.epoch == replicas_.epoch && replicas.settled && !replicas_.settled);
   if (!newer) return {};
   const bool tookPart =
       isMember() || std::any_of(slots_.begin(), slots_.end(), [](const auto& row) {
         return row.second.promised > Ballot{} || row.second.acceptedAt > Ballot{};
       });
-  if (copies_.fleet != 0 && copies.fleet != copies_.fleet && tookPart) {
+  if (replicas_.fleet != 0 && replicas.fleet != replicas_.fleet && tookPart) {
     voting_ = false;
-    return {{kDisowned, std::to_string(copies.fleet)}};
+    return {{kDisowned, std::to_string(replicas.fleet)}};
   }
-  copies_ = copies;
-  return {{"copies", encodeValue(copies)}};
+  replicas_ = replicas;
+  return {{"copies", encodeValue(replicas)}};
 }
 
-bool RegisterCopy::restore(const std::map<std::string, std::string>& disk) {
+bool RegisterReplica::restore(const std::map<std::string, std::string>& disk) {
   const auto format = disk.find("format");
   const auto store = disk.find("store");
   if (format == disk.end() || format->second != kDiskFormat || store == disk.end()) return false;
   store_ = StoreId{std::stoull(store->second)};
   voting_ = !disk.contains(kDisowned);
-  if (const auto copies = disk.find("copies"); copies != disk.end()) {
-    if (!decodeValue(copies->second, &copies_)) return false;
+  if (const auto replicas = disk.find("copies"); replicas != disk.end()) {
+    if (!decodeValue(replicas->second, &replicas_)) return false;
   }
   const std::size_t ballotSize = encodeValue(Ballot{}).size();
   for (auto row = disk.lower_bound("slot/"); row != disk.end(); ++row) {
@@ -69,35 +69,35 @@
   return true;
 }
 
-std::vector<DiskWrite> RegisterCopy::refound(const CopySet& copies, ProposerId proposer,
-                                             WriteId write, const RegisterValue& spec,
-                                             std::uint64_t setVersion) {
-  copies_ = copies;
-  slots_[kSpecKey].value = spec;
-  slots_[kCopySetKey].value = {setVersion, write, {}, encodeValue(copies)};
-  std::vector<DiskWrite> writes{{"copies", encodeValue(copies)}};
+std::vector<DiskWrite> RegisterReplica::recover(const ReplicaSet& replicas, ProposerId proposer,
+                                                WriteId write, const RegisterValue& configuration,
+                                                std::uint64_t setVersion) {
+  replicas_ = replicas;
+  slots_[kConfigurationKey].value = configuration;
+  slots_[kReplicaSetKey].value = {setVersion, write, {}, encodeValue(replicas)};
+  std::vector<DiskWrite> writes{{"copies", encodeValue(replicas)}};
   for (auto& [key, slot] : slots_) {
-    slot.promised = slot.acceptedAt = {copies.epoch, 1, proposer};
+    slot.promised = slot.acceptedAt = {replicas.epoch, 1, proposer};
     writes.push_back(slotWrite(key, slot));
   }
   return writes;
 }
 
-std::optional<RegisterValue> RegisterCopy::valueOf(const RegisterKey& key) const {
+std::optional<RegisterValue> RegisterReplica::valueOf(const RegisterKey& key) const {
   const auto slot = slots_.find(key);
   if (slot == slots_.end()) return std::nullopt;
   return slot->second.value;
 }
 
-std::string RegisterCopy::stateBytes() const {
-  std::string bytes = encodeValue(copies_) + (voting_ ? '1' : '0');
+std::string RegisterReplica::stateBytes() const {
+  std::string bytes = encodeValue(replicas_) + (voting_ ? '1' : '0');
   for (const auto& [key, slot] : slots_) bytes += slotWrite(key, slot).bytes;
   return bytes;
 }
 
-CopyAnswer RegisterCopy::answerTo(const OperationId& operation, const RegisterKey& key,
-                                  const Ballot& ballot, bool accepting) const {
-  CopyAnswer answer{operation, key, ballot, store_, accepting, false, {}, {}, {}, copies_};
+ReplicaAnswer RegisterReplica::answerTo(const OperationId& operation, const RegisterKey& key,
+                                        const Ballot& ballot, bool accepting) const {
+  ReplicaAnswer answer{operation, key, ballot, store_, accepting, false, {}, {}, {}, replicas_};
   if (const auto slot = slots_.find(key); slot != slots_.end()) {
     answer.promised = slot->second.promised;
     answer.acceptedAt = slot->second.acceptedAt;
@@ -106,24 +106,25 @@
   return answer;
 }
 
-bool RegisterCopy::isForeign(const CopySet& copies) const {
-  return copies_.epoch.value > 0 && copies.epoch == copies_.epoch && copies.fleet != copies_.fleet;
+bool RegisterReplica::isForeign(const ReplicaSet& replicas) const {
+  return replicas_.epoch.value > 0 && replicas.epoch == replicas_.epoch &&
+         replicas.fleet != replicas_.fleet;
 }
 
-CopyEffects RegisterCopy::onPrepare(const Prepare& message) {
+ReplicaEffects RegisterReplica::onPrepare(const Prepare& message) {
   if (!voting_ || message.store != store_) return {};
-  CopyEffects effects;
-  if (message.copies.epoch >= copies_.epoch) {
-    effects.writes = adopt(message.copies);
+  ReplicaEffects effects;
+  if (message.replicas.epoch >= replicas_.epoch) {
+    effects.writes = adopt(message.replicas);
     if (!voting_) return effects;
     Slot& slot = slots_[message.key];
     const bool granted =
-        message.ballot >= slot.promised && isMember() && !isForeign(message.copies);
+        message.ballot >= slot.promised && isMember() && !isForeign(message.replicas);
     if (granted && message.ballot > slot.promised) {
       slot.promised = message.ballot;
       effects.writes.push_back(slotWrite(message.key, slot));
     }
-    CopyAnswer answer = answerTo(message.operation, message.key, message.ballot, false);
+    ReplicaAnswer answer = answerTo(message.operation, message.key, message.ballot, false);
     answer.granted = granted;
     effects.answer = answer;
   } else {
@@ -132,33 +133,33 @@
   return effects;
 }
 
-CopyEffects RegisterCopy::onAccept(const Accept& message) {
+ReplicaEffects RegisterReplica::onAccept(const Accept& message) {
   if (!voting_ || message.store != store_) return {};
-  CopyEffects effects;
+  ReplicaEffects effects;
   bool granted = false;
-  if (message.copies.epoch >= copies_.epoch) {
-    effects.writes = adopt(message.copies);
+  if (message.replicas.epoch >= replicas_.epoch) {
+    effects.writes = adopt(message.replicas);
     if (!voting_) return effects;
     Slot& slot = slots_[message.key];
-    granted = message.ballot >= slot.promised && isMember() && !isForeign(message.copies);
+    granted = message.ballot >= slot.promised && isMember() && !isForeign(message.replicas);
     if (granted) {
       slot.promised = slot.acceptedAt = message.ballot;
       slot.value = message.value;
       effects.writes.push_back(slotWrite(message.key, slot));
     }
   }
-  CopyAnswer answer = answerTo(message.operation, message.key, message.ballot, true);
+  ReplicaAnswer answer = answerTo(message.operation, message.key, message.ballot, true);
   answer.granted = granted;
   effects.answer = answer;
   return effects;
 }
 
-CopyEffects RegisterCopy::onConfirm(const Confirm& message) const {
+ReplicaEffects RegisterReplica::onConfirm(const Confirm& message) const {
   if (!voting_) return {};
-  ConfirmAnswer answer{message.sequence, message.store, store_, copies_, {}, false, {}};
-  if (message.epoch == copies_.epoch && message.fleet == copies_.fleet &&
-      message.settled == copies_.settled)
-    answer.copies.members.clear();
+  ConfirmAnswer answer{message.sequence, message.store, store_, replicas_, {}, false, {}};
+  if (message.epoch == replicas_.epoch && message.fleet == replicas_.fleet &&
+      message.settled == replicas_.settled)
+    answer.replicas.members.clear();
   if (message.store != store_ || !isMember()) return {{}, answer};
   for (const auto& [key, known] : message.known) {
     ConfirmedKey held{key, {}, {}};
--- a/src/register/amending.cpp
+++ b/src/register/update_operation.cpp
@@ -1,4 +1,4 @@
-#include "register/amending.h"
+#include "register/update_operation.h"
 
 namespace quayrill {
 
@@ -10,78 +10,78 @@
 constexpr Span kSettleShare = 800ms;
 }  // namespace
 
-Amending::Amending(Amendment change, std::size_t bodyLimit, Instant due)
+UpdateOperation::UpdateOperation(Update change, std::size_t bodyLimit, Instant due)
     : change_(std::move(change)), bodyLimit_(bodyLimit), due_(due) {}
 
-void Amending::finish(AmendResult result, std::string message) {
-  done_ = AmendDone{result, std::move(message)};
+void UpdateOperation::finish(UpdateResult result, std::string message) {
+  done_ = UpdateDone{result, std::move(message)};
 }
 
-std::optional<ChangeAsked> Amending::next(Instant now) {
+std::optional<ChangeAsked> UpdateOperation::next(Instant now) {
   if (done_) return std::nullopt;
-  if (step_ == Step::Settling) return ChangeAsked{{}, kSpecKey, true, 0, {}, {}, due_};
+  if (step_ == Step::Settling) return ChangeAsked{{}, kConfigurationKey, true, 0, {}, {}, due_};
   const Instant due = due_ - (step_ == Step::Reading ? kChangeShare : kSettleShare);
   // Whatever was proposed before is ruled out here: by its own result, or by a settled read.
   if (now >= due) {
-    finish(AmendResult::NotTaken, "no time is left to change the register");
+    finish(UpdateResult::NotTaken, "no time is left to change the register");
     return std::nullopt;
   }
-  if (step_ == Step::Reading) return ChangeAsked{{}, kSpecKey, true, 0, {}, {}, due};
-  return ChangeAsked{{}, kSpecKey, false, proposed_.version, proposed_.body, {}, due};
+  if (step_ == Step::Reading) return ChangeAsked{{}, kConfigurationKey, true, 0, {}, {}, due};
+  return ChangeAsked{{}, kConfigurationKey, false, proposed_.version, proposed_.body, {}, due};
 }
 
-void Amending::onAnswer(const ChangeDone& answer) {
+void UpdateOperation::onAnswer(const ChangeDone& answer) {
   const bool chosen = answer.result == ChangeResult::Chosen;
   if (step_ != Step::Proposing) {
     if (chosen)
       judge(answer.value);
     else if (step_ == Step::Settling)
-      finish(AmendResult::Unknown, "no majority of register copies answered after the change");
+      finish(UpdateResult::Unknown, "no majority of register replicas answered after the change");
     else
-      finish(AmendResult::NotTaken, "no majority of register copies answered");
+      finish(UpdateResult::NotTaken, "no majority of register replicas answered");
     return;
   }
   switch (answer.result) {
     case ChangeResult::Chosen:
-      return finish(AmendResult::Taken);
+      return finish(UpdateResult::Taken);
     case ChangeResult::Conflict:
       step_ = Step::Reading;
       return;
     case ChangeResult::NotTried:
-      return finish(AmendResult::NotTaken, "no majority of register copies answered");
+      return finish(UpdateResult::NotTaken, "no majority of register replicas answered");
     case ChangeResult::Unknown:
       step_ = Step::Settling;
       return;
   }
 }
 
-void Amending::judge(const RegisterValue& standing) {
+void UpdateOperation::judge(const RegisterValue& standing) {
   const auto body = change_(standing.body);
   if (!body.ok()) {
     const std::string why(body.status().message());
     switch (body.status().code()) {
       case absl::StatusCode::kInvalidArgument:
-        return finish(AmendResult::Refused, why);
+        return finish(UpdateResult::Refused, why);
       case absl::StatusCode::kFailedPrecondition:
-        return finish(AmendResult::Stale, why);
+        return finish(UpdateResult::Stale, why);
       case absl::StatusCode::kResourceExhausted:
-        return finish(AmendResult::TooLarge, why);
+        return finish(UpdateResult::TooLarge, why);
       case absl::StatusCode::kUnknown:
-        return finish(AmendResult::Unknown, why);
+        return finish(UpdateResult::Unknown, why);
       default:  // what stands can't be read here
-        return finish(AmendResult::NotTaken, why);
+        return finish(UpdateResult::NotTaken, why);
     }
   }
-  if (!*body) return finish(AmendResult::Holds);
+  if (!*body) return finish(UpdateResult::Leases);
   if ((*body)->size() > bodyLimit_)
-    return finish(AmendResult::TooLarge, "the spec would have " + std::to_string((*body)->size()) +
-                                             " bytes of at most " + std::to_string(bodyLimit_) +
-                                             ": make it smaller");
+    return finish(UpdateResult::TooLarge,
+                  "the configuration would have " + std::to_string((*body)->size()) +
+                      " bytes of at most " + std::to_string(bodyLimit_) + ": make it smaller");
   proposed_ = {standing.version, {}, {}, **body};
   step_ = Step::Proposing;
 }
 
-std::string Amending::stateBytes() const {
+std::string UpdateOperation::stateBytes() const {
   std::string bytes(1, static_cast<char>(step_));
   if (step_ == Step::Proposing) bytes += encodeValue(proposed_);
   if (done_) bytes += "done" + std::to_string(static_cast<int>(done_->result));
--- a/src/register/amending.h
+++ b/src/register/update_operation.h
@@ -1,37 +1,37 @@
 #pragma once
-// One amendment of the register's body, as a state machine over settled reads and changes.
+// One update of the register's body, as a state machine over settled reads and changes.
+#include "configuration/update.h"
 #include "register/proposer.h"
-#include "spec/amend.h"
 
 namespace quayrill {
 
-// Nothing is proposed but what the amendment makes of a body that a settled read showed, and with
+// Nothing is proposed but what the update makes of a body that a settled read showed, and with
 // the version of that body expected. A change of unknown result is settled by a read: it has a
 // higher ballot than the change, so what it does not show can't be chosen any more.
-class Amending {
+class UpdateOperation {
  public:
-  Amending(Amendment change, std::size_t bodyLimit, Instant due);
+  UpdateOperation(Update change, std::size_t bodyLimit, Instant due);
 
   // What to ask of the register next; nothing once `done` is there.
   std::optional<ChangeAsked> next(Instant now);
   void onAnswer(const ChangeDone& answer);
-  const std::optional<AmendDone>& done() const { return done_; }
-  // The state but for the deadline and the amendment, which never change, as bytes: two of equal
-  // bytes and the same amendment take the same steps from here on. For the model check.
+  const std::optional<UpdateDone>& done() const { return done_; }
+  // The state but for the deadline and the update, which never change, as bytes: two of equal
+  // bytes and the same update take the same steps from here on. For the model check.
   std::string stateBytes() const;
   Instant due() const { return due_; }
 
  private:
   enum class Step { Reading, Proposing, Settling };
   void judge(const RegisterValue& standing);
-  void finish(AmendResult result, std::string message = {});
+  void finish(UpdateResult result, std::string message = {});
 
-  Amendment change_;
+  Update change_;
   std::size_t bodyLimit_;
   Instant due_;
   Step step_ = Step::Reading;
   RegisterValue proposed_;  // version: of the body it builds on
-  std::optional<AmendDone> done_;
+  std::optional<UpdateDone> done_;
 };
 
 }  // namespace quayrill
--- a/src/relay/answer.cpp
+++ b/src/relay/answer.cpp
@@ -16,8 +16,8 @@
 
 std::string chunkOf(std::string_view bytes) {
   char size[24];
-  const auto [end, defect] = std::to_chars(size, size + sizeof size, bytes.size(), 16);
-  (void)defect;
+  const auto [end, error] = std::to_chars(size, size + sizeof size, bytes.size(), 16);
+  (void)error;
   std::string chunk(size, end);
   return chunk.append("\r\n").append(bytes).append("\r\n");
 }
@@ -91,8 +91,7 @@
     const bool isSealed = names_.seal.empty() || head.find(names_.seal) != head.end();
     if (isOurs && isSuccess && !isSealed)
       co_return TryResult{TryEnd::Unknown, "a success without a seal"};
-    if (isOurs && isSuccess && attempt.job.contract.isStream)
-      co_return co_await passEvents(attempt);
+    if (isOurs && isSuccess && attempt.job.policy.isStream) co_return co_await passEvents(attempt);
     // Anything else is read whole before it is judged.
     auto body = co_await readBody(attempt);
     if (!body.ok()) co_return TryResult{TryEnd::Unknown, std::string(body.status().message())};
--- a/src/relay/event_splitter.cpp
+++ b/src/relay/event_splitter.cpp
@@ -24,8 +24,8 @@
     line.remove_prefix(3);
     while (!line.empty() && line.front() == ' ') line.remove_prefix(1);
     std::uint64_t id = 0;
-    const auto [last, defect] = std::from_chars(line.data(), line.data() + line.size(), id);
-    if (defect == std::errc{}) return id;
+    const auto [last, error] = std::from_chars(line.data(), line.data() + line.size(), id);
+    if (error == std::errc{}) return id;
   }
   return std::nullopt;
 }
--- a/src/relay/front.cpp
+++ b/src/relay/front.cpp
@@ -19,14 +19,15 @@
 constexpr double kSpreadRequests = 4, kSpreadFactor = 1.5;
 }  // namespace
 
-Relay::Relay(Boot boot, Dialect dialect)
-    : boot_(std::move(boot)),
+Relay::Relay(Settings settings, Dialect dialect)
+    : settings_(std::move(settings)),
       dialect_(std::move(dialect)),
       names_(dialect_.relayNames.value()),
       callers_(io_),
-      placement_({boot_.blockTokens, PlacementRule::LongestPrefix, kSpreadRequests, kSpreadFactor}),
-      budgets_(boot_.extraShare, boot_.extraWindow),
-      slackShare_(boot_.extraWindow),
+      placement_(
+          {settings_.blockTokens, PlacementRule::LongestPrefix, kSpreadRequests, kSpreadFactor}),
+      budgets_(settings_.extraShare, settings_.extraWindow),
+      slackShare_(settings_.extraWindow),
       pool_(io_, 32, 4s) {}
 
 Relay::~Relay() {
@@ -35,13 +36,14 @@
 }
 
 absl::Status Relay::start() {
-  if (auto status = listenAt(callers_, boot_.callers, 1024); !status.ok()) return status;
-  if (!boot_.ready.value.empty()) {
-    HttpServerBoot readyBoot;
-    readyBoot.listen = boot_.ready;
-    readyBoot.circuitLimit = 64;
+  if (auto status = listenAt(callers_, settings_.callers, 1024); !status.ok()) return status;
+  if (!settings_.ready.value.empty()) {
+    HttpServerSettings readySettings;
+    readySettings.listen = settings_.ready;
+    readySettings.connectionLimit = 64;
     ready_ = std::make_unique<HttpServer>(
-        io_, readyBoot, [this](Circuit&, HttpRequest& request) { return handleOwn(request); });
+        io_, readySettings,
+        [this](Connection&, HttpRequest& request) { return handleOwn(request); });
     if (auto status = ready_->start(); !status.ok()) return status;
   }
   asio::co_spawn(io_, accept(callers_), asio::detached);
@@ -56,8 +58,8 @@
 }
 
 bool Relay::isReady(Instant now) const {
-  return !leaving_ && view_->spec && !view_->servers.empty() &&
-         now - view_->confirmedAt < boot_.freshLimit;
+  return !leaving_ && view_->configuration && !view_->servers.empty() &&
+         now - view_->confirmedAt < settings_.freshLimit;
 }
 
 awaitable<std::optional<HttpResponse>> Relay::handleOwn(HttpRequest& request) {
@@ -79,7 +81,7 @@
     co_return jsonResponse(200,
                            {{"first", page.first}, {"next", page.next}, {"lines", page.lines}});
   }
-  co_return defectResponse({DefectKind::UnknownWay, "no such call: " + path});
+  co_return errorResponse({ErrorKind::UnknownWay, "no such call: " + path});
 }
 
 awaitable<void> Relay::accept(Tcp::acceptor& acceptor) {
@@ -182,7 +184,7 @@
 // False: the connection is to be closed; what could be said was said.
 awaitable<bool> Relay::readRequest(const std::shared_ptr<Caller>& caller, HttpRequest* request) {
   const auto limitsNow = [this] {
-    return view_->spec ? view_->spec->callerLimits : CallerLimits{};
+    return view_->configuration ? view_->configuration->callerLimits : CallerLimits{};
   };
   ErrorCode code;
   caller->isIdle = true;
@@ -218,15 +220,15 @@
     co_return true;
   }
   if (code == http::error::end_of_stream || !caller->socket.is_open()) co_return false;
-  Defect defect{DefectKind::MalformedRequest, "the request can't be read: " + code.message()};
-  if (caller->timedOut) defect = {DefectKind::SlowCaller, "the request did not come whole in time"};
-  if (code == http::error::header_limit) defect = {DefectKind::HeaderOversize, "the headers"};
-  if (code == http::error::body_limit) defect = {DefectKind::Oversize, "the body"};
+  Error error{ErrorKind::MalformedRequest, "the request can't be read: " + code.message()};
+  if (caller->timedOut) error = {ErrorKind::SlowCaller, "the request did not come whole in time"};
+  if (code == http::error::header_limit) error = {ErrorKind::HeaderOversize, "the headers"};
+  if (code == http::error::body_limit) error = {ErrorKind::Oversize, "the body"};
   const bool closed = code == asio::error::eof || code == asio::error::connection_reset ||
                       code == http::error::partial_message;
   if (!closed) {
     ++counters_.badInput;
-    co_await answer(caller, defectResponse(defect), false);
+    co_await answer(caller, errorResponse(error), false);
     co_await drain(caller);
   }
   co_return false;
@@ -253,7 +255,7 @@
     std::optional<HttpResponse> refusal = intake(job.original, &job);
     if (!refusal) {
       caller->isOwed = true;
-      caller->mayBreakOff = job.contract.repeatable || job.contract.isStream;
+      caller->mayBreakOff = job.policy.repeatable || job.policy.isStream;
       watch(caller);
       refusal = co_await run(caller, job, keepAlive);
       caller->isOwed = false;
--- a/src/relay/header_text.cpp
+++ b/src/relay/header_text.cpp
@@ -24,8 +24,8 @@
   std::vector<std::uint32_t> numbers;
   for (std::size_t at = 0; at < text.size();) {
     std::uint32_t number = 0;
-    const auto [end, defect] = std::from_chars(text.data() + at, text.data() + text.size(), number);
-    if (defect != std::errc{}) {
+    const auto [end, error] = std::from_chars(text.data() + at, text.data() + text.size(), number);
+    if (error != std::errc{}) {
       ++at;
       continue;
     }
--- a/src/relay/leaving.cpp
+++ b/src/relay/leaving.cpp
@@ -39,7 +39,7 @@
 
 void Relay::beginLeaving() {
   if (leaving_.exchange(true)) return;
-  asio::co_spawn(io_, leave(leaveSchedule(BootClock::now(), boot_.grace)), asio::detached);
+  asio::co_spawn(io_, leave(leaveSchedule(BootClock::now(), settings_.grace)), asio::detached);
 }
 
 awaitable<void> Relay::leave(LeaveSchedule schedule) {
--- a/src/relay/part_events.cpp
+++ b/src/relay/part_events.cpp
@@ -14,7 +14,7 @@
   std::size_t turn = random_();
   for (;;) {
     const auto seen = view_;
-    const bool hasStore = seen->spec && !seen->spec->stores.empty();
+    const bool hasStore = seen->configuration && !seen->configuration->stores.empty();
     const std::size_t sources = seen->servers.size() + (hasStore ? 1 : 0);
     if (sources == 0) {
       co_await pauseFor(200ms);
@@ -22,9 +22,10 @@
     }
     const std::size_t chosen = ++turn % sources;
     const bool isStore = chosen == seen->servers.size();
-    if (isStore || (!seen->servers[chosen].switching && seen->servers[chosen].sound)) {
-      ServerName name = isStore ? ServerName{seen->spec->stores.begin()->second.address.value}
-                                : seen->servers[chosen].name;
+    if (isStore || (!seen->servers[chosen].switching && seen->servers[chosen].healthy)) {
+      ServerName name = isStore
+                            ? ServerName{seen->configuration->stores.begin()->second.address.value}
+                            : seen->servers[chosen].name;
       asio::co_spawn(io_, pullEvents(std::move(name), isStore), asio::detached);
     }
     co_await pauseFor(kRound / static_cast<int>(sources));
--- a/src/relay/relay.cpp
+++ b/src/relay/relay.cpp
@@ -24,10 +24,11 @@
 
 void Relay::takeSnapshot(Snapshot told, Instant askedAt) {
   asio::post(io_, [this, told = std::move(told), askedAt] {
-    auto next = std::make_shared<ProxyView>(nextView(*view_, told, askedAt, dialect_.readSpec));
-    if (next->specVersion != view_->specVersion) {
-      ++counters_.specChanges;
-      const auto& stores = next->spec->stores;
+    auto next =
+        std::make_shared<ProxyView>(nextView(*view_, told, askedAt, dialect_.readConfiguration));
+    if (next->configurationVersion != view_->configurationVersion) {
+      ++counters_.configurationChanges;
+      const auto& stores = next->configuration->stores;
       if (stores.empty())
         placement_.setStore({}, 0);
       else
@@ -48,7 +49,7 @@
 
 void Relay::keepBudgets(std::size_t daemons, Instant now) {
   slackShare_.note(daemons, now);
-  budgets_.setSlack(slackShare_.of(static_cast<double>(boot_.extraSlack), now));
+  budgets_.setSlack(slackShare_.of(static_cast<double>(settings_.extraSlack), now));
   budgets_.forgetIdle(now);
 }
 
@@ -62,10 +63,12 @@
 bool Relay::mayRun(const RelayRequest& job, const ServerState& server) const {
   const auto& seen = *view_;
   if (ending_) return false;
-  if (!seen.spec || BootClock::now() - seen.confirmedAt >= boot_.freshLimit) return false;
+  if (!seen.configuration || BootClock::now() - seen.confirmedAt >= settings_.freshLimit)
+    return false;
   if (job.needsKey) {
-    const auto owner = seen.spec->tenantOfDigest.find(job.keyDigest);
-    if (owner == seen.spec->tenantOfDigest.end() || owner->second != job.tenant) return false;
+    const auto owner = seen.configuration->tenantOfDigest.find(job.keyDigest);
+    if (owner == seen.configuration->tenantOfDigest.end() || owner->second != job.tenant)
+      return false;
   }
   const auto row = viewRows_.find(server.name);
   if (row == viewRows_.end()) return false;
@@ -80,9 +83,9 @@
   // What is sent now may wait at the server before it begins.
   const auto named = view_->weightsNamedAt.find(job.model);
   if (named != view_->weightsNamedAt.end() &&
-      now - named->second >= boot_.rolloutDue - kBeginsWithin) {
-    const auto wanted = view_->spec->weights.find(job.model);
-    if (wanted != view_->spec->weights.end()) asked.weightsNeeded = wanted->second;
+      now - named->second >= settings_.rolloutDue - kBeginsWithin) {
+    const auto wanted = view_->configuration->weights.find(job.model);
+    if (wanted != view_->configuration->weights.end()) asked.weightsNeeded = wanted->second;
   }
   while (!left.empty()) {
     std::uint64_t sum = 0;
@@ -134,7 +137,7 @@
   std::string lastDetail = "no server is free", trail;
   std::optional<HttpResponse> failure;
   TryEnd lastEnd = TryEnd::NeverSent;
-  const std::size_t most = std::max<std::size_t>(1, job.contract.tries);
+  const std::size_t most = std::max<std::size_t>(1, job.policy.tries);
   while (BootClock::now() < job.deadline && neverSent < 4 && !caller->isGone && !ending_) {
     const auto placed = place(job, tried);
     if (!placed) break;
@@ -150,9 +153,9 @@
     if (!isCounted) budgets_.countRequest(server.service, now);
     isCounted = true;
     if (arrivals > 0 && !budgets_.couldTakeExtra(server.service, now)) break;
-    if (job.contract.repeatable && sentTo.size() + 1 < most &&
+    if (job.policy.repeatable && sentTo.size() + 1 < most &&
         budgets_.couldTakeExtra(server.service, now))
-      firstDeadline = std::min(firstDeadline, now + Span(job.contract.target) + kSilentSlack);
+      firstDeadline = std::min(firstDeadline, now + Span(job.policy.target) + kSilentSlack);
     ran = true;
     TryResult result = co_await attempt(caller, job, *placed, &soFar,
                                         TryAsked{firstDeadline, keepAlive, arrivals > 0});
@@ -184,8 +187,8 @@
     failure = std::move(result.failure);
     if (result.end == TryEnd::NotRun) continue;
     mayHaveRun = true;
-    if (!job.contract.repeatable) break;
-    const bool canGoOn = job.contract.isResumable && soFar.isPlaced;
+    if (!job.policy.repeatable) break;
+    const bool canGoOn = job.policy.isResumable && soFar.isPlaced;
     if (soFar.headSent && !canGoOn) break;
   }
   if (lastEnd == TryEnd::Done) {
@@ -208,19 +211,19 @@
   }
   if (!mayHaveRun) {
     record(job, trail, "refused");
-    co_return refuse(DefectKind::TurnedAway, lastDetail, job.id.value);
+    co_return refuse(ErrorKind::TurnedAway, lastDetail, job.id.value);
   }
   ++counters_.unknown;
   record(job, trail, "unknown");
   if (failure) co_return std::move(*failure);
   const bool late = BootClock::now() >= job.deadline;
-  const DefectKind kind =
-      job.contract.repeatable
-          ? (late ? DefectKind::DuePassedRepeatable : DefectKind::OutcomeUnknownRepeatable)
-          : (late ? DefectKind::DuePassed : DefectKind::OutcomeUnknown);
+  const ErrorKind kind =
+      job.policy.repeatable
+          ? (late ? ErrorKind::DuePassedRepeatable : ErrorKind::OutcomeUnknownRepeatable)
+          : (late ? ErrorKind::DuePassed : ErrorKind::OutcomeUnknown);
   HttpResponse response =
       refuse(kind, "the request may have run (" + lastDetail + ")", job.id.value);
-  if (job.contract.repeatable) response.set(http::field::retry_after, "0.2");
+  if (job.policy.repeatable) response.set(http::field::retry_after, "0.2");
   co_return response;
 }
 
--- a/src/relay/relay.h
+++ b/src/relay/relay.h
@@ -11,7 +11,6 @@
 #include "agent/view.h"
 #include "base/counters.h"
 #include "base/decision_log.h"
-#include "boot/boot.h"
 #include "dialect/dialect.h"
 #include "net/http.h"
 #include "placement/placement.h"
@@ -19,13 +18,14 @@
 #include "relay/connection_pool.h"
 #include "relay/event_splitter.h"
 #include "relay/leaving.h"
+#include "settings/settings.h"
 
 namespace quayrill {
 
 // What is known of a request when it has passed the intake.
 struct RelayRequest {
   RequestId id;
-  Contract contract;
+  RoutePolicy policy;
   std::vector<SplitShare> split;
   bool needsKey = true;
   std::string keyDigest;
@@ -101,7 +101,7 @@
 
 class Relay {
  public:
-  Relay(Boot boot, Dialect dialect);
+  Relay(Settings settings, Dialect dialect);
   ~Relay();
   absl::Status start();
   // Called by the agent's thread, each time that something may have changed.
@@ -134,10 +134,10 @@
   void endTries();
 
   // intake.cpp
-  Span dueOf(const http::request_header<>& head, const Contract& contract) const;
+  Span dueOf(const http::request_header<>& head, const RoutePolicy& policy) const;
   Instant bodyDeadline(const http::request_header<>& head, Instant begun) const;
   std::optional<HttpResponse> intake(const HttpRequest& request, RelayRequest* job);
-  HttpResponse refuse(DefectKind kind, const std::string& why, const std::string& id);
+  HttpResponse refuse(ErrorKind kind, const std::string& why, const std::string& id);
 
   // relay.cpp: one request over its tries
   awaitable<std::optional<HttpResponse>> run(const std::shared_ptr<Caller>& caller,
@@ -172,7 +172,7 @@
   awaitable<TryResult> passEvents(Attempt& attempt);
   void noteHead(const ServerState& server, const http::response_header<>& head);
 
-  Boot boot_;
+  Settings settings_;
   Dialect dialect_;
   const HeaderNames names_;
   asio::io_context io_{1};
--- a/src/boot/boot.cpp
+++ b/src/settings/settings.cpp
@@ -1,4 +1,4 @@
-#include "boot/boot.h"
+#include "settings/settings.h"
 
 #include <unistd.h>
 
@@ -9,7 +9,7 @@
 #include <set>
 #include <sstream>
 
-#include "spec/schema.h"
+#include "configuration/schema.h"
 
 namespace quayrill {
 
@@ -17,7 +17,7 @@
 
 using Json = nlohmann::json;
 
-constexpr char kBootSchema[] = R"json({
+constexpr char kSettingsSchema[] = R"json({
   "type": "object", "additionalProperties": false,
   "properties": {
     "role": {"type": "string", "enum": ["proxy", "agent", "both"]},
@@ -45,7 +45,7 @@
   return absl::InvalidArgumentError("setting '" + field + "': " + remedy);
 }
 
-// Flags are text; the schema wants numbers and lists where settings files have them.
+// Flags are text; the schema wants numbers and lists where fields files have them.
 Json flagValue(const std::string& name, const std::string& text) {
   if (name == "seeds") {
     Json list = Json::array();
@@ -66,46 +66,47 @@
 // A folder on a full disk passes: the process then serves without a voting copy until there is
 // room.
 absl::Status checkFolder(const std::string& folder) {
-  std::error_code defect;
-  std::filesystem::create_directories(folder, defect);
-  if (defect || ::access(folder.c_str(), R_OK | W_OK | X_OK) != 0)
+  std::error_code error;
+  std::filesystem::create_directories(folder, error);
+  if (error || ::access(folder.c_str(), R_OK | W_OK | X_OK) != 0)
     return bad("data_folder", "'" + folder +
                                   "' can't be written: name a folder "
                                   "that this user may write");
   return absl::OkStatus();
 }
 
-// The number of register copies and the losses that they must bear. Without a setting for the
-// losses of machines the copies bear as many as a majority of them allows.
-absl::Status readLosses(const Json& settings, Boot* boot) {
-  boot->copiesWanted = settings.value("copies_wanted", boot->copiesWanted);
-  boot->losses.machines = settings.value("bear_machines", (boot->copiesWanted - 1) / 2);
-  boot->losses.zones = settings.value("bear_zones", boot->losses.zones);
-  boot->losses.regions = settings.value("bear_regions", boot->losses.regions);
+// The number of register replicas and the losses that they must bear. Without a setting for the
+// losses of machines the replicas bear as many as a majority of them allows.
+absl::Status readLosses(const Json& fields, Settings* settings) {
+  settings->replicasWanted = fields.value("copies_wanted", settings->replicasWanted);
+  settings->losses.machines = fields.value("bear_machines", (settings->replicasWanted - 1) / 2);
+  settings->losses.zones = fields.value("bear_zones", settings->losses.zones);
+  settings->losses.regions = fields.value("bear_regions", settings->losses.regions);
   std::set<std::string> regions;
-  const Json zones = settings.value("region_of_zone", Json::object());
+  const Json zones = fields.value("region_of_zone", Json::object());
   for (auto row = zones.begin(); row != zones.end(); ++row) {
     const std::string region = row.value().get<std::string>();
-    boot->topology.regionOfZone[row.key()] = region;
+    settings->topology.regionOfZone[row.key()] = region;
     regions.insert(region);
   }
-  if (boot->losses.zones > 0 && boot->topology.regionOfZone.size() <= 2 * boot->losses.zones)
+  if (settings->losses.zones > 0 &&
+      settings->topology.regionOfZone.size() <= 2 * settings->losses.zones)
     return bad("bear_zones", "name more than twice as many zones under region_of_zone");
-  if (boot->losses.regions > 0 && regions.size() <= 2 * boot->losses.regions)
+  if (settings->losses.regions > 0 && regions.size() <= 2 * settings->losses.regions)
     return bad("bear_regions", "name more than twice as many regions under region_of_zone");
-  if (!settings.contains("bear_machines") && boot->losses.zones + boot->losses.regions == 0)
+  if (!fields.contains("bear_machines") && settings->losses.zones + settings->losses.regions == 0)
     return absl::OkStatus();
-  const std::size_t needed = replicasWanted(boot->losses, boot->topology);
-  if (settings.contains("copies_wanted") && boot->copiesWanted < needed)
-    return bad("copies_wanted", std::to_string(boot->copiesWanted) +
+  const std::size_t needed = replicasWanted(settings->losses, settings->topology);
+  if (fields.contains("copies_wanted") && settings->replicasWanted < needed)
+    return bad("copies_wanted", std::to_string(settings->replicasWanted) +
                                     " don't bear these losses: give at least " +
                                     std::to_string(needed) + " or leave the field out");
-  boot->copiesWanted = std::max(boot->copiesWanted, needed);
+  settings->replicasWanted = std::max(settings->replicasWanted, needed);
   return absl::OkStatus();
 }
 
-absl::Status checkAddresses(const Boot& boot) {
-  const bool agent = boot.role != "proxy";
+absl::Status checkAddresses(const Settings& settings) {
+  const bool agent = settings.role != "proxy";
   struct Row {
     const char* field;
     const Address& address;
@@ -113,9 +114,9 @@
     bool own;
   };
   const Row rows[] = {
-      {"cohort", boot.cohort, agent, agent}, {"operators", boot.operators, true, true},
-      {"callers", boot.callers, true, true}, {"platform", boot.platform, agent, false},
-      {"store", boot.store, false, false},   {"cohort_via", boot.cohortVia, false, false}};
+      {"cohort", settings.peer, agent, agent},   {"operators", settings.operators, true, true},
+      {"callers", settings.callers, true, true}, {"platform", settings.platform, agent, false},
+      {"store", settings.store, false, false},   {"cohort_via", settings.peerVia, false, false}};
   std::map<Address, std::string> taken;
   for (const Row& row : rows) {
     if (row.address.value.empty()) {
@@ -135,10 +136,10 @@
 
 absl::Status checkAddress(const std::string& field, const std::string& text) {
   const auto colon = text.rfind(':');
-  boost::system::error_code defect;
+  boost::system::error_code error;
   if (colon == std::string::npos) return bad(field, "'" + text + "' has no port: give ip:port");
-  boost::asio::ip::make_address_v4(text.substr(0, colon), defect);
-  if (defect)
+  boost::asio::ip::make_address_v4(text.substr(0, colon), error);
+  if (error)
     return bad(field,
                "'" + text + "' is no IPv4 number: host names are not looked up, give ip:port");
   const std::string port = text.substr(colon + 1);
@@ -149,55 +150,55 @@
   return absl::OkStatus();
 }
 
-absl::StatusOr<Boot> loadBoot(const BootAsked& asked) {
-  if (asked.settingsFile.empty()) return readBoot("{}", asked.flags);
+absl::StatusOr<Settings> loadSettings(const SettingsAsked& asked) {
+  if (asked.settingsFile.empty()) return readSettings("{}", asked.flags);
   std::ifstream in(asked.settingsFile);
   if (!in) return bad("settings", "'" + asked.settingsFile + "' can't be read: name a JSON file");
   std::ostringstream text;
   text << in.rdbuf();
-  return readBoot(text.str(), asked.flags);
+  return readSettings(text.str(), asked.flags);
 }
 
-absl::StatusOr<Boot> readBoot(const std::string& settingsText,
-                              const std::map<std::string, std::string>& flags) {
-  Json settings = Json::parse(settingsText, nullptr, false);
-  if (!settings.is_object()) return bad("settings", "the file is no JSON object: correct it");
-  for (const auto& [name, flag] : flags) settings[name] = flagValue(name, flag);
-  if (const auto defect = schemaDefect(kBootSchema, settings))
-    return bad(defect->path, defect->what);
-  Boot boot;
-  const auto text = [&](const char* name) { return settings.value(name, std::string{}); };
-  boot.role = settings.value("role", boot.role);
-  boot.cohort = Address{text("cohort")};
-  boot.operators = Address{text("operators")};
-  boot.callers = Address{text("callers")};
-  boot.zone = settings.value("zone", "zone");
-  boot.dataFolder = text("data_folder");
-  boot.diskDrag = text("disk_drag");
-  boot.platform = Address{text("platform")};
-  boot.store = Address{text("store")};
-  boot.cohortVia = Address{text("cohort_via")};
-  boot.placement = settings.value("placement", boot.placement);
-  boot.fetch = settings.value("fetch", "on") == "on";
-  if (auto status = readLosses(settings, &boot); !status.ok()) return status;
-  boot.catchUp = std::chrono::milliseconds(settings.value("catch_up_ms", boot.catchUp.count()));
-  boot.blockTokens = settings.value("block_tokens", boot.blockTokens);
-  boot.trafficThreads = settings.value("traffic_threads", boot.trafficThreads);
-  boot.freshLimit =
-      std::chrono::milliseconds(settings.value("fresh_limit_ms", boot.freshLimit.count()));
-  boot.grace = std::chrono::milliseconds(settings.value("grace_ms", boot.grace.count()));
-  for (const auto& seed : settings.value("seeds", Json::array())) {
+absl::StatusOr<Settings> readSettings(const std::string& settingsText,
+                                      const std::map<std::string, std::string>& flags) {
+  Json fields = Json::parse(settingsText, nullptr, false);
+  if (!fields.is_object()) return bad("settings", "the file is no JSON object: correct it");
+  for (const auto& [name, flag] : flags) fields[name] = flagValue(name, flag);
+  if (const auto error = schemaError(kSettingsSchema, fields)) return bad(error->path, error->what);
+  Settings settings;
+  const auto text = [&](const char* name) { return fields.value(name, std::string{}); };
+  settings.role = fields.value("role", settings.role);
+  settings.peer = Address{text("cohort")};
+  settings.operators = Address{text("operators")};
+  settings.callers = Address{text("callers")};
+  settings.zone = fields.value("zone", "zone");
+  settings.dataFolder = text("data_folder");
+  settings.diskDrag = text("disk_drag");
+  settings.platform = Address{text("platform")};
+  settings.store = Address{text("store")};
+  settings.peerVia = Address{text("cohort_via")};
+  settings.placement = fields.value("placement", settings.placement);
+  settings.fetch = fields.value("fetch", "on") == "on";
+  if (auto status = readLosses(fields, &settings); !status.ok()) return status;
+  settings.catchUp =
+      std::chrono::milliseconds(fields.value("catch_up_ms", settings.catchUp.count()));
+  settings.blockTokens = fields.value("block_tokens", settings.blockTokens);
+  settings.trafficThreads = fields.value("traffic_threads", settings.trafficThreads);
+  settings.freshLimit =
+      std::chrono::milliseconds(fields.value("fresh_limit_ms", settings.freshLimit.count()));
+  settings.grace = std::chrono::milliseconds(fields.value("grace_ms", settings.grace.count()));
+  for (const auto& seed : fields.value("seeds", Json::array())) {
     const std::string address = seed.get<std::string>();
     if (auto status = checkAddress("seeds", address); !status.ok()) return status;
-    boot.seeds.push_back(Address{address});
+    settings.seeds.push_back(Address{address});
   }
-  if (boot.role != "proxy" && boot.seeds.empty())
-    return bad("seeds", "missing: name three cohort addresses, the same on every machine");
-  if (auto status = checkAddresses(boot); !status.ok()) return status;
-  if (boot.role != "proxy" && !boot.dataFolder.empty()) {
-    if (auto status = checkFolder(boot.dataFolder); !status.ok()) return status;
+  if (settings.role != "proxy" && settings.seeds.empty())
+    return bad("seeds", "missing: name three peer addresses, the same on every machine");
+  if (auto status = checkAddresses(settings); !status.ok()) return status;
+  if (settings.role != "proxy" && !settings.dataFolder.empty()) {
+    if (auto status = checkFolder(settings.dataFolder); !status.ok()) return status;
   }
-  return boot;
+  return settings;
 }
 
 }  // namespace quayrill
--- a/src/sim/checks.cpp
+++ b/src/sim/checks.cpp
@@ -12,47 +12,50 @@
   Machine& machine = machines_[index];
   if (!machine.core) return;
   const Freshness& freshness = machine.core->freshness();
-  const RegisterValue& spec = freshness.spec().value;
-  if (spec.version > 0) {
-    const auto [row, fresh] = writeOfVersion_.try_emplace(spec.version, spec.writeId);
-    if (row->second != spec.writeId) violate("two specs in force under one version");
+  const RegisterValue& configuration = freshness.configuration().value;
+  if (configuration.version > 0) {
+    const auto [row, fresh] =
+        writeOfVersion_.try_emplace(configuration.version, configuration.writeId);
+    if (row->second != configuration.writeId)
+      violate("two configurations in force under one version");
   }
-  if (spec.version < machine.highestSpec) violate("a spec in force slipped back");
-  machine.highestSpec = std::max(machine.highestSpec, spec.version);
+  if (configuration.version < machine.highestConfiguration)
+    violate("a configuration in force slipped back");
+  machine.highestConfiguration = std::max(machine.highestConfiguration, configuration.version);
   const auto confirmed = freshness.confirmedAt();
-  if (!confirmed && !boot_.plantStaleConfirm) return;
+  if (!confirmed && !settings_.plantStaleConfirm) return;
   const Instant confirmedAt =
-      boot_.plantStaleConfirm
+      settings_.plantStaleConfirm
           ? now_
           : Instant((*confirmed - machine.clockOffset).time_since_epoch() / machine.clockRate);
   for (auto change = acknowledged_.rbegin(); change != acknowledged_.rend(); ++change) {
     if (change->first >= confirmedAt) continue;
-    if (spec.version < change->second)
-      violate("machine " + std::to_string(index) + " vouches for spec " +
-              std::to_string(spec.version) + " though " + std::to_string(change->second) +
+    if (configuration.version < change->second)
+      violate("machine " + std::to_string(index) + " vouches for configuration " +
+              std::to_string(configuration.version) + " though " + std::to_string(change->second) +
               " was acknowledged before it asked");
     break;
   }
 }
 
-void World::checkHolds() {
-  for (const std::string& duty : duties_) {
+void World::checkLeases() {
+  for (const std::string& role : roles_) {
     std::size_t holders = 0;
     for (std::size_t i = 0; i < machines_.size(); ++i) {
       Machine& machine = machines_[i];
       if (!machine.core) continue;
       // A frozen machine's hold is judged by its own clock: it could act the moment it wakes.
-      const auto fence = machine.core->held(RegisterKey{"hold/" + duty}, Span{}, local(machine));
+      const auto fence = machine.core->held(RegisterKey{"hold/" + role}, Span{}, local(machine));
       if (!fence) continue;
       ++holders;
-      ++tally_.holdsSeen;
-      auto& [highest, holder] = highestFence_[duty];
+      ++tally_.leasesSeen;
+      auto& [highest, holder] = highestFence_[role];
       if (fence->value < highest || (fence->value == highest && holder != i))
-        violate("fence of " + duty + " did not rise with its holder");
+        violate("fence of " + role + " did not rise with its holder");
       highest = fence->value;
       holder = i;
     }
-    if (holders > 1) violate("two daemons hold " + duty);
+    if (holders > 1) violate("two daemons hold " + role);
   }
 }
 
