--- a/src/sim/losses.cpp
+++ b/src/sim/losses.cpp
@@ -16,31 +16,31 @@
 constexpr Span kServesAtLeast = 3s;   // after it was told to end, as the daemon does
 constexpr Span kServesAtMost = 6s;
 
-WorldBoot worldOf(const LossesBoot& boot) {
-  WorldBoot world;
-  world.seed = boot.seed;
+WorldSettings worldOf(const LossesSettings& settings) {
+  WorldSettings world;
+  world.seed = settings.seed;
   world.bootstrap = true;
-  world.diskMachines = boot.diskMachines;
+  world.diskMachines = settings.diskMachines;
   world.edgeMachines = 4;
-  world.reserveMachines = boot.losses;
-  world.losses = {boot.tolerate, 0, 0};
-  world.copiesWanted = replicasWanted(world.losses, {});
-  world.catchUpSpan = boot.catchUpSpan;
+  world.reserveMachines = settings.losses;
+  world.losses = {settings.tolerate, 0, 0};
+  world.replicasWanted = replicasWanted(world.losses, {});
+  world.catchUpSpan = settings.catchUpSpan;
   return world;
 }
 
 class LossRun {
  public:
-  explicit LossRun(const LossesBoot& boot)
-      : boot_(boot), world_(worldOf(boot)), nextReserve_(boot.diskMachines + 4) {}
+  explicit LossRun(const LossesSettings& settings)
+      : settings_(settings), world_(worldOf(settings)), nextReserve_(settings.diskMachines + 4) {}
 
   LossesResult run() {
     result_.founded = runUntilFounded(world_, 20s);
     if (!result_.founded) return result_;
     lastAckAt_ = world_.elapsed();
     advance(2s);
-    for (std::size_t i = 0; i < boot_.losses; ++i) {
-      while (underWay() >= boot_.tolerate) step();
+    for (std::size_t i = 0; i < settings_.losses; ++i) {
+      while (underWay() >= settings_.tolerate) step();
       begin();
     }
     while (underWay() > 0) step();
@@ -64,8 +64,10 @@
     std::uint64_t epochBefore = 0;
   };
 
-  std::size_t edge() { return boot_.diskMachines + world_.random()() % 4; }
-  const CopySet& copies() { return world_.core(boot_.diskMachines).freshness().copies(); }
+  std::size_t edge() { return settings_.diskMachines + world_.random()() % 4; }
+  const ReplicaSet& replicas() {
+    return world_.core(settings_.diskMachines).freshness().replicas();
+  }
   Span within(int fromMs, int toMs) {
     return std::chrono::milliseconds(
         fromMs + static_cast<int>(world_.random()() % static_cast<unsigned>(toMs - fromMs)));
@@ -82,8 +84,8 @@
   }
   bool isMember(std::size_t machine) {
     const StoreId store = world_.core(machine).store();
-    return std::any_of(copies().members.begin(), copies().members.end(),
-                       [&](const CopyMember& member) { return member.store == store; });
+    return std::any_of(replicas().members.begin(), replicas().members.end(),
+                       [&](const ReplicaMember& member) { return member.store == store; });
   }
 
   // Mostly members; by one draw in four the one whose disk is oldest.
@@ -112,12 +114,13 @@
   void begin() {
     Loss loss;
     const std::size_t kinds = std::size(kAllLosses);
-    loss.kind = boot_.kinds.empty() ? kAllLosses[world_.random()() % kinds]
-                                    : boot_.kinds[world_.random()() % boot_.kinds.size()];
+    loss.kind = settings_.kinds.empty()
+                    ? kAllLosses[world_.random()() % kinds]
+                    : settings_.kinds[world_.random()() % settings_.kinds.size()];
     loss.machine = victim();
     loss.beganAt = world_.elapsed();
     loss.row = result_.seen.size();
-    loss.epochBefore = copies().epoch.value;
+    loss.epochBefore = replicas().epoch.value;
     result_.seen.push_back({loss.kind, {}, {}, 0});
     const std::size_t m = loss.machine;
     const Span now = world_.elapsed();
@@ -176,17 +179,17 @@
     };
     if (due(loss.startAt)) {
       world_.start(loss.machine);
-      loss.endsAt = now + boot_.catchUpSpan;
+      loss.endsAt = now + settings_.catchUpSpan;
     }
     if (due(loss.healAt)) {
       if (loss.kind == LossKind::CutOff) world_.cut({loss.machine}, false);
-      loss.endsAt = now + boot_.catchUpSpan;
+      loss.endsAt = now + settings_.catchUpSpan;
     }
     if (due(loss.joinAt)) {
       loss.successor = nextReserve_++;
       world_.join(loss.successor);
       diskSince_[loss.successor] = now;
-      loss.endsAt = now + boot_.catchUpSpan;
+      loss.endsAt = now + settings_.catchUpSpan;
     }
     if (due(loss.leaveAt)) {
       world_.leave(loss.machine);
@@ -202,9 +205,9 @@
   }
 
   bool isRepaired() {
-    const CopySet& set = copies();
-    if (!set.settled || set.members.size() < world_.copiesWanted()) return false;
-    return std::all_of(set.members.begin(), set.members.end(), [&](const CopyMember& member) {
+    const ReplicaSet& set = replicas();
+    if (!set.settled || set.members.size() < world_.replicasWanted()) return false;
+    return std::all_of(set.members.begin(), set.members.end(), [&](const ReplicaMember& member) {
       for (std::size_t i = 0; i < world_.size(); ++i) {
         if (world_.isUp(i) && world_.core(i).store() == member.store) return !isAway(i);
       }
@@ -226,7 +229,7 @@
     const bool repaired = isRepaired();
     for (Loss& loss : losses_) {
       LossSeen& seen = result_.seen[loss.row];
-      if (isOpen(loss)) seen.epochs = copies().epoch.value - loss.epochBefore;
+      if (isOpen(loss)) seen.epochs = replicas().epoch.value - loss.epochBefore;
       if (loss.endsAt) seen.allowedNextAfter = *loss.endsAt - loss.leftAt.value_or(loss.beganAt);
       if (!repaired || loss.repaired || loss.leaveAt) continue;
       loss.repaired = true;
@@ -250,13 +253,13 @@
       newest_ = world_.asked(asked_).done->value.version;
     }
     const std::size_t machine = edge();
-    const auto known = world_.core(machine).freshness().spec().value.version;
+    const auto known = world_.core(machine).freshness().configuration().value.version;
     asked_ = world_.change(machine, std::max(known, newest_), "body");
   }
 
   void finish() {
     result_.longestGap = std::max(result_.longestGap, world_.elapsed() - lastAckAt_);
-    const std::uint64_t read = world_.read(boot_.diskMachines);
+    const std::uint64_t read = world_.read(settings_.diskMachines);
     world_.run(4s);
     const auto& done = world_.asked(read).done;
     result_.majorityAtEnd = done && done->result == ChangeResult::Chosen;
@@ -265,7 +268,7 @@
     result_.violations = world_.violations();
   }
 
-  LossesBoot boot_;
+  LossesSettings settings_;
   World world_;
   LossesResult result_;
   std::vector<Loss> losses_;
@@ -296,6 +299,6 @@
   return "";
 }
 
-LossesResult runLosses(const LossesBoot& boot) { return LossRun(boot).run(); }
+LossesResult runLosses(const LossesSettings& settings) { return LossRun(settings).run(); }
 
 }  // namespace quayrill::sim
--- a/src/sim/losses.h
+++ b/src/sim/losses.h
@@ -22,7 +22,7 @@
                                           LossKind::Replaced};
 const char* nameOf(LossKind kind);
 
-struct LossesBoot {
+struct LossesSettings {
   std::uint64_t seed = 1;
   std::size_t diskMachines = 4;
   std::size_t tolerate = 1;
@@ -51,6 +51,6 @@
   bool newestKept = false;  // a read at the end finds the newest acknowledged change or a later one
   std::vector<Violation> violations;
 };
-LossesResult runLosses(const LossesBoot& boot);
+LossesResult runLosses(const LossesSettings& settings);
 
 }  // namespace quayrill::sim
--- a/src/sim/operators.cpp
+++ b/src/sim/operators.cpp
@@ -12,12 +12,12 @@
 constexpr Span kOrderDue = 3500ms;  // as the daemons give an order
 constexpr Span kStep = 5ms;
 
-bool isYes(AmendResult result) {
-  return result == AmendResult::Taken || result == AmendResult::Holds;
+bool isYes(UpdateResult result) {
+  return result == UpdateResult::Taken || result == UpdateResult::Leases;
 }
-bool isNo(AmendResult result) {
-  return result == AmendResult::Refused || result == AmendResult::Stale ||
-         result == AmendResult::TooLarge;
+bool isNo(UpdateResult result) {
+  return result == UpdateResult::Refused || result == UpdateResult::Stale ||
+         result == UpdateResult::TooLarge;
 }
 }  // namespace
 
@@ -42,7 +42,7 @@
   return body;
 }
 
-Amendment orderOnTop(const SentChange& order, std::size_t padding, bool forgetting) {
+Update orderOnTop(const SentChange& order, std::size_t padding, bool forgetting) {
   return [order, padding,
           forgetting](const std::string& standing) -> absl::StatusOr<std::optional<std::string>> {
     ChainBody body = readChain(standing);
@@ -73,9 +73,10 @@
 
 void Operators::send(std::size_t order, std::size_t machine, bool answerLost) {
   if (!world_.isUp(machine)) return;
-  Amending amending(orderOnTop(orders_.at(order).change, padding_, forgetting_), kBodyLimit,
-                    world_.localNow(machine) + kOrderDue);
-  calls_.push_back(std::make_unique<Call>(Call{order, machine, answerLost, std::move(amending)}));
+  UpdateOperation updateOperation(orderOnTop(orders_.at(order).change, padding_, forgetting_),
+                                  kBodyLimit, world_.localNow(machine) + kOrderDue);
+  calls_.push_back(
+      std::make_unique<Call>(Call{order, machine, answerLost, std::move(updateOperation)}));
 }
 
 void Operators::pump(Call& call) {
@@ -83,9 +84,9 @@
     const auto& done = world_.asked(*call.pending).done;
     if (!done) return;
     call.pending.reset();
-    call.amending.onAnswer(*done);
+    call.updateOperation.onAnswer(*done);
   }
-  const auto asked = call.amending.next(world_.localNow(call.machine));
+  const auto asked = call.updateOperation.next(world_.localNow(call.machine));
   if (!asked) return answered(call);
   const std::uint64_t id = asked->isRead
                                ? world_.read(call.machine)
@@ -94,7 +95,7 @@
 }
 
 void Operators::answered(const Call& call) {
-  const AmendResult result = call.amending.done()->result;
+  const UpdateResult result = call.updateOperation.done()->result;
   Order& order = orders_[call.order];
   order.confirmed = order.confirmed || isYes(result);
   order.refused = order.refused || isNo(result);
@@ -113,8 +114,8 @@
     }
     std::erase_if(calls_, [&](const auto& call) {
       const bool isOver = world_.isUp(call->machine) &&
-                          world_.localNow(call->machine) > call->amending.due() + kOrderDue;
-      return call->amending.done() || isOver || !world_.isUp(call->machine);
+                          world_.localNow(call->machine) > call->updateOperation.due() + kOrderDue;
+      return call->updateOperation.done() || isOver || !world_.isUp(call->machine);
     });
     world_.run(kStep);
   }
--- a/src/sim/operators.h
+++ b/src/sim/operators.h
@@ -6,7 +6,7 @@
 #include <string>
 #include <vector>
 
-#include "register/amending.h"
+#include "register/update_operation.h"
 #include "sim/world.h"
 
 namespace quayrill::sim {
@@ -20,7 +20,7 @@
 };
 std::string writeChain(const ChainBody& body);
 ChainBody readChain(const std::string& text);
-Amendment orderOnTop(const SentChange& order, std::size_t padding, bool forgetting);
+Update orderOnTop(const SentChange& order, std::size_t padding, bool forgetting);
 
 struct Order {
   SentChange change;
@@ -43,7 +43,7 @@
   const Order& order(std::size_t index) const { return orders_.at(index); }
   const std::vector<Order>& orders() const { return orders_; }
   // What a daemon said last of it, if it has answered.
-  std::optional<AmendResult> lastAnswer(std::size_t order) const { return answers_.at(order); }
+  std::optional<UpdateResult> lastAnswer(std::size_t order) const { return answers_.at(order); }
   // The newest number that was acknowledged, and a number with which nothing was sent yet.
   std::uint64_t newestConfirmed() const { return newest_; }
   void setPadding(std::size_t bytes) { padding_ = bytes; }
@@ -58,7 +58,7 @@
     std::size_t order = 0;
     std::size_t machine = 0;
     bool answerLost = false;
-    Amending amending;
+    UpdateOperation updateOperation;
     std::optional<std::uint64_t> pending{};
   };
   void pump(Call& call);
@@ -66,7 +66,7 @@
 
   World& world_;
   std::vector<Order> orders_;
-  std::vector<std::optional<AmendResult>> answers_;
+  std::vector<std::optional<UpdateResult>> answers_;
   std::vector<std::unique_ptr<Call>> calls_;
   std::uint64_t newest_ = 0;
   std::size_t padding_ = 0;
--- a/src/sim/mawson.cpp
+++ b/src/sim/quayrill_sim.cpp
@@ -1,4 +1,4 @@
-// mawson: the deterministic simulator. A failing seed replays exactly.
+// quayrill-sim: the deterministic simulator. A failing seed replays exactly.
 #include <docopt/docopt.h>
 
 #include <algorithm>
@@ -8,14 +8,15 @@
 #include "sim/scenarios.h"
 
 namespace {
-constexpr char kUsage[] = R"(mawson: runs the control logic on fake clocks, networks and disks.
+constexpr char kUsage[] =
+    R"(quayrill-sim: runs the control logic on fake clocks, networks and disks.
 
 Usage:
-  mawson [--seed=N] [--seeds=COUNT] [--seconds=S] [--disks=N] [--edges=N] [--plant=DEFECT]
-  mawson --steady [--seed=N] [--seconds=S] [--disks=N] [--edges=N] [--zones=N] [--body=BYTES]
+  quayrill-sim [--seed=N] [--seeds=COUNT] [--seconds=S] [--disks=N] [--edges=N] [--plant=DEFECT]
+  quayrill-sim --steady [--seed=N] [--seconds=S] [--disks=N] [--edges=N] [--zones=N] [--body=BYTES]
          [--duties=N] [--part=S]
-  mawson --scenario=NAME [--seed=N] [--seeds=COUNT] [--plant=DEFECT]
-  mawson --help | --version
+  quayrill-sim --scenario=NAME [--seed=N] [--seeds=COUNT] [--plant=DEFECT]
+  quayrill-sim --help | --version
 
 Options:
   --seed=N        First seed [default: 1].
@@ -36,17 +37,19 @@
 Exit codes: 0 no broken invariant, 1 some were broken (the seed is named), 2 bad usage.
 )";
 
-void report(const quayrill::sim::WorldBoot& boot, const quayrill::sim::SteadyResult& steady) {
+void report(const quayrill::sim::WorldSettings& settings,
+            const quayrill::sim::SteadyResult& steady) {
   using Millis = std::chrono::duration<double, std::milli>;
-  std::cout << "machines " << boot.diskMachines + boot.edgeMachines << " founded " << steady.founded
-            << " messages/machine/s " << steady.messagesPerMachineSecond << " bytes/machine/s "
-            << steady.bytesPerMachineSecond << " messages/s at a copy "
-            << steady.copyMessagesPerSecond << " change everywhere after ms "
+  std::cout << "machines " << settings.diskMachines + settings.edgeMachines << " founded "
+            << steady.founded << " messages/machine/s " << steady.messagesPerMachineSecond
+            << " bytes/machine/s " << steady.bytesPerMachineSecond << " messages/s at a replica "
+            << steady.replicaMessagesPerSecond << " change everywhere after ms "
             << Millis(steady.changeEverywhereAfter).count() << " converged after cut ms "
             << Millis(steady.convergedAfterCut).count() << "\n"
-            << "bytes/s out of a copy " << steady.copyBytesPerSecond << " processor us/machine/s "
-            << steady.processorPerMachineSecond * 1e6 << " bytes of a change " << steady.changeBytes
-            << " of them out of a copy " << steady.changeCopyBytes << "\n"
+            << "bytes/s out of a replica " << steady.replicaBytesPerSecond
+            << " processor us/machine/s " << steady.processorPerMachineSecond * 1e6
+            << " bytes of a change " << steady.changeBytes << " of them out of a replica "
+            << steady.changeReplicaBytes << "\n"
             << "a zone cut off is missed by all after ms " << Millis(steady.zoneMissedAfter).count()
             << " and back with all after ms " << Millis(steady.zoneBackAfter).count() << "\n"
             << "bytes/machine/s by kind";
@@ -97,18 +100,19 @@
 
 int main(int argc, char** argv) {
   using namespace quayrill::sim;
-  auto flags = docopt::docopt(kUsage, {argv + 1, argv + argc}, true, "mawson " QUAYRILL_VERSION);
-  WorldBoot boot;
+  auto flags =
+      docopt::docopt(kUsage, {argv + 1, argv + argc}, true, "quayrill-sim " QUAYRILL_VERSION);
+  WorldSettings settings;
   const std::string plant = flags["--plant"] ? flags["--plant"].asString() : "";
-  boot.plantUnsyncedDisk = plant == "unsynced";
-  boot.plantReusedStore = plant == "reused";
-  boot.plantFastClocks = plant == "clocks";
-  boot.plantStaleConfirm = plant == "stale";
+  settings.plantUnsyncedDisk = plant == "unsynced";
+  settings.plantReusedStore = plant == "reused";
+  settings.plantFastClocks = plant == "clocks";
+  settings.plantStaleConfirm = plant == "stale";
   std::size_t broken = 0;
   Tally total;
   try {
-    boot.diskMachines = static_cast<std::size_t>(std::stoul(flags["--disks"].asString()));
-    boot.edgeMachines = static_cast<std::size_t>(std::stoul(flags["--edges"].asString()));
+    settings.diskMachines = static_cast<std::size_t>(std::stoul(flags["--disks"].asString()));
+    settings.edgeMachines = static_cast<std::size_t>(std::stoul(flags["--edges"].asString()));
     const auto first = std::stoull(flags["--seed"].asString());
     const auto count = std::stoull(flags["--seeds"].asString());
     const std::chrono::seconds span(std::stoul(flags["--seconds"].asString()));
@@ -120,24 +124,24 @@
       throw std::invalid_argument("--scenario names none that is known");
     }
     if (flags["--steady"].asBool()) {
-      boot.seed = first;
-      boot.zones = static_cast<std::size_t>(std::stoul(flags["--zones"].asString()));
-      if (boot.zones == 0) throw std::invalid_argument("--zones is 0");
-      const SteadyBoot asked{span, std::stoul(flags["--body"].asString()),
-                             std::stoul(flags["--duties"].asString()),
-                             std::chrono::seconds(std::stoul(flags["--part"].asString()))};
-      const SteadyResult steady = runSteady(boot, asked);
-      report(boot, steady);
+      settings.seed = first;
+      settings.zones = static_cast<std::size_t>(std::stoul(flags["--zones"].asString()));
+      if (settings.zones == 0) throw std::invalid_argument("--zones is 0");
+      const SteadySettings asked{span, std::stoul(flags["--body"].asString()),
+                                 std::stoul(flags["--duties"].asString()),
+                                 std::chrono::seconds(std::stoul(flags["--part"].asString()))};
+      const SteadyResult steady = runSteady(settings, asked);
+      report(settings, steady);
       return steady.founded && steady.violations.empty() ? 0 : 1;
     }
     for (auto seed = first; seed < first + count; ++seed) {
-      boot.seed = seed;
-      const ScenarioResult result = runScenario(boot, span);
+      settings.seed = seed;
+      const ScenarioResult result = runScenario(settings, span);
       total.chosen += result.tally.chosen;
       total.conflicts += result.tally.conflicts;
       total.notTried += result.tally.notTried;
       total.unknown += result.tally.unknown;
-      total.holdsSeen += result.tally.holdsSeen;
+      total.leasesSeen += result.tally.leasesSeen;
       if (count == 1)
         std::cout
             << "seed " << seed << " trace " << std::hex << result.traceHash << std::dec
@@ -154,12 +158,12 @@
                          .count()
                   << " ms: " << result.violations[i].what << "\n";
     }
-  } catch (const std::exception& defect) {
-    std::cerr << "mawson: " << defect.what() << ": give whole numbers\n";
+  } catch (const std::exception& error) {
+    std::cerr << "quayrill-sim: " << error.what() << ": give whole numbers\n";
     return 2;
   }
   std::cout << "changes chosen " << total.chosen << " conflict " << total.conflicts << " not tried "
-            << total.notTried << " unknown " << total.unknown << "; holds seen " << total.holdsSeen
+            << total.notTried << " unknown " << total.unknown << "; holds seen " << total.leasesSeen
             << "; seeds broken " << broken << "\n";
   return broken == 0 ? 0 : 1;
 }
--- a/src/sim/scenario.cpp
+++ b/src/sim/scenario.cpp
@@ -11,8 +11,8 @@
     bool full = true;
     for (std::size_t i = 0; i < world.size(); ++i) {
       if (!world.isUp(i)) continue;
-      const CopySet& copies = world.core(i).freshness().copies();
-      full = full && copies.members.size() == world.copiesWanted() && copies.settled;
+      const ReplicaSet& replicas = world.core(i).freshness().replicas();
+      full = full && replicas.members.size() == world.replicasWanted() && replicas.settled;
     }
     if (full && world.isConverged()) return true;
   }
@@ -82,10 +82,10 @@
 
 }  // namespace
 
-ScenarioResult runScenario(WorldBoot boot, Span faultSpan) {
-  World world(boot);
-  world.wantDuty("orders/a");
-  world.wantDuty("orders/b");
+ScenarioResult runScenario(WorldSettings settings, Span faultSpan) {
+  World world(settings);
+  world.wantRole("orders/a");
+  world.wantRole("orders/b");
   ScenarioResult result;
   runUntilFounded(world, 60s);
   auto& random = world.random();
@@ -96,7 +96,7 @@
     for (int operators = 0; operators < 2; ++operators) {
       const std::size_t machine = random() % world.size();
       if (!world.isUp(machine)) continue;
-      const std::uint64_t known = world.core(machine).freshness().spec().value.version;
+      const std::uint64_t known = world.core(machine).freshness().configuration().value.version;
       if (random() % 4 == 0)
         world.read(machine);
       else
--- a/src/sim/scenario.h
+++ b/src/sim/scenario.h
@@ -13,15 +13,15 @@
 
 // Founds a fleet, then lets operators race while faults of every kind come and go by seed, heals
 // all, and checks the whole history.
-ScenarioResult runScenario(WorldBoot boot, Span faultSpan);
+ScenarioResult runScenario(WorldSettings settings, Span faultSpan);
 
-struct SteadyBoot {
+struct SteadySettings {
   Span span = std::chrono::seconds(60);
   std::size_t bodyBytes = 6;  // of the configuration that the changes bring
-  std::size_t duties = 0;     // with a hold of its own each, as servers have
+  std::size_t roles = 0;      // with a lease of its own each, as servers have
   Span part{};                // two regions lose each other for so long; 0: they don't
 };
-// Zones 0 to (zones + 1) / 2 - 1 are the first region, which has the majority of the copies.
+// Zones 0 to (zones + 1) / 2 - 1 are the first region, which has the majority of the replicas.
 struct Parting {
   Span closedAfter{};  // the smaller side confirms no configuration any more
   std::size_t chosenByLarger = 0, chosenBySmaller = 0, asked = 0;  // asked: on each side
@@ -31,13 +31,13 @@
 struct SteadyResult {
   bool founded = false;
   double messagesPerMachineSecond = 0, bytesPerMachineSecond = 0;
-  double copyMessagesPerSecond = 0;           // to the busiest copy
+  double replicaMessagesPerSecond = 0;        // to the busiest copy
   Span changeEverywhereAfter{};               // slowest of several changes
   Span convergedAfterCut{};                   // half of the machines cut off for 20 s, then healed
-  double copyBytesPerSecond = 0;              // out of the busiest copy
+  double replicaBytesPerSecond = 0;           // out of the busiest copy
   double processorPerMachineSecond = 0;       // of logic and wire format, in seconds
   std::map<std::string, double> bytesOfKind;  // by kind of message
-  double changeBytes = 0, changeCopyBytes = 0;  // of one change: by all, by the busiest copy
+  double changeBytes = 0, changeReplicaBytes = 0;  // of one change: by all, by the busiest copy
   Span zoneMissedAfter{};             // a zone is cut off: all others list themselves alone
   Span zoneBackAfter{};               // healed: all list all
   std::vector<Violation> violations;  // of the whole run
@@ -45,9 +45,9 @@
   Parting parting{};
 };
 // No faults: what the control plane costs at this size.
-SteadyResult runSteady(const WorldBoot& boot, const SteadyBoot& steady);
+SteadyResult runSteady(const WorldSettings& settings, const SteadySettings& steady);
 
-// Waits until the copy set has all disk machines and every daemon agrees.
+// Waits until the replica set has all disk machines and every daemon agrees.
 bool runUntilFounded(World& world, Span limit);
 
 }  // namespace quayrill::sim
--- a/src/sim/scenarios.h
+++ b/src/sim/scenarios.h
@@ -16,7 +16,7 @@
   std::size_t resends = 0;
   std::size_t incidents = 0;  // troubles that were brought about
   Span slowestCatchUp{};      // from the end of a trouble until the newest is confirmed there
-  Span slowestVote{};         // until its copy is a writable member of a settled set
+  Span slowestVote{};         // until its replica is a writable member of a settled set
 };
 
 struct NamedScenario {
@@ -26,7 +26,7 @@
 };
 const std::vector<NamedScenario>& namedScenarios();
 
-// `plant` brings in a defect that the scenario must find.
+// `plant` brings in a error that the scenario must find.
 
 // A control machine is cut off for 20 s while changes go on elsewhere and an operator asks it.
 // Planted: it vouches for its configuration without asking.
@@ -34,7 +34,7 @@
 // Two operators pick one number each time, 7 of 10 answers are lost, and all is sent again.
 // Planted: a resend is judged as a new order.
 NamedResult runRacingOperators(std::uint64_t seed, bool plant);
-// 600 changes while copies restart, lose power, are emptied, slow, stalled and failing.
+// 600 changes while replicas restart, lose power, are emptied, slow, stalled and failing.
 // Planted: an emptied disk comes back under its old identity.
 NamedResult runManyChanges(std::uint64_t seed, bool plant);
 
--- a/src/sim/scenarios_copies.cpp
+++ b/src/sim/scenarios_copies.cpp
@@ -38,14 +38,14 @@
   }
 }
 
-// The copy of the machine votes: it may write, and a settled set names its store.
+// The replica of the machine votes: it may write, and a settled set names its store.
 bool votes(World& world, std::size_t machine) {
   if (!world.isUp(machine) || !world.core(machine).isWritable()) return false;
-  const CopySet& copies = world.core(machine).freshness().copies();
+  const ReplicaSet& replicas = world.core(machine).freshness().replicas();
   const StoreId store = world.core(machine).store();
-  return copies.settled &&
-         std::any_of(copies.members.begin(), copies.members.end(),
-                     [&](const CopyMember& member) { return member.store == store; });
+  return replicas.settled &&
+         std::any_of(replicas.members.begin(), replicas.members.end(),
+                     [&](const ReplicaMember& member) { return member.store == store; });
 }
 
 // Makes one change on top of the newest, through any machine that is up, until it is confirmed.
@@ -68,12 +68,12 @@
 
 NamedResult runManyChanges(std::uint64_t seed, bool plant) {
   NamedResult result;
-  WorldBoot boot;
-  boot.seed = seed;
-  boot.diskMachines = 3;
-  boot.edgeMachines = 2;
-  boot.plantReusedStore = plant;
-  World world(boot);
+  WorldSettings settings;
+  settings.seed = seed;
+  settings.diskMachines = 3;
+  settings.edgeMachines = 2;
+  settings.plantReusedStore = plant;
+  World world(settings);
   if (!runUntilFounded(world, 60s)) result.broken.push_back("not founded");
   Operators operators(world);
   operators.setPadding(kBodyBytes);
@@ -99,13 +99,13 @@
       world.run(20ms);
       const Span past = world.elapsed() - ended;
       const std::uint64_t number =
-          readChain(world.core(machine).freshness().spec().value.body).number;
+          readChain(world.core(machine).freshness().configuration().value.body).number;
       const bool isNewest = number >= operators.newestConfirmed();
       if (caughtUp == Span{} && isNewest && world.isConfirmed(machine, 500ms)) caughtUp = past;
       if (voting == Span{} && votes(world, machine)) voting = past;
     }
     if (caughtUp == Span{} || voting == Span{})
-      result.broken.push_back("a copy never came back after trouble " +
+      result.broken.push_back("a replica never came back after trouble " +
                               std::to_string(static_cast<int>(trouble)));
     result.slowestCatchUp = std::max(result.slowestCatchUp, caughtUp);
     result.slowestVote = std::max(result.slowestVote, voting);
@@ -127,7 +127,7 @@
       {"cut-off", "a control machine cut off for 20 s while changes go on", runCutOff},
       {"racing-operators", "two operators under one number, 7 of 10 answers lost",
        runRacingOperators},
-      {"many-changes", "600 changes while copies restart and disks fail", runManyChanges}};
+      {"many-changes", "600 changes while replicas restart and disks fail", runManyChanges}};
   return kAll;
 }
 
--- a/src/sim/scenarios_operators.cpp
+++ b/src/sim/scenarios_operators.cpp
@@ -16,22 +16,22 @@
 constexpr Span kCatchUpLimit = 5s;
 constexpr double kAnswersLost = 0.7;
 
-WorldBoot smallCore(std::uint64_t seed) {
-  WorldBoot boot;
-  boot.seed = seed;
-  boot.diskMachines = 4;
-  boot.copiesWanted = 3;
-  boot.edgeMachines = 3;
-  boot.bootstrap = true;
-  return boot;
+WorldSettings smallCore(std::uint64_t seed) {
+  WorldSettings settings;
+  settings.seed = seed;
+  settings.diskMachines = 4;
+  settings.replicasWanted = 3;
+  settings.edgeMachines = 3;
+  settings.bootstrap = true;
+  return settings;
 }
 
-enum class Cut { BothWays, Inward, Outward, FromCopies };
+enum class Cut { BothWays, Inward, Outward, FromReplicas };
 
 void cutOff(World& world, std::size_t machine, Cut kind) {
   for (std::size_t other = 0; other < world.size(); ++other) {
     if (other == machine) continue;
-    if (kind == Cut::FromCopies && other >= world.diskMachines()) continue;
+    if (kind == Cut::FromReplicas && other >= world.diskMachines()) continue;
     if (kind != Cut::Outward) world.cutOneWay(other, machine, true);
     if (kind != Cut::Inward) world.cutOneWay(machine, other, true);
   }
@@ -54,7 +54,7 @@
 };
 
 std::uint64_t numberAt(World& world, std::size_t machine) {
-  return readChain(world.core(machine).freshness().spec().value.body).number;
+  return readChain(world.core(machine).freshness().configuration().value.body).number;
 }
 
 void note(const Operators& operators, NamedResult* result) {
@@ -92,13 +92,13 @@
 
 NamedResult runCutOff(std::uint64_t seed, bool plant) {
   NamedResult result;
-  WorldBoot boot = smallCore(seed);
-  boot.plantStaleConfirm = plant;
-  World world(boot);
+  WorldSettings settings = smallCore(seed);
+  settings.plantStaleConfirm = plant;
+  World world(settings);
   if (!runUntilFounded(world, kFoundingLimit)) result.broken.push_back("not founded");
   Operators operators(world);
   Served served;
-  for (const Cut kind : {Cut::BothWays, Cut::Inward, Cut::Outward, Cut::FromCopies}) {
+  for (const Cut kind : {Cut::BothWays, Cut::Inward, Cut::Outward, Cut::FromReplicas}) {
     const std::size_t machine = world.random()() % world.diskMachines();
     const std::size_t elsewhere = (machine + 2) % world.diskMachines();
     ++result.incidents;
@@ -152,10 +152,10 @@
 
 NamedResult runRacingOperators(std::uint64_t seed, bool plant) {
   NamedResult result;
-  WorldBoot boot = smallCore(seed);
-  boot.lossRate = 0.05;
-  boot.duplicateRate = 0.05;
-  World world(boot);
+  WorldSettings settings = smallCore(seed);
+  settings.lossRate = 0.05;
+  settings.duplicateRate = 0.05;
+  World world(settings);
   if (!runUntilFounded(world, kFoundingLimit)) result.broken.push_back("not founded");
   Operators operators(world);
   const auto isLost = [&] {
--- a/src/sim/steady.cpp
+++ b/src/sim/steady.cpp
@@ -48,11 +48,11 @@
         perMachine(bytes - (old == before.bytesOfKind.end() ? 0 : old->second));
   }
   for (std::size_t i = 0; i < world.diskMachines(); ++i) {
-    result->copyMessagesPerSecond =
-        std::max(result->copyMessagesPerSecond,
+    result->replicaMessagesPerSecond =
+        std::max(result->replicaMessagesPerSecond,
                  static_cast<double>(world.arrivals(i) - arrivedBefore[i]) / seconds);
-    result->copyBytesPerSecond =
-        std::max(result->copyBytesPerSecond,
+    result->replicaBytesPerSecond =
+        std::max(result->replicaBytesPerSecond,
                  static_cast<double>(world.bytesFrom(i) - sentBefore[i]) / seconds);
   }
 }
@@ -60,7 +60,7 @@
 // The bytes are those above the steady traffic of the same time.
 void measureChanges(World& world, std::size_t bodyBytes, SteadyResult* result) {
   constexpr std::uint64_t kChanges = 5;
-  const std::uint64_t bytesBefore = world.tally().bytes, copyBefore = world.bytesFrom(0);
+  const std::uint64_t bytesBefore = world.tally().bytes, replicaBefore = world.bytesFrom(0);
   const Span begun = world.elapsed();
   for (std::uint64_t version = 0; version < kChanges; ++version) {
     const std::uint64_t id = world.change(world.size() - 1 - version, version,
@@ -77,9 +77,9 @@
       (static_cast<double>(world.tally().bytes - bytesBefore) -
        result->bytesPerMachineSecond * seconds * static_cast<double>(world.size())) /
       kChanges;
-  result->changeCopyBytes = (static_cast<double>(world.bytesFrom(0) - copyBefore) -
-                             result->copyBytesPerSecond * seconds) /
-                            kChanges;
+  result->changeReplicaBytes = (static_cast<double>(world.bytesFrom(0) - replicaBefore) -
+                                result->replicaBytesPerSecond * seconds) /
+                               kChanges;
 }
 
 Parting partRegions(World& world, Span span, std::size_t zones) {
@@ -104,7 +104,7 @@
   while (world.elapsed() < until) {
     ++parting.asked;
     const auto versionAt = [&](std::size_t i) {
-      return world.core(i).freshness().spec().value.version;
+      return world.core(i).freshness().configuration().value.version;
     };
     const std::size_t inLarger = *larger.rbegin(), inSmaller = smaller.back();
     const auto asked = world.change(inLarger, versionAt(inLarger), "larger");
@@ -121,13 +121,13 @@
 }
 }  // namespace
 
-SteadyResult runSteady(const WorldBoot& boot, const SteadyBoot& steady) {
-  World world(boot);
+SteadyResult runSteady(const WorldSettings& settings, const SteadySettings& steady) {
+  World world(settings);
   SteadyResult result;
   result.founded = runUntilFounded(world, 120s);
-  for (std::size_t i = 0; i < steady.duties; ++i)
-    world.wantDuty("orders/10.0.0.1:" + std::to_string(10000 + i));
-  if (steady.duties > 0) world.run(10s);
+  for (std::size_t i = 0; i < steady.roles; ++i)
+    world.wantRole("orders/10.0.0.1:" + std::to_string(10000 + i));
+  if (steady.roles > 0) world.run(10s);
   measureTraffic(world, steady.span, &result);
   measureChanges(world, steady.bodyBytes, &result);
 
@@ -139,7 +139,7 @@
   const auto agreed = [&] { return world.isConverged() && world.knowsAll(); };
   result.convergedAfterCut = runUntil(world, 600s, agreed);
 
-  const auto zone = machinesOf(world, {boot.zones - 1});
+  const auto zone = machinesOf(world, {settings.zones - 1});
   world.cut(zone, true);
   result.zoneMissedAfter = runUntil(world, 60s, [&] {
     for (std::size_t i = 0; i < world.size(); ++i) {
@@ -151,7 +151,7 @@
   world.healAll();
   result.zoneBackAfter = runUntil(world, 600s, agreed);
   result.hasRegions = steady.part > Span{};
-  if (result.hasRegions) result.parting = partRegions(world, steady.part, boot.zones);
+  if (result.hasRegions) result.parting = partRegions(world, steady.part, settings.zones);
   world.read(0);
   world.run(4s);
   world.checkHistory();
--- a/src/sim/world.cpp
+++ b/src/sim/world.cpp
@@ -12,22 +12,23 @@
 constexpr Span kTick = 50ms;
 }  // namespace
 
-World::World(const WorldBoot& boot) : boot_(boot), random_(boot.seed), now_(Instant(1s)) {
-  const std::size_t atFirst = boot.diskMachines + boot.edgeMachines;
-  const std::size_t count = atFirst + boot.reserveMachines;
+World::World(const WorldSettings& settings)
+    : settings_(settings), random_(settings.seed), now_(Instant(1s)) {
+  const std::size_t atFirst = settings.diskMachines + settings.edgeMachines;
+  const std::size_t count = atFirst + settings.reserveMachines;
   for (std::size_t i = 0; i < count; ++i) {
     Machine machine;
     machine.address =
         Address{"127.0." + std::to_string(i / 200) + "." + std::to_string(1 + i % 200) + ":7000"};
     machine.isReserve = i >= atFirst;
-    machine.hasDisk = i < boot.diskMachines || machine.isReserve;
+    machine.hasDisk = i < settings.diskMachines || machine.isReserve;
     machine.clockOffset = std::chrono::seconds(random_() % 100000);
-    if (boot.plantFastClocks && i % 2 == 1) machine.clockRate = 6;
+    if (settings.plantFastClocks && i % 2 == 1) machine.clockRate = 6;
     byAddress_[machine.address] = i;
     machines_.push_back(std::move(machine));
   }
   for (Machine& machine : machines_) {
-    for (std::size_t s = 0; s < std::min<std::size_t>(3, boot.diskMachines); ++s)
+    for (std::size_t s = 0; s < std::min<std::size_t>(3, settings.diskMachines); ++s)
       machine.seeds.push_back(machines_[s].address);
   }
   for (std::size_t i = 0; i < count; ++i) start(i);
@@ -44,22 +45,27 @@
   Machine& machine = machines_[index];
   if (machine.core || machine.isReserve) return;
   ++machine.life;
-  machine.highestSpec = 0;
-  AgentBoot boot{machine.address, "zone" + std::to_string(zoneOf(index)),
-                 machine.seeds,   {},
-                 random_(),       boot_.copiesWanted ? boot_.copiesWanted : boot_.diskMachines};
-  boot.leaseSpan = boot_.leaseSpan;
-  boot.losses = boot_.losses;
-  boot.catchUpSpan = boot_.catchUpSpan;
-  if (boot_.bootstrap) {
-    boot.mayFound = machine.life == 1 && index < boot_.diskMachines + boot_.edgeMachines;
-    boot.foundingWait = Span{};
+  machine.highestConfiguration = 0;
+  AgentSettings settings{
+      machine.address,
+      "zone" + std::to_string(zoneOf(index)),
+      machine.seeds,
+      {},
+      random_(),
+      settings_.replicasWanted ? settings_.replicasWanted : settings_.diskMachines};
+  settings.leaseSpan = settings_.leaseSpan;
+  settings.losses = settings_.losses;
+  settings.catchUpSpan = settings_.catchUpSpan;
+  if (settings_.bootstrap) {
+    settings.mayFound =
+        machine.life == 1 && index < settings_.diskMachines + settings_.edgeMachines;
+    settings.foundingWait = Span{};
   }
   std::optional<std::map<std::string, std::string>> disk;
   if (machine.hasDisk) disk = machine.synced;
-  machine.core = std::make_unique<AgentCore>(boot, disk);
+  machine.core = std::make_unique<AgentCore>(settings, disk);
   AgentEffects effects;
-  effects.copyWork = machine.core->start();
+  effects.replicaWork = machine.core->start();
   apply(index, std::move(effects));
   schedule({now_ + Span(random_() % kTick.count()), 0, Kind::Tick, index, machine.life, {}, {}});
 }
@@ -82,7 +88,8 @@
   const auto store = machines_[index].synced.find("store");
   const auto format = machines_[index].synced.find("format");
   std::map<std::string, std::string> kept;
-  if (boot_.plantReusedStore && store != machines_[index].synced.end()) kept = {*store, *format};
+  if (settings_.plantReusedStore && store != machines_[index].synced.end())
+    kept = {*store, *format};
   machines_[index].synced = kept;
 }
 
@@ -159,12 +166,12 @@
   const auto chance = [&](double rate) {
     return std::uniform_real_distribution<>(0, 1)(random_) < rate;
   };
-  if (from != to && chance(boot_.lossRate)) return;
-  const int copies = chance(boot_.duplicateRate) ? 2 : 1;
-  for (int i = 0; i < copies; ++i) {
-    Span delay =
-        boot_.delayLow +
-        Span(random_() % static_cast<std::uint64_t>((boot_.delayHigh - boot_.delayLow).count()));
+  if (from != to && chance(settings_.lossRate)) return;
+  const int replicas = chance(settings_.duplicateRate) ? 2 : 1;
+  for (int i = 0; i < replicas; ++i) {
+    Span delay = settings_.delayLow +
+                 Span(random_() % static_cast<std::uint64_t>(
+                                      (settings_.delayHigh - settings_.delayLow).count()));
     if (chance(0.01)) delay *= 40;  // late and out of order
     schedule({now_ + delay, 0, Kind::Arrive, to, 0, bytes, {}});
   }
@@ -173,9 +180,9 @@
 void World::apply(std::size_t index, AgentEffects effects) {
   Machine& machine = machines_[index];
   for (const Envelope& envelope : effects.sends) transmit(index, envelope);
-  for (CopyWork& work : effects.copyWork) {
+  for (ReplicaWork& work : effects.replicaWork) {
     for (const DiskWrite& write : work.writes) machine.unsynced.push_back(write);
-    if (boot_.plantUnsyncedDisk && work.answer) {
+    if (settings_.plantUnsyncedDisk && work.answer) {
       transmit(index, *work.answer);
       work.answer.reset();
     }
@@ -215,33 +222,33 @@
   if (machine.diskBusy || machine.diskQueue.empty() || !machine.core) return;
   machine.diskBusy = true;
   const bool writes = std::any_of(machine.diskQueue.begin(), machine.diskQueue.end(),
-                                  [](const CopyWork& work) { return !work.writes.empty(); });
+                                  [](const ReplicaWork& work) { return !work.writes.empty(); });
   Span cost = writes ? Span(std::chrono::microseconds(100 + random_() % 900)) : Span{};
   if (writes) cost += machine.diskDelay;
-  if (boot_.plantUnsyncedDisk) cost *= 400;
+  if (settings_.plantUnsyncedDisk) cost *= 400;
   schedule({now_ + cost,
             0,
             Kind::DiskDone,
             index,
             machine.life,
             {},
-            std::make_shared<std::vector<CopyWork>>(std::move(machine.diskQueue)),
+            std::make_shared<std::vector<ReplicaWork>>(std::move(machine.diskQueue)),
             machine.diskLife});
   machine.diskQueue.clear();
 }
 
-void World::finishSync(std::size_t index, const std::vector<CopyWork>& batch) {
+void World::finishSync(std::size_t index, const std::vector<ReplicaWork>& batch) {
   Machine& machine = machines_[index];
   machine.diskBusy = false;
   // The batch that fails may be on the disk all the same, whole; nobody is told of it, and nothing
   // is written after it.
-  const bool fails =
-      machine.diskFails && std::any_of(batch.begin(), batch.end(),
-                                       [](const CopyWork& work) { return !work.writes.empty(); });
+  const bool fails = machine.diskFails &&
+                     std::any_of(batch.begin(), batch.end(),
+                                 [](const ReplicaWork& work) { return !work.writes.empty(); });
   const bool kept = fails ? machine.core->isWritable() && random_() % 2 == 0 : !machine.diskFails;
-  if (fails) machine.core->onDiskDefect();
-  for (const CopyWork& work : batch) {
-    machine.core->onCopyWorkDone();
+  if (fails) machine.core->onDiskError();
+  for (const ReplicaWork& work : batch) {
+    machine.core->onReplicaWorkDone();
     for (const DiskWrite& write : work.writes) {
       if (kept) machine.synced[write.key] = write.bytes;
       if (!machine.unsynced.empty()) machine.unsynced.erase(machine.unsynced.begin());
@@ -258,7 +265,7 @@
   machine.diskDelay = Span{};
   if (!machine.core || machine.core->isWritable()) return;
   // What was handed to the disk before it was read anew has failed, answers and all.
-  for (std::size_t i = 0; i < machine.diskQueue.size(); ++i) machine.core->onCopyWorkDone();
+  for (std::size_t i = 0; i < machine.diskQueue.size(); ++i) machine.core->onReplicaWorkDone();
   machine.diskQueue.clear();
   machine.unsynced.clear();
   ++machine.diskLife;
@@ -270,18 +277,18 @@
 }
 
 std::uint64_t World::change(std::size_t index, std::uint64_t expectedVersion, std::string body) {
-  return ask(index, {{}, kSpecKey, false, expectedVersion, std::move(body), {}, {}});
+  return ask(index, {{}, kConfigurationKey, false, expectedVersion, std::move(body), {}, {}});
 }
 
 std::uint64_t World::read(std::size_t index) {
-  return ask(index, {{}, kSpecKey, true, 0, {}, {}, {}});
+  return ask(index, {{}, kConfigurationKey, true, 0, {}, {}, {}});
 }
 
-AgentCore::Refounded World::refound(std::size_t index, const std::string& given,
+AgentCore::Recovered World::recover(std::size_t index, const std::string& given,
                                     std::uint64_t givenVersion) {
   AgentEffects effects;
   auto made =
-      machines_[index].core->refound(given, givenVersion, local(machines_[index]), &effects);
+      machines_[index].core->recover(given, givenVersion, local(machines_[index]), &effects);
   apply(index, std::move(effects));
   return made;
 }
@@ -317,9 +324,9 @@
   switch (event.kind) {
     case Kind::Tick: {
       machine.core->onTick(local(machine), &effects);
-      for (const std::string& duty : duties_) {
-        if (machine.core->isMine(duty, local(machine)))
-          machine.core->pursueHold(RegisterKey{"hold/" + duty}, local(machine), &effects);
+      for (const std::string& role : roles_) {
+        if (machine.core->isMine(role, local(machine)))
+          machine.core->pursueLease(RegisterKey{"hold/" + role}, local(machine), &effects);
       }
       schedule({now_ + kTick, 0, Kind::Tick, event.machine, machine.life, {}, {}});
       break;
@@ -335,7 +342,7 @@
       if (event.diskLife == machine.diskLife) {
         finishSync(event.machine, *event.batch);
       } else {
-        for (std::size_t i = 0; i < event.batch->size(); ++i) machine.core->onCopyWorkDone();
+        for (std::size_t i = 0; i < event.batch->size(); ++i) machine.core->onReplicaWorkDone();
       }
       break;
     }
@@ -353,7 +360,7 @@
     now_ = std::max(now_, event.at);
     handle(event);
     if (now_ >= nextCheck) {
-      checkHolds();
+      checkLeases();
       nextCheck = now_ + 5ms;
     }
   }
@@ -366,7 +373,7 @@
     if (!machine.core) continue;
     const auto confirmed = machine.core->freshness().confirmedAt();
     if (!confirmed || local(machine) - *confirmed > 1s) return false;
-    const std::uint64_t held = machine.core->freshness().spec().value.version;
+    const std::uint64_t held = machine.core->freshness().configuration().value.version;
     if (version && *version != held) return false;
     version = held;
   }
@@ -387,7 +394,7 @@
 
 bool World::isInForce(std::uint64_t version) const {
   return std::all_of(machines_.begin(), machines_.end(), [&](const Machine& machine) {
-    return !machine.core || machine.core->freshness().spec().value.version >= version;
+    return !machine.core || machine.core->freshness().configuration().value.version >= version;
   });
 }
 
--- a/src/sim/world.h
+++ b/src/sim/world.h
@@ -14,11 +14,11 @@
 
 namespace quayrill::sim {
 
-struct WorldBoot {
+struct WorldSettings {
   std::uint64_t seed = 1;
   std::size_t diskMachines = 4;
   std::size_t edgeMachines = 9;
-  std::size_t copiesWanted = 0;  // 0: as many as there are disks
+  std::size_t replicasWanted = 0;  // 0: as many as there are disks
   LossesToBear losses{};
   Span catchUpSpan{};
   std::size_t reserveMachines = 0;  // empty disks that join later; their indices come last
@@ -35,7 +35,7 @@
   bool plantUnsyncedDisk = false;  // answers leave before the write is synced
   bool plantReusedStore = false;   // an emptied disk comes back under its old identity
   bool plantFastClocks = false;    // every other machine's clock runs six times too fast
-  bool plantStaleConfirm = false;  // a daemon vouches for the spec without asking
+  bool plantStaleConfirm = false;  // a daemon vouches for the configuration without asking
 };
 
 struct Violation {
@@ -54,13 +54,13 @@
 
 struct Tally {
   std::uint64_t messages = 0, bytes = 0, chosen = 0, conflicts = 0, notTried = 0, unknown = 0;
-  std::uint64_t holdsSeen = 0, events = 0;
+  std::uint64_t leasesSeen = 0, events = 0;
   std::map<std::string, std::uint64_t> bytesOfKind;
 };
 
 class World {
  public:
-  explicit World(const WorldBoot& boot);
+  explicit World(const WorldSettings& settings);
 
   void run(Span span);
   Span elapsed() const { return now_.time_since_epoch(); }
@@ -90,35 +90,35 @@
 
   std::uint64_t change(std::size_t machine, std::uint64_t expectedVersion, std::string body);
   std::uint64_t read(std::size_t machine);
-  AgentCore::Refounded refound(std::size_t machine, const std::string& given,
+  AgentCore::Recovered recover(std::size_t machine, const std::string& given,
                                std::uint64_t givenVersion);
   void plant(bool unsynced, bool reused) {
-    boot_.plantUnsyncedDisk = unsynced;
-    boot_.plantReusedStore = reused;
+    settings_.plantUnsyncedDisk = unsynced;
+    settings_.plantReusedStore = reused;
   }
-  void wantDuty(const std::string& duty) { duties_.insert(duty); }
+  void wantRole(const std::string& role) { roles_.insert(role); }
 
   bool hasDisk(std::size_t machine) const { return machines_[machine].hasDisk; }
   bool isUp(std::size_t machine) const { return machines_[machine].core != nullptr; }
   AgentCore& core(std::size_t machine) { return *machines_[machine].core; }
   std::size_t size() const { return machines_.size(); }
-  std::size_t diskMachines() const { return boot_.diskMachines; }
-  std::size_t copiesWanted() const {
-    return boot_.copiesWanted ? boot_.copiesWanted : boot_.diskMachines;
+  std::size_t diskMachines() const { return settings_.diskMachines; }
+  std::size_t replicasWanted() const {
+    return settings_.replicasWanted ? settings_.replicasWanted : settings_.diskMachines;
   }
   const Asked& asked(std::uint64_t id) const { return asked_.at(id - 1); }
   const std::vector<Asked>& history() const { return asked_; }
   Instant localNow(std::size_t machine) const { return local(machines_[machine]); }
   std::mt19937_64& random() { return random_; }
   const std::vector<Violation>& violations() const { return violations_; }
-  void checkHistory();  // linearizability of the spec register over all that was asked
+  void checkHistory();  // linearizability of the configuration register over all that was asked
   std::uint64_t traceHash() const { return traceHash_; }
   const Tally& tally() const { return tally_; }
-  // True when every live machine has confirmed one and the same spec version lately.
+  // True when every live machine has confirmed one and the same configuration version lately.
   bool isConverged() const;
   bool isInForce(std::uint64_t version) const;  // at every live machine
   bool knowsAll() const;                        // every live machine lists all live machines
-  std::size_t zoneOf(std::size_t machine) const { return machine % boot_.zones; }
+  std::size_t zoneOf(std::size_t machine) const { return machine % settings_.zones; }
   bool isConfirmed(std::size_t machine, Span lately) const;
   std::size_t listedBy(std::size_t machine) const;  // live machines, itself too
   std::uint64_t arrivals(std::size_t machine) const { return machines_[machine].arrivals; }
@@ -135,14 +135,14 @@
     std::vector<DiskWrite> unsynced;  // lost at a power loss
     bool diskFails = false;
     Span diskDelay{};
-    std::vector<CopyWork> diskQueue;  // taken whole by the next sync, as the real disk does
+    std::vector<ReplicaWork> diskQueue;  // taken whole by the next sync, as the real disk does
     bool diskBusy = false;
     std::uint64_t diskLife = 0;  // rises when a defective disk was read anew
     Instant frozenUntil{};
     Span clockOffset{};  // machines' boot clocks have nothing in common
     int clockRate = 1;
     std::uint64_t life = 0;
-    std::uint64_t highestSpec = 0;  // of this life
+    std::uint64_t highestConfiguration = 0;  // of this life
     std::uint64_t arrivals = 0, bytesSent = 0;
   };
   enum class Kind { Tick, Arrive, DiskDone };
@@ -153,7 +153,7 @@
     std::size_t machine = 0;
     std::uint64_t life = 0;
     std::string bytes;
-    std::shared_ptr<std::vector<CopyWork>> batch;
+    std::shared_ptr<std::vector<ReplicaWork>> batch;
     std::uint64_t diskLife = 0;
     bool operator>(const Event& other) const {
       return std::tie(at, order) > std::tie(other.at, other.order);
@@ -166,15 +166,15 @@
   void apply(std::size_t machine, AgentEffects effects);
   std::uint64_t ask(std::size_t machine, ChangeAsked change);
   void startSync(std::size_t machine);
-  void finishSync(std::size_t machine, const std::vector<CopyWork>& batch);
+  void finishSync(std::size_t machine, const std::vector<ReplicaWork>& batch);
   void transmit(std::size_t from, const Envelope& envelope);
   void handle(const Event& event);
   void checkMachine(std::size_t machine);
-  void checkHolds();
+  void checkLeases();
   void violate(const std::string& what);
   std::size_t indexOf(const Address& address) const;
 
-  WorldBoot boot_;
+  WorldSettings settings_;
   std::mt19937_64 random_;
   Instant now_{};
   std::uint64_t order_ = 0;
@@ -184,7 +184,7 @@
   std::priority_queue<Event, std::vector<Event>, std::greater<>> events_;
   std::vector<Asked> asked_;
   std::map<std::pair<std::size_t, OperationId>, std::uint64_t> pending_;
-  std::set<std::string> duties_;
+  std::set<std::string> roles_;
   std::map<std::string, std::pair<std::uint64_t, std::size_t>> highestFence_;
   std::map<std::uint64_t, WriteId> writeOfVersion_;              // one write per version, for ever
   std::vector<std::pair<Instant, std::uint64_t>> acknowledged_;  // (when, version), rising
--- a/tests/agent_tests.cpp
+++ b/tests/agent_tests.cpp
@@ -1,10 +1,10 @@
-// The agent's parts against scripted cohort members, on a fake clock.
+// The agent's parts against scripted the peers, on a fake clock.
 #include <catch2/catch.hpp>
 
 #include <set>
 
-#include "agent/core/duties.h"
-#include "agent/core/holds.h"
+#include "agent/core/leader_roles.h"
+#include "agent/core/leases.h"
 #include "agent/core/membership.h"
 #include "agent/core/news.h"
 #include "agent/core/server_list.h"
@@ -136,11 +136,11 @@
   std::map<Address, int> owned;
   int moved = 0;
   for (int i = 0; i < 600; ++i) {
-    const std::string duty = "orders/" + std::to_string(i);
-    const Address owner = rendezvousOwner(duty, live);
+    const std::string role = "orders/" + std::to_string(i);
+    const Address owner = rendezvousOwner(role, live);
     ++owned[owner];
     std::vector<Address> fewer(live.begin(), live.end() - 1);
-    const Address after = rendezvousOwner(duty, fewer);
+    const Address after = rendezvousOwner(role, fewer);
     if (owner != live.back()) CHECK(after == owner);
     moved += after != owner ? 1 : 0;
   }
@@ -149,82 +149,84 @@
 }
 
 namespace {
-// The register's side of a hold, played by the test.
-struct HoldScript {
-  RegisterKey duty{"hold/x"};
+// The register's side of a lease, played by the test.
+struct LeaseScript {
+  RegisterKey role{"hold/x"};
   RegisterValue value;
   ChangeDone answer(const ChangeAsked& asked) {
-    if (asked.isRead) return {{}, duty, ChangeResult::Chosen, value, {}, {}};
+    if (asked.isRead) return {{}, role, ChangeResult::Chosen, value, {}, {}};
     if (asked.expectedVersion != value.version)
-      return {{}, duty, ChangeResult::Conflict, value, {}, {}};
+      return {{}, role, ChangeResult::Conflict, value, {}, {}};
     value = {value.version + 1, {}, {}, asked.body};
-    return {{}, duty, ChangeResult::Chosen, value, {}, {}};
+    return {{}, role, ChangeResult::Chosen, value, {}, {}};
   }
-  void step(Holds& holds, Instant now) {
-    if (const auto asked = holds.pursue(duty, now)) holds.onDone(answer(*asked), now);
+  void step(Leases& holds, Instant now) {
+    if (const auto asked = holds.pursue(role, now)) holds.onDone(answer(*asked), now);
   }
 };
 }  // namespace
 
 TEST_CASE("holds: a rival waits out the whole term from when it saw the value") {
-  HoldScript script;
-  Holds first(member(1), 11), second(member(2), 22);
+  LeaseScript script;
+  Leases first(member(1), 11), second(member(2), 22);
   Instant now{100s};
-  const auto step = [&](Holds& holds) { script.step(holds, now); };
+  const auto step = [&](Leases& holds) { script.step(holds, now); };
   step(first);
   step(first);
-  REQUIRE(first.held(script.duty, 0s, now) == Fence{1});
+  REQUIRE(first.held(script.role, 0s, now) == Fence{1});
   const Instant taken = now;
   Instant overlapUntil{};
   for (; now < taken + 10s; now += 50ms) {
     step(second);
-    const bool both = first.held(script.duty, 0s, now) && second.held(script.duty, 0s, now);
+    const bool both = first.held(script.role, 0s, now) && second.held(script.role, 0s, now);
     if (both) overlapUntil = now;
-    if (second.held(script.duty, 0s, now)) break;
+    if (second.held(script.role, 0s, now)) break;
   }
   CHECK(overlapUntil == Instant{});
-  CHECK(second.held(script.duty, 0s, now) == Fence{2});
+  CHECK(second.held(script.role, 0s, now) == Fence{2});
   CHECK(now - taken >= 4s);
-  CHECK_FALSE(first.held(script.duty, 0s, now));
+  CHECK_FALSE(first.held(script.role, 0s, now));
   step(first);  // its renewal meets the new holder
-  CHECK_FALSE(first.held(script.duty, 0s, now));
+  CHECK_FALSE(first.held(script.role, 0s, now));
 }
 
-TEST_CASE("holds: a released duty is free at once, a renewal of unknown result is no longer held") {
-  HoldScript script;
-  Holds first(member(1), 11), second(member(2), 22);
+TEST_CASE(
+    "holds: a released leader role is free at once, a renewal of unknown result is no longer "
+    "held") {
+  LeaseScript script;
+  Leases first(member(1), 11), second(member(2), 22);
   Instant now{100s};
-  const auto step = [&](Holds& holds) { script.step(holds, now); };
+  const auto step = [&](Leases& holds) { script.step(holds, now); };
   step(first);
   step(first);
-  CHECK(first.held(script.duty, 3s, now));
-  CHECK_FALSE(first.held(script.duty, 4s, now));
-  const auto released = first.release(script.duty, now);
+  CHECK(first.held(script.role, 3s, now));
+  CHECK_FALSE(first.held(script.role, 4s, now));
+  const auto released = first.release(script.role, now);
   REQUIRE(released);
-  CHECK_FALSE(first.held(script.duty, 0s, now));  // from the moment it asks to let go
+  CHECK_FALSE(first.held(script.role, 0s, now));  // from the moment it asks to let go
   first.onDone(script.answer(*released), now);
   step(second);
   step(second);
-  CHECK(second.held(script.duty, 0s, now) == Fence{2});
+  CHECK(second.held(script.role, 0s, now) == Fence{2});
   now += 2s;
-  const auto renewal = second.pursue(script.duty, now);
+  const auto renewal = second.pursue(script.role, now);
   REQUIRE(renewal);
-  second.onDone({{}, script.duty, ChangeResult::Unknown, {}, {}, {}}, now);
-  CHECK(second.held(script.duty, 0s, now));  // the old term still runs
+  second.onDone({{}, script.role, ChangeResult::Unknown, {}, {}, {}}, now);
+  CHECK(second.held(script.role, 0s, now));  // the old term still runs
   now += 2s;
-  CHECK_FALSE(second.held(script.duty, 0s, now));
+  CHECK_FALSE(second.held(script.role, 0s, now));
 }
 
 TEST_CASE("holds: taken from another life it counts only when the lease has passed") {
-  HoldScript script;
+  LeaseScript script;
   const Span lease = 3s;
-  Holds first(member(1), 11, lease), second(member(2), 22, lease);
+  Leases first(member(1), 11, lease), second(member(2), 22, lease);
   Instant now{100s};
   script.step(first, now);
   script.step(first, now);
-  CHECK(first.held(script.duty, 0s, now) == Fence{1});  // nobody held it before
+  CHECK(first.held(script.role, 0s, now) == Fence{1});  // nobody held it before
   // Let go: the rival has the fence at once, and the right a lease after it saw the release.
-  const auto released = first.release(script.duty, now);
+  const auto released = first.release(script.role, now);
   REQUIRE(released);
   first.onDone(script.answer(*released), now);
   script.step(second, now);
@@ -232,31 +234,31 @@
   const Instant takenAt = now;
   for (; now < takenAt + lease; now += 50ms) {
     script.step(second, now);
-    CHECK_FALSE(second.held(script.duty, 0s, now));
+    CHECK_FALSE(second.held(script.role, 0s, now));
   }
-  CHECK(second.held(script.duty, 0s, now) == Fence{2});
+  CHECK(second.held(script.role, 0s, now) == Fence{2});
   // Renewed, or let go and taken again by the same life: no second wait.
-  const auto again = second.release(script.duty, now);
+  const auto again = second.release(script.role, now);
   REQUIRE(again);
   second.onDone(script.answer(*again), now);
-  CHECK_FALSE(second.held(script.duty, 0s, now));
+  CHECK_FALSE(second.held(script.role, 0s, now));
   script.step(second, now);
-  CHECK(second.held(script.duty, 0s, now) == Fence{3});
+  CHECK(second.held(script.role, 0s, now) == Fence{3});
   // Run out unrenewed, as behind a cut or in a freeze: it stops acting by its own clock, and the
   // rival acts a lease later at the earliest.
   Instant lastAct{};
   const Instant frozenAt = now;
-  for (; now < frozenAt + 30s && !first.held(script.duty, 0s, now); now += 50ms) {
-    if (second.held(script.duty, 0s, now)) lastAct = now;
+  for (; now < frozenAt + 30s && !first.held(script.role, 0s, now); now += 50ms) {
+    if (second.held(script.role, 0s, now)) lastAct = now;
     script.step(first, now);
   }
-  CHECK(first.held(script.duty, 0s, now) == Fence{4});
+  CHECK(first.held(script.role, 0s, now) == Fence{4});
   CHECK(now - lastAct >= lease);
-  CHECK_FALSE(second.held(script.duty, 0s, now));  // woken
+  CHECK_FALSE(second.held(script.role, 0s, now));  // woken
   // A later life of the same machine is another holder.
-  Holds later(member(1), 33, lease);
+  Leases later(member(1), 33, lease);
   const Instant restartedAt = now;
-  for (; now < restartedAt + 30s && !later.held(script.duty, 0s, now); now += 50ms)
+  for (; now < restartedAt + 30s && !later.held(script.role, 0s, now); now += 50ms)
     script.step(later, now);
   CHECK(now - restartedAt >= 4s + lease);
 }
@@ -319,7 +321,8 @@
   CHECK(own.readAt() == now + 1100ms);
 }
 
-TEST_CASE("duties: the next in order steps in only when the duty is overdue, each a while later") {
+TEST_CASE(
+    "duties: the next in order steps in only when the leader role is overdue, each a while later") {
   std::vector<Address> live;
   for (int i = 1; i <= 9; ++i) live.push_back(member(i));
   std::set<std::size_t> ranks;
--- a/tests/caller_limit_tests.cpp
+++ b/tests/caller_limit_tests.cpp
@@ -6,7 +6,7 @@
 
 namespace {
 void tellAnew(RelayStage& stage) {
-  ++stage.told.specVersion;
+  ++stage.told.configurationVersion;
   stage.tell();
 }
 
@@ -32,7 +32,7 @@
 
 TEST_CASE("limits: a body comes with a length or in chunks, up to its limit to the byte") {
   RelayStage stage(1);
-  stage.spec.callerLimits.bodyBytes = 10;
+  stage.configuration.callerLimits.bodyBytes = 10;
   tellAnew(stage);
   const std::string counted = withBody("r1", "Content-Length: 10\r\n\r\n0123456789");
   const std::string chunks =
@@ -52,7 +52,7 @@
 
 TEST_CASE("limits: a refusal arrives although its caller goes on sending the body") {
   RelayStage stage(1);
-  stage.spec.callerLimits.bodyBytes = 10;
+  stage.configuration.callerLimits.bodyBytes = 10;
   tellAnew(stage);
   const std::string body(900000, 'x');
   for (int i = 0; i < 5; ++i) {
@@ -65,7 +65,7 @@
 
 TEST_CASE("limits: a connection rests as long as the configuration of the day says") {
   RelayStage stage(1);
-  stage.spec.callerLimits.idleDue = 1500ms;
+  stage.configuration.callerLimits.idleDue = 1500ms;
   stage.addRoute("/last/", false, 1);
   tellAnew(stage);
   asio::io_context own;
@@ -81,7 +81,7 @@
     return isHere;
   };
   CHECK(askAgain("r1"));
-  stage.spec.callerLimits.idleDue = 120s;  // while it rests
+  stage.configuration.callerLimits.idleDue = 120s;  // while it rests
   tellAnew(stage);
   // Until the former limit is long over.
   stage.all([](int, const std::string& request) {
@@ -91,7 +91,7 @@
   CHECK(statusOf(stage.post("/last/", "last", "X-Key: key\r\nX-Due: 2500\r\n")) == 504);
   stage.tell();  // the configuration is to be confirmed lately
   CHECK(askAgain("r2"));
-  stage.spec.callerLimits.idleDue = 300ms;
+  stage.configuration.callerLimits.idleDue = 300ms;
   tellAnew(stage);
   CHECK(askAgain("r3"));
   ErrorCode code;
@@ -102,7 +102,7 @@
 
 TEST_CASE("limits: no failure of the relay's own bears a seal, a server's own keeps its") {
   RelayStage stage(1);
-  stage.spec.contracts.at(ContractName{"/once/"}).due = 200ms;
+  stage.configuration.policies.at(PolicyName{"/once/"}).due = 200ms;
   tellAnew(stage);
   stage.all([](int arrival, const std::string& request) {
     const std::string seal = "X-Seal: s" + std::to_string(arrival) + "\r\n";
--- a/tests/caller_tests.cpp
+++ b/tests/caller_tests.cpp
@@ -64,7 +64,7 @@
   eventually([&] { return stage.post("slow").result_int() == 200; });
 }
 
-TEST_CASE("callers: hundreds of idle circuits, and pipelined requests, leave others served") {
+TEST_CASE("callers: hundreds of idle connections, and pipelined requests, leave others served") {
   Stage stage(1);
   std::vector<std::unique_ptr<RawCaller>> idle;
   for (int i = 0; i < 600; ++i) idle.push_back(std::make_unique<RawCaller>(stage.callers));
--- a/tests/capacity_cost.cpp
+++ b/tests/capacity_cost.cpp
@@ -11,8 +11,8 @@
 #include "agent/core/news.h"
 #include "agent/snapshot.h"
 #include "base/digest.h"
+#include "configuration/configuration.h"
 #include "placement/placement.h"
-#include "spec/spec.h"
 
 using namespace quayrill;
 
@@ -39,7 +39,7 @@
     servers[i].model = ModelName{"m" + std::to_string(i % models)};
     servers[i].weights = WeightsVersion{"w1"};
     servers[i].zone = "zone" + std::to_string(i % 5);
-    servers[i].sound = true;
+    servers[i].healthy = true;
     servers[i].slots = 1000000;
     servers[i].cacheTokens = blocksEach * 16;
   }
@@ -76,7 +76,7 @@
   }
 }
 
-std::string specBody(std::size_t tenants, std::size_t ways) {
+std::string configurationBody(std::size_t tenants, std::size_t ways) {
   nlohmann::json body{{"models", {{"m0", {{"weights", "w1"}}}}}};
   body["contracts"]["c"] = {{"model", "m0"}, {"repeatable", false}};
   for (std::size_t i = 0; i < tenants; ++i) {
@@ -92,7 +92,7 @@
   for (const std::size_t count : {100U, 415U, 830U}) {
     const auto servers = serversOf(count, 4, 22900);
     const std::size_t before = heapBytes();
-    auto placement = std::make_unique<Placement>(PlacementBoot{});
+    auto placement = std::make_unique<Placement>(PlacementSettings{});
     placement->setServers(servers);
     std::cout << "servers " << count << " bytes a server without blocks "
               << (heapBytes() - before) / count << std::endl;
@@ -101,7 +101,7 @@
     for (const std::size_t blocks : {100000U, 400000U}) {
       const auto servers = serversOf(20, 1, 10 * blocks);
       const std::size_t before = heapBytes();
-      auto placement = std::make_unique<Placement>(PlacementBoot{});
+      auto placement = std::make_unique<Placement>(PlacementSettings{});
       placement->setServers(servers);
       Traffic traffic{std::mt19937_64{1}, 1, ownTokens, 30};
       fill(placement.get(), servers, &traffic, blocks);
@@ -118,7 +118,7 @@
   for (const std::size_t models : {1U, 4U}) {
     for (const std::size_t count : {18U, 100U, 400U, 830U}) {
       const auto servers = serversOf(count, models, 2000);
-      Placement placement(PlacementBoot{});
+      Placement placement(PlacementSettings{});
       placement.setServers(servers);
       // More shared parts than servers, so that every server has some.
       Traffic traffic{std::mt19937_64{1}, models, 64, 4 * count};
@@ -137,7 +137,7 @@
 TEST_CASE("capacity: processor time of a cache event", "[.][capacity]") {
   const auto servers = serversOf(1, 1, 22900);
   const ServerState& server = servers[0];
-  Placement placement(PlacementBoot{});
+  Placement placement(PlacementSettings{});
   placement.setServers(servers);
   std::vector<PromptPrefix> sent;
   Traffic traffic;
@@ -166,13 +166,13 @@
     std::size_t tenants, ways;
   };
   for (const Size size : {Size{100, 10}, Size{1000, 10}, Size{9000, 10}, Size{100, 10000}}) {
-    const std::string body = specBody(size.tenants, size.ways);
+    const std::string body = configurationBody(size.tenants, size.ways);
     const std::size_t before = heapBytes();
-    auto spec = std::make_unique<Spec>(*parseSpec(body));
+    auto configuration = std::make_unique<Configuration>(*parseConfiguration(body));
     const std::size_t bytes = heapBytes() - before;
-    const double parsing = microsOf(3, [&] { REQUIRE(parseSpec(body).ok()); });
+    const double parsing = microsOf(3, [&] { REQUIRE(parseConfiguration(body).ok()); });
     const double patching =
-        microsOf(3, [&] { REQUIRE(patchSpec(body, R"({"ways":{"way-1":null}})").ok()); });
+        microsOf(3, [&] { REQUIRE(patchConfiguration(body, R"({"ways":{"way-1":null}})").ok()); });
     std::cout << "tenants " << size.tenants << " routes " << size.ways << " body bytes "
               << body.size() << " parsed bytes " << bytes << " parsed in us " << parsing
               << " patched in us " << patching << std::endl;
--- a/tests/checker_tests.cpp
+++ b/tests/checker_tests.cpp
@@ -1,4 +1,4 @@
-// Each rule of the outside checker is tripped by a ledger with that one defect planted.
+// Each rule of the outside checker is tripped by a ledger with that one error planted.
 #include <catch2/catch.hpp>
 
 #include "fleet/ledger.h"
@@ -50,10 +50,10 @@
   }
 }
 
-std::string rulesBroken(const std::function<void(Ledger&)>& defect) {
+std::string rulesBroken(const std::function<void(Ledger&)>& error) {
   Ledger ledger;
   plant(ledger);
-  defect(ledger);
+  error(ledger);
   std::set<std::string> rules;
   for (const Finding& finding : checkLedger(ledger, kStart + 60s)) rules.insert(finding.rule);
   std::string text;
@@ -62,7 +62,7 @@
 }
 }  // namespace
 
-TEST_CASE("checker: a clean ledger breaks nothing, each planted defect its own rule") {
+TEST_CASE("checker: a clean ledger breaks nothing, each planted error its own rule") {
   CHECK(rulesBroken([](Ledger&) {}).empty());
   CHECK(rulesBroken([](Ledger& l) { l.runs.push_back(run("n3")); }) == "never-twice");
   CHECK(rulesBroken([](Ledger& l) {
@@ -118,7 +118,7 @@
 
 TEST_CASE(
     "checker: one daemon or one way that never serves again is found, a hindered one is not") {
-  const auto silent = [](auto defect) {
+  const auto silent = [](auto error) {
     return rulesBroken([=](Ledger& l) {
       // Daemon e serves until second 20 and then no more, though others do.
       l.daemons.insert("e");
@@ -129,7 +129,7 @@
         l.calls.back().ended = kStart + std::chrono::seconds(second);
         l.runs.push_back(run(nonce));
       }
-      defect(l);
+      error(l);
     });
   };
   CHECK(silent([](Ledger&) {}) == "recovery");
--- a/tests/clock_tests.cpp
+++ b/tests/clock_tests.cpp
@@ -8,8 +8,8 @@
 TEST_CASE("clock: no source reads a wall clock, and the boot clock is read in one place") {
   const std::regex wall(
       R"(system_clock|high_resolution_clock|gettimeofday|CLOCK_REALTIME|[^_a-z]time\((NULL|nullptr|0)\)|localtime|gmtime|async_wait_until)");
-  const std::regex boot("CLOCK_BOOTTIME");
-  std::size_t files = 0, bootReads = 0;
+  const std::regex settings("CLOCK_BOOTTIME");
+  std::size_t files = 0, settingsReads = 0;
   for (const auto& entry : std::filesystem::recursive_directory_iterator(QUAYRILL_SOURCE "/src")) {
     if (!entry.is_regular_file()) continue;
     std::ifstream in(entry.path());
@@ -18,8 +18,8 @@
     ++files;
     INFO(entry.path());
     CHECK_FALSE(std::regex_search(text.str(), wall));
-    bootReads += std::regex_search(text.str(), boot) ? 1 : 0;
+    settingsReads += std::regex_search(text.str(), settings) ? 1 : 0;
   }
   CHECK(files > 80);
-  CHECK(bootReads == 1);
+  CHECK(settingsReads == 1);
 }
--- a/tests/deadline_tests.cpp
+++ b/tests/deadline_tests.cpp
@@ -29,8 +29,8 @@
 };
 
 void setDue(RelayStage& stage, const std::string& route, std::chrono::milliseconds due) {
-  stage.spec.contracts.at(ContractName{route}).due = due;
-  ++stage.told.specVersion;
+  stage.configuration.policies.at(PolicyName{route}).due = due;
+  ++stage.told.configurationVersion;
   stage.tell();
 }
 
@@ -124,7 +124,7 @@
 
 TEST_CASE("deadline: servers are handed what is left of the caller's own, less on a further try") {
   RelayStage stage(2);
-  stage.spec.contracts.at(ContractName{"/again/"}).target = 50ms;
+  stage.configuration.policies.at(PolicyName{"/again/"}).target = 50ms;
   setDue(stage, "/again/", 20s);
   stage.all(hang);
   const std::string answer = stage.post("/again/", "r1", "X-Key: key\r\nX-Due: 2000\r\n");
@@ -159,12 +159,12 @@
   SnapshotServer row = stage.told.servers[0];
   row.name = ServerName{unreachable.value};
   stage.told.servers.push_back(row);
-  stage.told.servers[0].sound = false;
+  stage.told.servers[0].healthy = false;
   stage.tell();
   {
     RawCaller caller(stage, RelayStage::request("/again/", "r1"));
     eventually([&] { return metric(stage, "requests") == "1"; });
-    stage.told.servers[0].sound = true;
+    stage.told.servers[0].healthy = true;
     stage.tell();
   }
   eventually([&] { return stage.relay->openConnections() == 0; });
@@ -218,7 +218,7 @@
 TEST_CASE("gone: what may not be repeated and is no stream runs on to its end") {
   RelayStage stage(1);
   stage.addRoute("/plain/", false, 1);
-  stage.spec.contracts.at(ContractName{"/plain/"}).isStream = false;
+  stage.configuration.policies.at(PolicyName{"/plain/"}).isStream = false;
   setDue(stage, "/plain/", 120s);
   stage.all(hang);
   std::weak_ptr<Tcp::socket> plainRun, streamRun;
--- a/tests/deliver_boundary_tests.cpp
+++ b/tests/deliver_boundary_tests.cpp
@@ -79,7 +79,7 @@
   Tcp::acceptor callers(io, {asio::ip::make_address("127.0.0.1"), 0});
   Tcp::socket callerEnd(io);
   callerEnd.connect(callers.local_endpoint());
-  Circuit circuit(callers.accept());
+  Connection connection(callers.accept());
   Delivery delivery;
   delivery.request = RequestId{"r1"};
   delivery.server.name = ServerName{"127.0.0.1:" + std::to_string(server.local_endpoint().port())};
@@ -92,8 +92,8 @@
       io,
       [&]() -> awaitable<void> {
         const std::function<bool()> mayStart = [] { return true; };
-        played.result = co_await deliver(std::move(delivery), circuit, mayStart);
-        circuit.close();
+        played.result = co_await deliver(std::move(delivery), connection, mayStart);
+        connection.close();
       },
       asio::detached);
   io.run();
@@ -163,7 +163,7 @@
   Tcp::acceptor callers(io, {asio::ip::make_address("127.0.0.1"), 0});
   Tcp::socket callerEnd(io);
   callerEnd.connect(callers.local_endpoint());
-  Circuit circuit(callers.accept());
+  Connection connection(callers.accept());
   Delivery delivery;
   delivery.request = RequestId{"r1"};
   delivery.server.name = ServerName{"127.0.0.1:" + std::to_string(server.local_endpoint().port())};
@@ -192,8 +192,8 @@
       io,
       [&]() -> awaitable<void> {
         const std::function<bool()> mayStart = [] { return true; };
-        result = co_await deliver(std::move(delivery), circuit, mayStart);
-        circuit.close();
+        result = co_await deliver(std::move(delivery), connection, mayStart);
+        connection.close();
         hasEnded = true;
       },
       asio::detached);
--- a/tests/deliver_tests.cpp
+++ b/tests/deliver_tests.cpp
@@ -50,7 +50,7 @@
 
 struct Play {
   std::string script;
-  bool hang = false;  // keep the circuit open after the script
+  bool hang = false;  // keep the connection open after the script
   bool listening = true;
   bool mayStart = true;
   Span due = 2s;
@@ -63,7 +63,7 @@
   Tcp::acceptor callers(io, {asio::ip::make_address("127.0.0.1"), 0});
   Tcp::socket callerEnd(io);
   callerEnd.connect(callers.local_endpoint());
-  Circuit circuit(callers.accept());
+  Connection connection(callers.accept());
   Delivery delivery;
   delivery.request = RequestId{"r1"};
   delivery.server.name = ServerName{"127.0.0.1:" + std::to_string(server.local_endpoint().port())};
@@ -79,8 +79,8 @@
       io,
       [&]() -> awaitable<void> {
         const std::function<bool()> mayStart = [&] { return asked.mayStart; };
-        played.result = co_await deliver(std::move(delivery), circuit, mayStart);
-        circuit.close();
+        played.result = co_await deliver(std::move(delivery), connection, mayStart);
+        connection.close();
         ErrorCode ignored;
         if (server.is_open()) server.close(ignored);
       },
@@ -108,7 +108,7 @@
 TEST_CASE("deliver: a cut answer never looks complete") {
   const std::string piece = chunk("{\"piece\":0}\n");
   for (const std::string& script : {
-           kHead + piece,                                  // circuit lost
+           kHead + piece,                                  // connection lost
            kHead + piece + "0\r\n\r\n",                    // closed whole, no end mark
            kHead + piece + mark(2) + "0\r\n\r\n",          // the mark names other pieces
            kHead + piece + mark(1),                        // mark, then lost
--- a/tests/founding_tests.cpp
+++ b/tests/founding_tests.cpp
@@ -13,14 +13,14 @@
 const Address kFounder{"10.0.0.1:7"}, kSeed{"10.0.0.2:7"}, kOther{"10.0.0.3:7"};
 constexpr std::uint64_t kEarlierFleet = 55, kGrantedFleet = 77;
 
-AgentBoot seedBoot() {
-  AgentBoot boot;
-  boot.self = kSeed;
-  boot.zone = "zone";
-  boot.seeds = {kFounder, kSeed, kOther};
-  boot.nonce = 9;
-  boot.copiesWanted = 3;
-  return boot;
+AgentSettings seedSettings() {
+  AgentSettings settings;
+  settings.self = kSeed;
+  settings.zone = "zone";
+  settings.seeds = {kFounder, kSeed, kOther};
+  settings.nonce = 9;
+  settings.replicasWanted = 3;
+  return settings;
 }
 
 // The seed's process with its disk: each piece of work is synced, then its answer leaves.
@@ -31,14 +31,14 @@
   std::size_t answersAtOnce = 0;  // before any sync
 
   void start() {
-    core.emplace(seedBoot(), disk);
+    core.emplace(seedSettings(), disk);
     sync(core->start());
   }
-  void sync(const std::vector<CopyWork>& copyWork) {
-    for (const CopyWork& work : copyWork) {
+  void sync(const std::vector<ReplicaWork>& replicaWork) {
+    for (const ReplicaWork& work : replicaWork) {
       for (const DiskWrite& write : work.writes) disk[write.key] = write.bytes;
       if (work.answer) answers.push_back(*work.answer);
-      core->onCopyWorkDone();
+      core->onReplicaWorkDone();
     }
   }
   void take(const Address& from, Message body, Instant now, bool losesPower = false) {
@@ -46,17 +46,17 @@
     core->onMessage({from, kSeed, std::move(body)}, now, &effects);
     answersAtOnce += effects.sends.size();
     answers.insert(answers.end(), effects.sends.begin(), effects.sends.end());
-    if (!losesPower) sync(effects.copyWork);
+    if (!losesPower) sync(effects.replicaWork);
   }
-  CopySet founding(std::uint64_t fleet) const {
-    CopySet set{Epoch{1}, fleet, true, {}};
+  ReplicaSet founding(std::uint64_t fleet) const {
+    ReplicaSet set{Epoch{1}, fleet, true, {}};
     set.members = {{StoreId{1}, kFounder}, {core->store(), kSeed}, {StoreId{3}, kOther}};
     std::sort(set.members.begin(), set.members.end());
     return set;
   }
   void takeFounding(std::uint64_t fleet, Instant now) {
     const Ballot ballot{Epoch{1}, 1, ProposerId{4}};
-    take(kFounder, Prepare{OperationId{1}, kCopySetKey, ballot, core->store(), founding(fleet)},
+    take(kFounder, Prepare{OperationId{1}, kReplicaSetKey, ballot, core->store(), founding(fleet)},
          now);
   }
 };
@@ -83,15 +83,15 @@
   seed.start();
   // Late, of the life that ended, also after the first tick of the seed's new life.
   seed.takeFounding(kEarlierFleet, Instant{12s});
-  CHECK(seed.core->freshness().copies().epoch == Epoch{0});
+  CHECK(seed.core->freshness().replicas().epoch == Epoch{0});
   AgentEffects effects;
   seed.core->onTick(Instant{12s}, &effects);
   seed.takeFounding(kEarlierFleet, Instant{13s});
-  CHECK(seed.core->freshness().copies().epoch == Epoch{0});
+  CHECK(seed.core->freshness().replicas().epoch == Epoch{0});
   seed.take(kOther, FoundAsk{3, 99}, Instant{14s});
   CHECK_FALSE(std::get<FoundAnswer>(seed.answers.back().body).unfounded);
   seed.takeFounding(kGrantedFleet, Instant{14s});
-  CHECK(seed.core->freshness().copies().fleet == kGrantedFleet);
+  CHECK(seed.core->freshness().replicas().fleet == kGrantedFleet);
 }
 
 TEST_CASE("founding: a grant that was never used runs out after a restart too") {
@@ -110,15 +110,15 @@
 TEST_CASE("sim: seeds and founders that restart while the fleet is founded end in one fleet") {
   for (std::uint64_t seed = 1; seed <= 40; ++seed) {
     INFO("seed " << seed);
-    sim::WorldBoot boot;
-    boot.seed = seed;
-    boot.diskMachines = 4;
-    boot.edgeMachines = 2;
-    boot.copiesWanted = 3;
-    boot.bootstrap = true;
-    boot.delayHigh = 60ms;  // and 2.4 s for one message in a hundred
-    boot.lossRate = 0.1;
-    sim::World world(boot);
+    sim::WorldSettings settings;
+    settings.seed = seed;
+    settings.diskMachines = 4;
+    settings.edgeMachines = 2;
+    settings.replicasWanted = 3;
+    settings.bootstrap = true;
+    settings.delayHigh = 60ms;  // and 2.4 s for one message in a hundred
+    settings.lossRate = 0.1;
+    sim::World world(settings);
     for (int i = 0; i < 6; ++i) {
       world.run(std::chrono::milliseconds(10 + world.random()() % 120));
       const std::size_t machine = world.random()() % 3;
@@ -127,10 +127,10 @@
       world.start(machine);
     }
     world.run(25s);
-    const std::uint64_t fleet = world.core(4).freshness().copies().fleet;
+    const std::uint64_t fleet = world.core(4).freshness().replicas().fleet;
     CHECK(fleet != 0);
     for (std::size_t i = 0; i < 4; ++i) {
-      CHECK(world.core(i).freshness().copies().fleet == fleet);
+      CHECK(world.core(i).freshness().replicas().fleet == fleet);
       CHECK(world.core(i).isWritable());  // nobody took part in another fleet
     }
     CHECK(world.isConverged());
--- a/tests/losses_tests.cpp
+++ b/tests/losses_tests.cpp
@@ -26,12 +26,12 @@
 };
 
 // Runs all seeds, checks what must hold in each, and returns the repairs by kind.
-std::map<LossKind, Sum> checkLosses(LossesBoot boot, std::uint64_t seeds, Span longestGap) {
+std::map<LossKind, Sum> checkLosses(LossesSettings settings, std::uint64_t seeds, Span longestGap) {
   std::map<LossKind, Sum> sums;
   Span gap{};
-  for (boot.seed = 1; boot.seed <= seeds; ++boot.seed) {
-    const LossesResult result = runLosses(boot);
-    INFO("seed " << boot.seed);
+  for (settings.seed = 1; settings.seed <= seeds; ++settings.seed) {
+    const LossesResult result = runLosses(settings);
+    INFO("seed " << settings.seed);
     REQUIRE(result.founded);
     CHECK(result.majorityAtEnd);
     CHECK(result.newestKept);
@@ -52,7 +52,7 @@
     }
   }
   if (!std::getenv("QUAYRILL_SEEDS")) return sums;
-  std::cout << boot.diskMachines << " machines, " << boot.tolerate << " to bear, " << seeds
+  std::cout << settings.diskMachines << " machines, " << settings.tolerate << " to bear, " << seeds
             << " seeds: longest gap between acknowledged changes " << Seconds(gap).count()
             << " s\n";
   for (const auto& [kind, sum] : sums)
@@ -65,8 +65,8 @@
 }  // namespace
 
 TEST_CASE("sim losses: one at a time of four machines, queued at the bound, leave all repaired") {
-  LossesBoot boot;
-  const auto sums = checkLosses(boot, seedsOr(12), 5s);
+  LossesSettings settings;
+  const auto sums = checkLosses(settings, seedsOr(12), 5s);
   for (const auto& [kind, sum] : sums) {
     INFO(nameOf(kind));
     CHECK(sum.unrepaired == 0);
@@ -79,28 +79,28 @@
 }
 
 TEST_CASE("sim losses: two at once of eight machines, queued at the bound, keep every change") {
-  LossesBoot boot;
-  boot.diskMachines = 8;
-  boot.tolerate = 2;
-  boot.catchUpSpan = 6s;
-  boot.losses = 8;
-  checkLosses(boot, seedsOr(6), 5s);
+  LossesSettings settings;
+  settings.diskMachines = 8;
+  settings.tolerate = 2;
+  settings.catchUpSpan = 6s;
+  settings.losses = 8;
+  checkLosses(settings, seedsOr(6), 5s);
 }
 
 TEST_CASE("sim losses: two at once of five machines, queued at the bound, keep every change") {
-  LossesBoot boot;
-  boot.diskMachines = 5;
-  boot.tolerate = 2;
-  boot.catchUpSpan = 6s;
-  boot.losses = 8;
-  checkLosses(boot, seedsOr(6), 5s);
+  LossesSettings settings;
+  settings.diskMachines = 5;
+  settings.tolerate = 2;
+  settings.catchUpSpan = 6s;
+  settings.losses = 8;
+  checkLosses(settings, seedsOr(6), 5s);
 }
 
 TEST_CASE("sim losses: a planned replacement, then at once the loss of a disk, keep every change") {
-  LossesBoot boot;
-  boot.kinds = {LossKind::Replaced, LossKind::Wiped};
-  boot.losses = 6;
-  const auto sums = checkLosses(boot, seedsOr(12), 5s);
+  LossesSettings settings;
+  settings.kinds = {LossKind::Replaced, LossKind::Wiped};
+  settings.losses = 6;
+  const auto sums = checkLosses(settings, seedsOr(12), 5s);
   for (const auto& [kind, sum] : sums) {
     INFO(nameOf(kind));
     CHECK(sum.unrepaired == 0);
@@ -109,8 +109,8 @@
 }
 
 TEST_CASE("sim losses: a plain restart costs no step of the replica set") {
-  LossesBoot boot;
-  boot.kinds = {LossKind::Restarted};
-  const auto sums = checkLosses(boot, seedsOr(6), 5s);
+  LossesSettings settings;
+  settings.kinds = {LossKind::Restarted};
+  const auto sums = checkLosses(settings, seedsOr(6), 5s);
   CHECK(sums.at(LossKind::Restarted).epochs == 0);
 }
--- a/tests/model_tests.cpp
+++ b/tests/model_tests.cpp
@@ -80,11 +80,11 @@
   CHECK(report.distinct > 5'000);
 }
 
-CopySet setOf(std::uint64_t epoch, const std::vector<std::uint64_t>& stores) {
-  CopySet copies;
-  copies.epoch = Epoch{epoch};
-  for (const std::uint64_t store : stores) copies.members.push_back({StoreId{store}, {}});
-  return copies;
+ReplicaSet setOf(std::uint64_t epoch, const std::vector<std::uint64_t>& stores) {
+  ReplicaSet replicas;
+  replicas.epoch = Epoch{epoch};
+  for (const std::uint64_t store : stores) replicas.members.push_back({StoreId{store}, {}});
+  return replicas;
 }
 }  // namespace
 
--- a/tests/packages_test.sh
+++ b/tests/packages_test.sh
@@ -62,24 +62,24 @@
   cat "$target"/CMakeFiles/*.dir/build.make | sed -n 's/^\t@\?\([^ ]*\).*/\1/p' |
     cat - "$target"/CMakeFiles/*.dir/link.txt | cut -d ' ' -f 1 |
     grep -vE '^(cd|:|true|\$\(CMAKE_COMMAND\))?$' | sort -u | xargs which
-  link=$(cat "$target/CMakeFiles/neumayer.dir/link.txt")
+  link=$(cat "$target/CMakeFiles/quayrilld-platform.dir/link.txt")
   compiler=${link%% *}
-  $compiler -c "$source_dir/platform/neumayer.cpp" -o "$scratch/none.o" '-###' 2>&1 | paths
+  $compiler -c "$source_dir/platform/quayrilld_platform.cpp" -o "$scratch/none.o" '-###' 2>&1 | paths
   (cd "$build_dir" && $link '-###' 2>&1 | paths)
   { $compiler -print-prog-name=as; $compiler -print-prog-name=ld; } | xargs which
 }
 
 headers() {
   local objects
-  objects=$(ninja -C "$build_dir" -t inputs neumayer | grep -E '\.(o|gch)$')
-  [[ $(wc -l <<<"$objects") -gt 40 ]] || fail "no objects of neumayer: build it with Ninja first"
+  objects=$(ninja -C "$build_dir" -t inputs quayrilld-platform | grep -E '\.(o|gch)$')
+  [[ $(wc -l <<<"$objects") -gt 40 ]] || fail "no objects of quayrilld-platform: build it with Ninja first"
   ninja -C "$build_dir" -t deps $objects | grep -E '^    /' | tr -d ' ' | grep -v "^$source_dir/"
 }
 
 linked() {
   local link
-  link=$(cat "$scratch/target/CMakeFiles/neumayer.dir/link.txt")
-  (cd "$build_dir" && ${link/-o neumayer/-o $scratch/neumayer} -Wl,--trace) | paths
+  link=$(cat "$scratch/target/CMakeFiles/quayrilld-platform.dir/link.txt")
+  (cd "$build_dir" && ${link/-o quayrilld-platform/-o $scratch/quayrilld-platform} -Wl,--trace) | paths
 }
 
 cmake_files() {
--- a/tests/placement_cost.cpp
+++ b/tests/placement_cost.cpp
@@ -16,7 +16,7 @@
       servers[i].identity = ServerIdentity{"i"};
       servers[i].model = ModelName{"m"};
       servers[i].weights = WeightsVersion{"w"};
-      servers[i].sound = true;
+      servers[i].healthy = true;
       servers[i].slots = 1000000;
       servers[i].cacheTokens = cacheTokens;
     }
--- a/tests/placement_tests.cpp
+++ b/tests/placement_tests.cpp
@@ -15,7 +15,7 @@
   state.identity = ServerIdentity{name + "#1"};
   state.model = ModelName{"till"};
   state.weights = WeightsVersion{weights};
-  state.sound = true;
+  state.healthy = true;
   state.slots = 8;
   state.cacheTokens = 16000;
   return state;
@@ -95,11 +95,11 @@
 
 TEST_CASE("placement: no sound server that is staying means no place") {
   Placement placement({16, PlacementRule::LongestPrefix});
-  ServerState leaving = server("a"), unsound = server("b"), full = server("c");
+  ServerState leaving = server("a"), unhealthy = server("b"), full = server("c");
   leaving.leaving = true;
-  unsound.sound = false;
+  unhealthy.healthy = false;
   full.queued = 16;
-  placement.setServers({leaving, unsound, full});
+  placement.setServers({leaving, unhealthy, full});
   CHECK_FALSE(placement.place(asking("rules:32")));
 }
 
@@ -237,20 +237,20 @@
 
 TEST_CASE("admission: a tenant is over its share only beside others, and for seconds after them") {
   Admission admission;
-  const ContractName contract{"c"};
+  const PolicyName policy{"c"};
   Instant now{100s};
   const auto enter = [&](const char* tenant) {
-    return admission.enter(TenantName{tenant}, 100, contract, 1000, now);
+    return admission.enter(TenantName{tenant}, 100, policy, 1000, now);
   };
   for (int i = 0; i < 10; ++i) CHECK_FALSE(enter("big").overShare);  // alone: all is its share
   CHECK_FALSE(enter("small").overShare);
   CHECK(enter("big").overShare);
-  admission.leave(TenantName{"small"}, contract);
+  admission.leave(TenantName{"small"}, policy);
   CHECK(enter("big").overShare);  // the small one was here a moment ago
   now += 6s;
   CHECK_FALSE(enter("big").overShare);
-  CHECK_FALSE(admission.enter(TenantName{"big"}, 13, contract, 1000, now).isIn);
-  CHECK_FALSE(admission.enter(TenantName{"new"}, 100, contract, 13, now).isIn);
+  CHECK_FALSE(admission.enter(TenantName{"big"}, 13, policy, 1000, now).isIn);
+  CHECK_FALSE(admission.enter(TenantName{"new"}, 100, policy, 13, now).isIn);
 }
 
 TEST_CASE("placement: what was sent since the poll counts, for the others' part as well") {
@@ -272,7 +272,7 @@
   one.polledAt = now;
   placement.setServers({one});
   now += 10ms;
-  CHECK(send());  // at burden 1, one is taken for four: full
+  CHECK(send());  // at load 1, one is taken for four: full
   CHECK_FALSE(send());
   // As many have ended here as were sent since: what ended elsewhere is taken for the same.
   placement.release(tickets[0], true, now);
--- a/tests/platform_config_tests.cpp
+++ b/tests/platform_config_tests.cpp
@@ -3,7 +3,7 @@
 
 #include "base/digest.h"
 #include "platform/register_body.h"
-#include "register/amending.h"
+#include "register/update_operation.h"
 
 using namespace quayrill;
 using namespace std::chrono_literals;
@@ -33,7 +33,7 @@
               {"name":"open","apiKeys":["three"]}],
    "later":{"kept":[1,2.5,"x"]}})");
 }
-std::string defectOf(const Document& document) {
+std::string errorOf(const Document& document) {
   const auto config = platform::readConfig(document);
   return config.ok() ? "" : std::string(config.status().message());
 }
@@ -43,7 +43,7 @@
   return document.dump();
 }
 // The body after the change; the change has to be made anew.
-std::string made(const absl::StatusOr<Amendment>& change, const std::string& standing) {
+std::string made(const absl::StatusOr<Update>& change, const std::string& standing) {
   REQUIRE(change.ok());
   const auto body = (*change)(standing);
   INFO(body.status().ToString());
@@ -51,32 +51,32 @@
   REQUIRE(*body);
   return **body;
 }
-absl::StatusOr<std::optional<std::string>> tried(const absl::StatusOr<Amendment>& change,
+absl::StatusOr<std::optional<std::string>> tried(const absl::StatusOr<Update>& change,
                                                  const std::string& standing) {
   if (!change.ok()) return change.status();
   return (*change)(standing);
 }
-bool holds(const absl::StatusOr<Amendment>& change, const std::string& standing) {
+bool holds(const absl::StatusOr<Update>& change, const std::string& standing) {
   const auto body = tried(change, standing);
   return body.ok() && !*body;
 }
 }  // namespace
 
-TEST_CASE("platform config: a document becomes a spec") {
+TEST_CASE("platform config: a document becomes a configuration") {
   const auto config = platform::readConfig(sample());
   INFO(config.status().ToString());
   REQUIRE(config.ok());
-  const Spec& spec = config->spec;
+  const Configuration& configuration = config->configuration;
   CHECK(config->generation == 7);
-  const Route* chat = findRoute(spec, "FICU95.example:8080", "/lohu930/2f");
+  const Route* chat = findRoute(configuration, "FICU95.example:8080", "/lohu930/2f");
   REQUIRE(chat);
   CHECK(chat->name == "chat");
   REQUIRE(chat->split.size() == 2);
   CHECK(chat->split[0].service.value == "east");
   CHECK(chat->split[0].weight == 90);
-  CHECK(findRoute(spec, "ficu95.example", "/lohu930/deep/x")->name == "look");
-  CHECK(findRoute(spec, "ficu95.example", "/other")->name == "pay");
-  const Contract& stream = spec.contracts.at(ContractName{"chat"});
+  CHECK(findRoute(configuration, "ficu95.example", "/lohu930/deep/x")->name == "look");
+  CHECK(findRoute(configuration, "ficu95.example", "/other")->name == "pay");
+  const RoutePolicy& stream = configuration.policies.at(PolicyName{"chat"});
   CHECK(stream.isStream);
   CHECK(stream.isResumable);
   CHECK(stream.repeatable);
@@ -86,10 +86,10 @@
   CHECK(stream.tries == 2);
   CHECK(stream.priority == 2);
   CHECK(stream.model.value.empty());
-  CHECK(spec.contracts.at(ContractName{"look"}).repeatable);
-  CHECK_FALSE(spec.contracts.at(ContractName{"pay"}).repeatable);
-  CHECK(findRoute(spec, "ficu95.example", "/lohu930/deep/x")->isPublic);
-  const Service& east = spec.services.at(ServiceName{"east"});
+  CHECK(configuration.policies.at(PolicyName{"look"}).repeatable);
+  CHECK_FALSE(configuration.policies.at(PolicyName{"pay"}).repeatable);
+  CHECK(findRoute(configuration, "ficu95.example", "/lohu930/deep/x")->isPublic);
+  const Service& east = configuration.services.at(ServiceName{"east"});
   CHECK(east.healthPath == "/healthz");
   CHECK(east.maxConnections == 630);
   CHECK(east.slots == 128);
@@ -98,18 +98,18 @@
   CHECK(east.linkMbps == 370000);
   CHECK(east.eventReaders == 12);
   CHECK(east.models == std::vector<ModelName>{ModelName{"daka510000"}});
-  CHECK_FALSE(spec.services.contains(ServiceName{"shelf"}));
-  const PartStore& shelf = spec.stores.at(ServiceName{"shelf"});
+  CHECK_FALSE(configuration.services.contains(ServiceName{"shelf"}));
+  const PartStore& shelf = configuration.stores.at(ServiceName{"shelf"});
   CHECK(shelf.address.value == "172.20.0.2:8680");
   CHECK(shelf.zone == "cais");
   CHECK(shelf.cacheTokens == 6934830);
   CHECK(shelf.eventReaders == 9);
-  CHECK(spec.tenantOfDigest.at(keyDigest("two")).value == "kaje80");
-  CHECK(spec.tenants.at(TenantName{"kaje80"}).priority == 1U);
-  CHECK(spec.tenants.at(TenantName{"kaje80"}).isolated);
-  CHECK_FALSE(spec.tenants.at(TenantName{"open"}).priority);
-  CHECK(spec.callerLimits.bodyBytes == 4194304);
-  CHECK(spec.callerLimits.headerDue == 3s);
+  CHECK(configuration.tenantOfDigest.at(keyDigest("two")).value == "kaje80");
+  CHECK(configuration.tenants.at(TenantName{"kaje80"}).priority == 1U);
+  CHECK(configuration.tenants.at(TenantName{"kaje80"}).isolated);
+  CHECK_FALSE(configuration.tenants.at(TenantName{"open"}).priority);
+  CHECK(configuration.callerLimits.bodyBytes == 4194304);
+  CHECK(configuration.callerLimits.headerDue == 3s);
 }
 
 TEST_CASE("platform config: a stream that isn't resumable is not repeatable") {
@@ -117,9 +117,10 @@
   document["routes"][0]["resumable"] = false;
   const auto config = platform::readConfig(document);
   REQUIRE(config.ok());
-  CHECK_FALSE(config->spec.contracts.at(ContractName{"chat"}).repeatable);
+  CHECK_FALSE(config->configuration.policies.at(PolicyName{"chat"}).repeatable);
   document["routes"][2]["resumable"] = true;  // of no meaning without a stream
-  CHECK_FALSE(platform::readConfig(document)->spec.contracts.at(ContractName{"pay"}).repeatable);
+  CHECK_FALSE(
+      platform::readConfig(document)->configuration.policies.at(PolicyName{"pay"}).repeatable);
 }
 
 TEST_CASE("platform config: what may be left out") {
@@ -128,62 +129,62 @@
           "backends":[{"name":"b"}]})"));
   INFO(config.status().ToString());
   REQUIRE(config.ok());
-  CHECK(config->spec.tenants.empty());
-  CHECK(config->spec.contracts.at(ContractName{"r"}).tries == 1);
-  CHECK_FALSE(config->spec.contracts.at(ContractName{"r"}).repeatable);
+  CHECK(config->configuration.tenants.empty());
+  CHECK(config->configuration.policies.at(PolicyName{"r"}).tries == 1);
+  CHECK_FALSE(config->configuration.policies.at(PolicyName{"r"}).repeatable);
 }
 
 TEST_CASE("platform config: each invalid kind names the field and the remedy") {
   Document bad = sample();
   SECTION("unknown service") {
     bad["routes"][2]["backend"] = "none";
-    CHECK_THAT(defectOf(bad), Contains("/routes/2/backend: ") && Contains("'none'") &&
-                                  Contains("add it under backends"));
+    CHECK_THAT(errorOf(bad), Contains("/routes/2/backend: ") && Contains("'none'") &&
+                                 Contains("add it under backends"));
   }
   SECTION("unknown service in a split") {
     bad["routes"][0]["split"][1]["backend"] = "none";
-    CHECK_THAT(defectOf(bad), Contains("/routes/0/split/1/backend: "));
+    CHECK_THAT(errorOf(bad), Contains("/routes/0/split/1/backend: "));
   }
   SECTION("a store is no service") {
     bad["routes"][2]["backend"] = "shelf";
-    CHECK_THAT(defectOf(bad), Contains("/routes/2/backend: "));
+    CHECK_THAT(errorOf(bad), Contains("/routes/2/backend: "));
   }
   SECTION("same host and prefix, whatever the host's case") {
     bad["routes"][1]["prefix"] = "/lohu930/";
-    CHECK_THAT(defectOf(bad), Contains("/routes/1/prefix: ") && Contains("'chat'") &&
-                                  Contains("change or remove"));
+    CHECK_THAT(errorOf(bad), Contains("/routes/1/prefix: ") && Contains("'chat'") &&
+                                 Contains("change or remove"));
   }
   SECTION("weights add up to 0") {
     for (Document& share : bad["routes"][0]["split"]) share["weight"] = 0;
-    CHECK_THAT(defectOf(bad), Contains("/routes/0/split: ") && Contains("more than 0"));
+    CHECK_THAT(errorOf(bad), Contains("/routes/0/split: ") && Contains("more than 0"));
   }
   SECTION("no split and no backend") {
     bad["routes"][0]["split"] = Document::array();
-    CHECK_THAT(defectOf(bad), Contains("/routes/0/split: "));
+    CHECK_THAT(errorOf(bad), Contains("/routes/0/split: "));
     bad["routes"][0].erase("split");
-    CHECK_THAT(defectOf(bad), Contains("/routes/0/backend: ") && Contains("give a backend"));
+    CHECK_THAT(errorOf(bad), Contains("/routes/0/backend: ") && Contains("give a backend"));
   }
   SECTION("deadline 0") {
     bad["routes"][1]["deadlineMs"] = 0;
-    CHECK_THAT(defectOf(bad), Contains("/routes/1/deadlineMs: ") && Contains("milliseconds"));
+    CHECK_THAT(errorOf(bad), Contains("/routes/1/deadlineMs: ") && Contains("milliseconds"));
   }
   SECTION("a key of two tenants") {
     bad["tenants"][1]["apiKeys"].push_back("two");
-    CHECK_THAT(defectOf(bad),
+    CHECK_THAT(errorOf(bad),
                Contains("/tenants/1/apiKeys: ") && Contains("'kaje80'") && !Contains("two'"));
   }
   SECTION("a name that is there twice") {
     bad["routes"][1]["name"] = "chat";
-    CHECK_THAT(defectOf(bad), Contains("/routes/1/name: ") && Contains("rename"));
+    CHECK_THAT(errorOf(bad), Contains("/routes/1/name: ") && Contains("rename"));
   }
   SECTION("not readable") {
     for (const char* field : {"gen", "routes", "backends"}) {
       Document part = sample();
       part.erase(field);
-      CHECK_THAT(defectOf(part), Contains(field));
+      CHECK_THAT(errorOf(part), Contains(field));
     }
     bad["routes"][0]["deadlineMs"] = "soon";
-    CHECK_THAT(defectOf(bad), Contains("/routes/0/deadlineMs: "));
+    CHECK_THAT(errorOf(bad), Contains("/routes/0/deadlineMs: "));
     const std::string text = whole(8);
     CHECK_THAT(
         std::string(platform::readDocument(text.substr(0, text.size() / 2)).status().message()),
@@ -199,17 +200,17 @@
   const std::string text = whole(7);
   const std::string body = made(platform::wholeConfig(text, 0), "");
   CHECK(platform::readBody(body)->config.dump() == text);
-  const auto spec = platform::readSpec(body);
-  REQUIRE(spec.ok());
-  CHECK(spec->weights.at(ModelName{"daka510000"}).value == "1");
-  CHECK_FALSE(platform::readSpec("{}").ok());
-  CHECK_FALSE(platform::readSpec(R"({"config":{},"weights":{"m":"x"},"taken":[]})").ok());
+  const auto configuration = platform::readConfiguration(body);
+  REQUIRE(configuration.ok());
+  CHECK(configuration->weights.at(ModelName{"daka510000"}).value == "1");
+  CHECK_FALSE(platform::readConfiguration("{}").ok());
+  CHECK_FALSE(platform::readConfiguration(R"({"config":{},"weights":{"m":"x"},"taken":[]})").ok());
 }
 
 TEST_CASE("platform config: what a change builds on, its number, and the same one again") {
   const std::string first = made(platform::wholeConfig(whole(7), 0), "");
   CHECK(holds(platform::wholeConfig(whole(7), 0), first));
-  const auto codeOf = [](const absl::StatusOr<Amendment>& change, const std::string& standing) {
+  const auto codeOf = [](const absl::StatusOr<Update>& change, const std::string& standing) {
     return tried(change, standing).status().code();
   };
   using absl::StatusCode;
@@ -234,7 +235,7 @@
 }
 
 TEST_CASE("platform config: a resend behind hundreds of changes is never refused") {
-  const auto codeOf = [](const absl::StatusOr<Amendment>& change, const std::string& standing) {
+  const auto codeOf = [](const absl::StatusOr<Update>& change, const std::string& standing) {
     return tried(change, standing).status().code();
   };
   using absl::StatusCode;
@@ -292,11 +293,11 @@
   full.config["gen"] = kTakenKept + 1;
   body = platform::writeBody(full);
   CHECK(platform::readBody(body)->taken.size() == kTakenKept);
-  Amending amending(*platform::configPatch(R"({"gen":9000})", kTakenKept + 1), kBodyLimit,
-                    Instant(10s));
-  REQUIRE(amending.next(Instant(1s)));
-  amending.onAnswer({{}, {}, ChangeResult::Chosen, {9, {}, {}, body}, {}, {}});
-  CHECK(amending.next(Instant(1s)).has_value());  // proposed, not refused for its size
+  UpdateOperation updateOperation(*platform::configPatch(R"({"gen":9000})", kTakenKept + 1),
+                                  kBodyLimit, Instant(10s));
+  REQUIRE(updateOperation.next(Instant(1s)));
+  updateOperation.onAnswer({{}, {}, ChangeResult::Chosen, {9, {}, {}, body}, {}, {}});
+  CHECK(updateOperation.next(Instant(1s)).has_value());  // proposed, not refused for its size
   large["later"] = std::string(1 << 20, 'x');
   CHECK(tried(platform::wholeConfig(large.dump(), 0), "").status().code() ==
         absl::StatusCode::kResourceExhausted);
@@ -312,15 +313,15 @@
      "backends":[{"name":"south"}],"limits":{"idleTimeoutMs":9000}},
      "remove":{"routes":["look","never-there"],"tenants":["open"]}})";
   const std::string body = made(platform::configPatch(text, 7), first);
-  const auto spec = platform::readSpec(body);
-  REQUIRE(spec.ok());
-  CHECK(spec->routes.size() == 3);
-  CHECK(spec->contracts.at(ContractName{"pay"}).due == 700ms);
-  CHECK(spec->services.contains(ServiceName{"south"}));
-  CHECK_FALSE(spec->contracts.contains(ContractName{"look"}));
-  CHECK(spec->tenants.size() == 1);
-  CHECK(spec->callerLimits.idleDue == 9s);
-  CHECK(spec->callerLimits.headerDue == 3s);
+  const auto configuration = platform::readConfiguration(body);
+  REQUIRE(configuration.ok());
+  CHECK(configuration->routes.size() == 3);
+  CHECK(configuration->policies.at(PolicyName{"pay"}).due == 700ms);
+  CHECK(configuration->services.contains(ServiceName{"south"}));
+  CHECK_FALSE(configuration->policies.contains(PolicyName{"look"}));
+  CHECK(configuration->tenants.size() == 1);
+  CHECK(configuration->callerLimits.idleDue == 9s);
+  CHECK(configuration->callerLimits.headerDue == 3s);
   const Document document = platform::readBody(body)->config;
   CHECK(document["gen"] == 9);
   CHECK(document["later"] == sample()["later"]);
@@ -352,7 +353,7 @@
   CHECK(holds(named(3), body));
   CHECK(holds(named(2), body));
   body = made(platform::wholeConfig(whole(9), 7), body);
-  CHECK(platform::readSpec(body)->weights.at(ModelName{"daka510000"}).value == "3");
+  CHECK(platform::readConfiguration(body)->weights.at(ModelName{"daka510000"}).value == "3");
   // The first weights were acknowledged; the model went away since.
   const std::string gone = made(
       platform::configPatch(R"({"gen":11,"upsert":{"backends":[{"name":"east"}]}})", 7), first);
@@ -386,7 +387,7 @@
   const std::string body = made(platform::wholeConfig(text, 0), "");
   const std::string patch = R"({"gen":9})";
   WARN("document " << text.size() << " bytes, body " << body.size());
-  each("read the spec of the register", [&] { (void)platform::readSpec(body); });
+  each("read the configuration of the register", [&] { (void)platform::readConfiguration(body); });
   each("read a whole configuration", [&] { (void)platform::wholeConfig(text, 0); });
   each("make a patch of one field", [&] { made(platform::configPatch(patch, 7), body); });
 }
--- a/tests/power_loss_tests.cpp
+++ b/tests/power_loss_tests.cpp
@@ -1,5 +1,5 @@
-// The data folder through losses of power at every write and sync: what a register copy was told is
-// synced must be there under its store id, and nothing that was lost may vote under it.
+// The data folder through losses of power at every write and sync: what a register replica was told
+// is synced must be there under its store id, and nothing that was lost may vote under it.
 #include <catch2/catch.hpp>
 
 #include <leveldb/db.h>
@@ -8,7 +8,7 @@
 
 #include "net/disk.h"
 #include "power_loss_env.h"
-#include "register/copy.h"
+#include "register/replica.h"
 
 using namespace quayrill;
 using namespace std::chrono_literals;
@@ -21,7 +21,7 @@
 constexpr auto kLateStep = 20ms;
 constexpr auto kLateLimit = 10s;  // of a machine that has much else to do
 
-// What a copy was told is synced, and what it went on to try.
+// What a replica was told is synced, and what it went on to try.
 struct Acknowledged {
   StoreId store;  // 0: none was
   std::uint64_t round = 0;
@@ -29,8 +29,8 @@
 };
 enum class Found { All, Older, Emptied, Damaged, NoPower, Unopened };
 
-CopySet ownSet(StoreId store) {
-  CopySet set;
+ReplicaSet ownSet(StoreId store) {
+  ReplicaSet set;
   set.fleet = 5;
   set.epoch = Epoch{1};
   set.settled = true;
@@ -40,13 +40,13 @@
 
 std::uint64_t storesMade = 0;  // each folder that is empty gets a new identity
 
-// One life of a copy and its disk, until its changes are made or the power goes.
+// One life of a replica and its disk, until its changes are made or the power goes.
 class Life {
  public:
   Life(PowerLossEnv& env, FolderFiles files, Acknowledged* acknowledged)
       : env_(env),
         acknowledged_(acknowledged),
-        copy_(StoreId{++storesMade}),
+        replica_(StoreId{++storesMade}),
         disk_({kFolder, "", 1h, std::move(files), kSmallBuffer},
               [this](Disk::Rows rows) { late_.set_value(std::move(rows)); }) {}
 
@@ -76,38 +76,41 @@
  private:
   Found judge(const Disk::Rows& rows) {
     const bool emptied = rows.empty();
-    if (!emptied && !copy_.restore(rows)) return Found::Damaged;
+    if (!emptied && !replica_.restore(rows)) return Found::Damaged;
     const Found found = emptied ? Found::Emptied : compare();
     if (!emptied && found != Found::All) return found;
-    auto writes = copy_.identityWrites();
-    for (auto& write : copy_.adopt(ownSet(copy_.store()))) writes.push_back(std::move(write));
+    auto writes = replica_.identityWrites();
+    for (auto& write : replica_.adopt(ownSet(replica_.store()))) writes.push_back(std::move(write));
     if (!write(std::move(writes))) return Found::NoPower;
     const bool wasThere = acknowledged_->store.value > 0;
     if (emptied) acknowledged_->round = 0;
-    acknowledged_->store = copy_.store();
+    acknowledged_->store = replica_.store();
     return emptied && !wasThere ? Found::All : found;
   }
   // The old identity, and all that it promised and accepted, or more.
   Found compare() {
-    if (acknowledged_->store.value > 0 && copy_.store() != acknowledged_->store)
+    if (acknowledged_->store.value > 0 && replica_.store() != acknowledged_->store)
       return Found::Older;
     if (acknowledged_->round == 0) return Found::All;
-    const auto value = copy_.valueOf(kSpecKey);
+    const auto value = replica_.valueOf(kConfigurationKey);
     if (!value || value->version < acknowledged_->round) return Found::Older;
     // A ballot of an earlier round must find the promise kept.
     const Ballot earlier{Epoch{1}, acknowledged_->round - 1, ProposerId{9}};
-    const auto made = copy_.onPrepare({{}, kSpecKey, earlier, copy_.store(), copy_.copies()});
-    const bool refuses = made.answer && !std::get<CopyAnswer>(*made.answer).granted;
+    const auto made =
+        replica_.onPrepare({{}, kConfigurationKey, earlier, replica_.store(), replica_.replicas()});
+    const bool refuses = made.answer && !std::get<ReplicaAnswer>(*made.answer).granted;
     return refuses && value->body.size() == kBodyBytes ? Found::All : Found::Older;
   }
   bool change() {
     const std::uint64_t round = ++acknowledged_->tried;
     const Ballot ballot{Epoch{1}, round, ProposerId{9}};
-    const CopySet& set = copy_.copies();
-    if (!write(copy_.onPrepare({{}, kSpecKey, ballot, copy_.store(), set}).writes)) return false;
+    const ReplicaSet& set = replica_.replicas();
+    if (!write(replica_.onPrepare({{}, kConfigurationKey, ballot, replica_.store(), set}).writes))
+      return false;
     std::string body(kBodyBytes, static_cast<char>('a' + round % 26));
     const RegisterValue value{round, WriteId{round}, {}, std::move(body)};
-    if (!write(copy_.onAccept({{}, kSpecKey, ballot, copy_.store(), set, value}).writes))
+    if (!write(replica_.onAccept({{}, kConfigurationKey, ballot, replica_.store(), set, value})
+                   .writes))
       return false;
     acknowledged_->round = round;
     return true;
@@ -121,7 +124,7 @@
 
   PowerLossEnv& env_;
   Acknowledged* acknowledged_;
-  RegisterCopy copy_;
+  RegisterReplica replica_;
   std::promise<Disk::Rows> late_;
   Disk disk_;
 };
--- a/tests/proxy_stage.h
+++ b/tests/proxy_stage.h
@@ -31,10 +31,10 @@
   std::unique_ptr<HttpServer> server;
 
   ScriptedServer(asio::io_context& io, Address at) : address(std::move(at)) {
-    HttpServerBoot boot;
-    boot.listen = address;
+    HttpServerSettings settings;
+    settings.listen = address;
     server = std::make_unique<HttpServer>(
-        io, boot, [this](Circuit&, HttpRequest& request) { return play(request); });
+        io, settings, [this](Connection&, HttpRequest& request) { return play(request); });
     REQUIRE(server->start().ok());
   }
   awaitable<std::optional<HttpResponse>> play(HttpRequest& request) {
@@ -58,7 +58,7 @@
   }
 };
 
-inline std::string specBody(const std::string& key) {
+inline std::string configurationBody(const std::string& key) {
   const Json keys = key.empty() ? Json::array() : Json{keyDigest(key)};
   return Json{
       {"models", {{"till", {{"weights", "w1"}}}}},
@@ -98,10 +98,10 @@
   Address callers = localAddress(1, 7102);
 
   explicit Stage(int serverCount) {
-    HttpServerBoot agentBoot;
-    agentBoot.listen = localAddress(1, 7101);
-    told.specVersion = 1;
-    told.specBody = specBody("key");
+    HttpServerSettings agentSettings;
+    agentSettings.listen = localAddress(1, 7101);
+    told.configurationVersion = 1;
+    told.configurationBody = configurationBody("key");
     told.confirmedAgoMicros = told.listedAgoMicros = 0;
     for (int i = 0; i < serverCount; ++i) {
       servers.push_back(std::make_unique<ScriptedServer>(io, localAddress(10 + i, 7300)));
@@ -110,24 +110,25 @@
       row.identity = ServerIdentity{"i"};
       row.model = ModelName{"till"};
       row.weights = WeightsVersion{"w1"};
-      row.sound = true;
+      row.healthy = true;
       row.slots = 4;
       row.cacheTokens = 1000;
       told.servers.push_back(row);
     }
     agent = std::make_unique<HttpServer>(
-        io, agentBoot, [this](Circuit&, HttpRequest&) -> awaitable<std::optional<HttpResponse>> {
+        io, agentSettings,
+        [this](Connection&, HttpRequest&) -> awaitable<std::optional<HttpResponse>> {
           std::lock_guard lock(mutex);
           co_return textResponse(200, encodeValue(told));
         });
     REQUIRE(agent->start().ok());
     thread = std::thread([this] { io.run(); });
-    Boot boot;
-    boot.role = "proxy";
-    boot.operators = agentBoot.listen;
-    boot.callers = callers;
-    boot.zone = "z";
-    proxy = std::make_unique<Proxy>(boot, ownDialect());
+    Settings settings;
+    settings.role = "proxy";
+    settings.operators = agentSettings.listen;
+    settings.callers = callers;
+    settings.zone = "z";
+    proxy = std::make_unique<Proxy>(settings, ownDialect());
     REQUIRE(proxy->start().ok());
     waitReady(200);
   }
--- a/tests/proxy_tests.cpp
+++ b/tests/proxy_tests.cpp
@@ -80,7 +80,7 @@
   CHECK(stage.arrivals() == before);
 }
 
-TEST_CASE("proxy: an unconfirmed spec or server list closes it, whatever it last knew") {
+TEST_CASE("proxy: an unconfirmed configuration or server list closes it, whatever it last knew") {
   Stage stage(1);
   stage.tell([](Snapshot& told) { told.confirmedAgoMicros = 2'100'000; });
   stage.waitReady(503);
@@ -93,14 +93,14 @@
   CHECK(stage.arrivals() == 0);
 }
 
-TEST_CASE("proxy: a withdrawn key is dead with the spec that withdraws it") {
+TEST_CASE("proxy: a withdrawn key is dead with the configuration that withdraws it") {
   Stage stage(1);
   REQUIRE(stage.post("once").result_int() == 200);
   stage.tell([](Snapshot& told) {
-    told.specVersion = 2;
-    told.specBody = specBody("");
+    told.configurationVersion = 2;
+    told.configurationBody = configurationBody("");
   });
-  // In between, a request let in under the old spec may be stopped at the point of use.
+  // In between, a request let in under the old configuration may be stopped at the point of use.
   eventually([&] { return stage.post("once").result_int() == 401; });
   const int before = stage.arrivals();
   CHECK(stage.post("once").result_int() == 401);
--- a/tests/recovery_tests.cpp
+++ b/tests/recovery_tests.cpp
@@ -1,4 +1,4 @@
-// First starts and losses as the users' platform plays them, by seed: three copies on four core
+// First starts and losses as the users' platform plays them, by seed: three replicas on four core
 // machines, one of which stands by.
 #include <catch2/catch.hpp>
 
@@ -9,13 +9,13 @@
 using namespace std::chrono_literals;
 
 namespace {
-WorldBoot coreOfFour(std::uint64_t seed) {
-  WorldBoot boot;
-  boot.seed = seed;
-  boot.copiesWanted = 3;
-  boot.bootstrap = true;
-  boot.leaseSpan = 3s;
-  return boot;
+WorldSettings coreOfFour(std::uint64_t seed) {
+  WorldSettings settings;
+  settings.seed = seed;
+  settings.replicasWanted = 3;
+  settings.bootstrap = true;
+  settings.leaseSpan = 3s;
+  return settings;
 }
 // How long until `holds` is true, looked at each 10 ms; `limit` where it is not.
 template <class Condition>
@@ -27,26 +27,26 @@
 bool isChosen(World& world, std::uint64_t id) {
   return id != 0 && world.asked(id).done && world.asked(id).done->result == ChangeResult::Chosen;
 }
-// Changes the spec from `machine` until one change is acknowledged; gives its version.
+// Changes the configuration from `machine` until one change is acknowledged; gives its version.
 std::uint64_t acknowledge(World& world, std::size_t machine, const std::string& body) {
   for (int i = 0; i < 10; ++i) {
-    const std::uint64_t known = world.core(machine).freshness().spec().value.version;
+    const std::uint64_t known = world.core(machine).freshness().configuration().value.version;
     const std::uint64_t id = world.change(machine, known, body);
     spanUntil(world, 4s, [&] { return world.asked(id).done.has_value(); });
     if (isChosen(world, id)) return world.asked(id).done->value.version;
   }
   return 0;
 }
-// Members whose store lives now, of the copy set that `witness` uses.
-std::size_t soundMembers(World& world, std::size_t witness) {
-  const CopySet& copies = world.core(witness).freshness().copies();
-  std::size_t sound = 0;
+// Members whose store lives now, of the replica set that `witness` uses.
+std::size_t healthyMembers(World& world, std::size_t witness) {
+  const ReplicaSet& replicas = world.core(witness).freshness().replicas();
+  std::size_t healthy = 0;
   for (std::size_t i = 0; i < world.diskMachines(); ++i) {
-    sound += std::any_of(copies.members.begin(), copies.members.end(), [&](const auto& member) {
-      return world.isUp(i) && world.core(i).store() == member.store;
-    });
+    healthy += std::any_of(
+        replicas.members.begin(), replicas.members.end(),
+        [&](const auto& member) { return world.isUp(i) && world.core(i).store() == member.store; });
   }
-  return copies.settled && copies.members.size() == 3 ? sound : 0;
+  return replicas.settled && replicas.members.size() == 3 ? healthy : 0;
 }
 void checkAll(World& world) {
   world.checkHistory();
@@ -54,18 +54,18 @@
 }
 }  // namespace
 
-TEST_CASE("sim: a first start founds the copies of all seeds at once") {
+TEST_CASE("sim: a first start founds the replicas of all seeds at once") {
   for (std::uint64_t seed = 1; seed <= 60; ++seed) {
     INFO("seed " << seed);
     World world(coreOfFour(seed));
     CHECK(spanUntil(world, 20s, [&] { return world.isConverged(); }) < 2s);
-    const std::uint64_t fleet = world.core(0).freshness().copies().fleet;
+    const std::uint64_t fleet = world.core(0).freshness().replicas().fleet;
     for (std::size_t i = 0; i < world.size(); ++i) {
-      const CopySet& copies = world.core(i).freshness().copies();
-      CHECK(copies.fleet == fleet);
-      CHECK(copies.epoch == Epoch{1});
-      CHECK(copies.settled);
-      CHECK(copies.members.size() == 3);
+      const ReplicaSet& replicas = world.core(i).freshness().replicas();
+      CHECK(replicas.fleet == fleet);
+      CHECK(replicas.epoch == Epoch{1});
+      CHECK(replicas.settled);
+      CHECK(replicas.members.size() == 3);
     }
     checkAll(world);
   }
@@ -75,10 +75,10 @@
   std::size_t founded = 0;
   for (std::uint64_t seed = 1; seed <= 120; ++seed) {
     INFO("seed " << seed);
-    WorldBoot boot = coreOfFour(seed);
-    boot.lossRate = boot.duplicateRate = 0.15;
-    boot.delayHigh = seed % 2 ? 60ms : 8ms;
-    World world(boot);
+    WorldSettings settings = coreOfFour(seed);
+    settings.lossRate = settings.duplicateRate = 0.15;
+    settings.delayHigh = seed % 2 ? 60ms : 8ms;
+    World world(settings);
     auto& random = world.random();
     for (std::size_t deaths = 0; deaths < 1 + seed % 3; ++deaths) {
       const std::size_t machine = deaths == 0 ? 0 : random() % 3;
@@ -89,11 +89,11 @@
       if (deaths == 0 && seed % 4 < 2) world.wipeDisk(machine);
       world.start(machine);
     }
-    spanUntil(world, 40s, [&] { return world.isConverged() && soundMembers(world, 5) == 3; });
+    spanUntil(world, 40s, [&] { return world.isConverged() && healthyMembers(world, 5) == 3; });
     CHECK(world.isConverged());
-    const std::uint64_t fleet = world.core(5).freshness().copies().fleet;
+    const std::uint64_t fleet = world.core(5).freshness().replicas().fleet;
     for (std::size_t i = 0; i < world.size(); ++i) {
-      CHECK(world.core(i).freshness().copies().fleet == fleet);
+      CHECK(world.core(i).freshness().replicas().fleet == fleet);
     }
     founded += acknowledge(world, 6, "first") > 0;
     checkAll(world);
@@ -102,8 +102,8 @@
 }
 
 TEST_CASE("sim: an empty system that was not told that it may found waits to join") {
-  WorldBoot boot = coreOfFour(7);
-  World world(boot);
+  WorldSettings settings = coreOfFour(7);
+  World world(settings);
   for (std::size_t i = 0; i < 4; ++i) {
     world.crash(i, true);
     world.wipeDisk(i);
@@ -111,7 +111,7 @@
   }
   world.run(30s);
   for (std::size_t i = 0; i < world.size(); ++i)
-    CHECK(world.core(i).freshness().copies().epoch == Epoch{0});
+    CHECK(world.core(i).freshness().replicas().epoch == Epoch{0});
 }
 
 TEST_CASE("sim: disks lost one after the other, 4 s after each return, lose nothing") {
@@ -130,10 +130,10 @@
       world.wipeDisk(machine);
       world.run(round % 2 ? 3s : 300ms);
       world.start(machine);
-      const Span span = spanUntil(world, 4s, [&] { return soundMembers(world, 4) == 3; });
+      const Span span = spanUntil(world, 4s, [&] { return healthyMembers(world, 4) == 3; });
       slowest = std::max(slowest, span);
       world.run(4s - span);
-      CHECK(world.core(12).freshness().spec().value.body == body);
+      CHECK(world.core(12).freshness().configuration().value.body == body);
     }
     CHECK(world.isConverged());
     checkAll(world);
@@ -157,7 +157,7 @@
     const Span from = world.elapsed();
     CHECK(acknowledge(world, 8, "after") > 0);
     CHECK(world.elapsed() - from < 1s);
-    CHECK(world.core(7).freshness().copies().members.size() == 3);
+    CHECK(world.core(7).freshness().replicas().members.size() == 3);
     checkAll(world);
   }
   INFO("slowest return " << std::chrono::duration<double>(slowest).count() << " s");
@@ -174,21 +174,21 @@
       const std::string body = "round " + std::to_string(machine);
       REQUIRE(acknowledge(world, 6, body) > 0);
       world.replace(machine);
-      CHECK(spanUntil(world, 20s, [&] { return soundMembers(world, 4) == 3; }) < 9s);
+      CHECK(spanUntil(world, 20s, [&] { return healthyMembers(world, 4) == 3; }) < 9s);
       world.run(4s);
-      CHECK(world.core(11).freshness().spec().value.body == body);
+      CHECK(world.core(11).freshness().configuration().value.body == body);
     }
     CHECK(world.isConverged());
     checkAll(world);
   }
 }
 
-TEST_CASE("sim: duties fall to machines with a store, and a new holder lets the lease pass") {
+TEST_CASE("sim: leader roles fall to machines with a store, and a new holder lets the lease pass") {
   for (std::uint64_t seed = 1; seed <= 20; ++seed) {
     INFO("seed " << seed);
     World world(coreOfFour(seed));
     spanUntil(world, 20s, [&] { return world.isConverged(); });
-    world.wantDuty("orders/x");
+    world.wantRole("orders/x");
     spanUntil(world, 20s, [&] {
       bool held = false;
       for (std::size_t i = 0; i < 4; ++i)
@@ -196,10 +196,10 @@
       return held;
     });
     world.run(2s);
-    const RegisterKey duty{"hold/orders/x"};
+    const RegisterKey role{"hold/orders/x"};
     const auto holder = [&]() -> std::size_t {
       for (std::size_t i = 0; i < world.size(); ++i) {
-        if (world.isUp(i) && world.core(i).held(duty, Span{}, world.localNow(i))) return i;
+        if (world.isUp(i) && world.core(i).held(role, Span{}, world.localNow(i))) return i;
       }
       return world.size();
     };
--- a/tests/register_tests.cpp
+++ b/tests/register_tests.cpp
@@ -1,7 +1,7 @@
 #include <catch2/catch.hpp>
 
-#include "register/copy.h"
 #include "register/proposer.h"
+#include "register/replica.h"
 
 using namespace quayrill;
 using namespace std::chrono_literals;
@@ -9,30 +9,30 @@
 namespace {
 // Copies on a table: the test carries every message by hand.
 struct Bench {
-  std::vector<RegisterCopy> copies;
-  CopySet set;
+  std::vector<RegisterReplica> replicas;
+  ReplicaSet set;
   Instant now{1s};
 
   explicit Bench(std::size_t count) {
     set.epoch = Epoch{1};
     set.settled = true;
     for (std::size_t i = 1; i <= count; ++i) {
-      copies.emplace_back(StoreId{i});
+      replicas.emplace_back(StoreId{i});
       set.members.push_back({StoreId{i}, Address{"m" + std::to_string(i)}});
     }
-    for (RegisterCopy& copy : copies) copy.adopt(set);
+    for (RegisterReplica& replica : replicas) replica.adopt(set);
   }
-  std::optional<CopyAnswer> at(std::size_t index, const Message& message) {
-    CopyEffects effects;
+  std::optional<ReplicaAnswer> at(std::size_t index, const Message& message) {
+    ReplicaEffects effects;
     if (const auto* prepare = std::get_if<Prepare>(&message))
-      effects = copies[index].onPrepare(*prepare);
+      effects = replicas[index].onPrepare(*prepare);
     if (const auto* accept = std::get_if<Accept>(&message))
-      effects = copies[index].onAccept(*accept);
+      effects = replicas[index].onAccept(*accept);
     if (!effects.answer) return std::nullopt;
-    return std::get<CopyAnswer>(*effects.answer);
+    return std::get<ReplicaAnswer>(*effects.answer);
   }
-  using Sends = std::vector<std::pair<CopyMember, Message>>;
-  // Delivers to the copies in `reach` and the answers back, until nothing moves.
+  using Sends = std::vector<std::pair<ReplicaMember, Message>>;
+  // Delivers to the replicas in `reach` and the answers back, until nothing moves.
   std::vector<ChangeDone> carry(Proposer& proposer, Sends sends,
                                 const std::vector<std::size_t>& reach) {
     std::vector<ChangeDone> done;
@@ -50,10 +50,11 @@
     return done;
   }
   ChangeAsked change(std::uint64_t id, std::uint64_t expected, const std::string& body) {
-    return {OperationId{id}, kSpecKey, false, expected, body, WriteId{1000 + id}, now + 3s};
+    return {OperationId{id},    kConfigurationKey, false, expected, body,
+            WriteId{1000 + id}, now + 3s};
   }
   ChangeAsked read(std::uint64_t id) {
-    return {OperationId{id}, kSpecKey, true, 0, {}, WriteId{1000 + id}, now + 3s};
+    return {OperationId{id}, kConfigurationKey, true, 0, {}, WriteId{1000 + id}, now + 3s};
   }
 };
 }  // namespace
@@ -75,7 +76,7 @@
   CHECK(meetsEveryMajority(bench.set) == 2);
 }
 
-TEST_CASE("register: half of the copies choose nothing, and unsent is told from unknown") {
+TEST_CASE("register: half of the replicas choose nothing, and unsent is told from unknown") {
   Bench bench(4);
   Proposer proposer(ProposerId{1}, 1);
   auto done =
@@ -185,73 +186,84 @@
   }
 }
 
-TEST_CASE("register: a copy of an emptied disk is no voter, and an old epoch is turned away") {
+TEST_CASE("register: a replica of an emptied disk is no voter, and an old epoch is turned away") {
   Bench bench(3);
-  Prepare prepare{OperationId{1}, kSpecKey, {Epoch{1}, 1, ProposerId{1}}, StoreId{1}, bench.set};
-  RegisterCopy emptied(StoreId{9});
+  Prepare prepare{
+      OperationId{1}, kConfigurationKey, {Epoch{1}, 1, ProposerId{1}}, StoreId{1}, bench.set};
+  RegisterReplica emptied(StoreId{9});
   CHECK_FALSE(emptied.onPrepare(prepare).answer);  // addressed to the store that is gone
-  CopySet later = bench.set;
+  ReplicaSet later = bench.set;
   later.epoch = Epoch{2};
-  bench.copies[0].adopt(later);
+  bench.replicas[0].adopt(later);
   const auto answer = bench.at(0, prepare);
   REQUIRE(answer);
   CHECK_FALSE(answer->granted);
-  CHECK(answer->copies.epoch == Epoch{2});
+  CHECK(answer->replicas.epoch == Epoch{2});
 }
 
-TEST_CASE("register: of two fleets founded under one epoch a copy votes in the first alone") {
+TEST_CASE("register: of two fleets founded under one epoch a replica votes in the first alone") {
   Bench bench(3);
   bench.set.fleet = 5;
-  CopySet first = bench.set, second = bench.set;
+  ReplicaSet first = bench.set, second = bench.set;
   second.fleet = 6;
-  RegisterCopy copy(StoreId{1});
+  RegisterReplica replica(StoreId{1});
   const Ballot ballot{Epoch{1}, 1, ProposerId{1}}, higher{Epoch{1}, 2, ProposerId{2}};
-  const auto granted = [](const CopyEffects& effects) {
-    return std::get<CopyAnswer>(*effects.answer).granted;
+  const auto granted = [](const ReplicaEffects& effects) {
+    return std::get<ReplicaAnswer>(*effects.answer).granted;
   };
-  CHECK(granted(copy.onPrepare({OperationId{1}, kSpecKey, ballot, StoreId{1}, first})));
-  CHECK_FALSE(granted(copy.onPrepare({OperationId{2}, kSpecKey, higher, StoreId{1}, second})));
-  CHECK_FALSE(granted(copy.onAccept({OperationId{2}, kSpecKey, higher, StoreId{1}, second, {}})));
-  CHECK(granted(copy.onAccept({OperationId{1}, kSpecKey, ballot, StoreId{1}, first, {}})));
+  CHECK(granted(replica.onPrepare({OperationId{1}, kConfigurationKey, ballot, StoreId{1}, first})));
+  CHECK_FALSE(
+      granted(replica.onPrepare({OperationId{2}, kConfigurationKey, higher, StoreId{1}, second})));
+  CHECK_FALSE(granted(
+      replica.onAccept({OperationId{2}, kConfigurationKey, higher, StoreId{1}, second, {}})));
+  CHECK(granted(
+      replica.onAccept({OperationId{1}, kConfigurationKey, ballot, StoreId{1}, first, {}})));
 }
 
 TEST_CASE("register: what is on disk is what was said, and a write error ends voting") {
   Bench bench(3);
-  RegisterCopy& copy = bench.copies[0];
+  RegisterReplica& replica = bench.replicas[0];
   std::map<std::string, std::string> disk;
   const auto keep = [&](const std::vector<DiskWrite>& writes) {
     for (const DiskWrite& write : writes) disk[write.key] = write.bytes;
   };
-  keep(copy.identityWrites());
+  keep(replica.identityWrites());
   const Ballot low{Epoch{1}, 3, ProposerId{1}}, high{Epoch{1}, 7, ProposerId{2}};
   const RegisterValue value{1, WriteId{5}, {}, "body"};
-  keep(copy.onAccept({OperationId{1}, kSpecKey, low, StoreId{1}, bench.set, value}).writes);
-  keep(copy.onPrepare({OperationId{2}, kSpecKey, high, StoreId{1}, bench.set}).writes);
-  RegisterCopy restarted(StoreId{77});
+  keep(replica.onAccept({OperationId{1}, kConfigurationKey, low, StoreId{1}, bench.set, value})
+           .writes);
+  keep(replica.onPrepare({OperationId{2}, kConfigurationKey, high, StoreId{1}, bench.set}).writes);
+  RegisterReplica restarted(StoreId{77});
   REQUIRE(restarted.restore(disk));
   CHECK(restarted.store() == StoreId{1});
   restarted.adopt(bench.set);
   const auto late =
-      restarted.onAccept({OperationId{3}, kSpecKey, low, StoreId{1}, bench.set, value});
+      restarted.onAccept({OperationId{3}, kConfigurationKey, low, StoreId{1}, bench.set, value});
   REQUIRE(late.answer);
-  CHECK_FALSE(std::get<CopyAnswer>(*late.answer).granted);
+  CHECK_FALSE(std::get<ReplicaAnswer>(*late.answer).granted);
   const auto asked = restarted.onPrepare(
-      {OperationId{4}, kSpecKey, {Epoch{1}, 9, ProposerId{1}}, StoreId{1}, bench.set});
-  CHECK(std::get<CopyAnswer>(*asked.answer).value == value);
+      {OperationId{4}, kConfigurationKey, {Epoch{1}, 9, ProposerId{1}}, StoreId{1}, bench.set});
+  CHECK(std::get<ReplicaAnswer>(*asked.answer).value == value);
   restarted.stopVoting();
-  CHECK_FALSE(
-      restarted
-          .onPrepare(
-              {OperationId{5}, kSpecKey, {Epoch{1}, 11, ProposerId{1}}, StoreId{1}, bench.set})
-          .answer);
+  CHECK_FALSE(restarted
+                  .onPrepare({OperationId{5},
+                              kConfigurationKey,
+                              {Epoch{1}, 11, ProposerId{1}},
+                              StoreId{1},
+                              bench.set})
+                  .answer);
   disk["slot/spec"] = "damaged";
-  CHECK_FALSE(RegisterCopy(StoreId{78}).restore(disk));
+  CHECK_FALSE(RegisterReplica(StoreId{78}).restore(disk));
 }
 
 TEST_CASE("messages: seeded damage is told, never misread, and every kind comes back whole") {
   std::mt19937_64 random(3);
-  Accept accept{OperationId{1}, kSpecKey, {Epoch{1}, 2, ProposerId{3}},
-                StoreId{4},     {},       {1, WriteId{2}, {WriteId{1}}, std::string(500, 'x')}};
+  Accept accept{OperationId{1},
+                kConfigurationKey,
+                {Epoch{1}, 2, ProposerId{3}},
+                StoreId{4},
+                {},
+                {1, WriteId{2}, {WriteId{1}}, std::string(500, 'x')}};
   const std::string whole = encodeEnvelope({Address{"a:1"}, Address{"b:2"}, accept});
   const auto back = decodeEnvelope(whole);
   REQUIRE(back.ok());
--- a/tests/relay_boundary_tests.cpp
+++ b/tests/relay_boundary_tests.cpp
@@ -84,12 +84,12 @@
   BoundaryStage() : RelayStage(2) {
     for (const Way& way : {kUnsafeStream, kResumable, kUnsafe, kSafe}) {
       addRoute(way.prefix, way.isRepeatable, 2);
-      Contract& contract = spec.contracts[ContractName{way.prefix}];
-      contract.due = 3000ms;
-      contract.isStream = way.isStream;
-      contract.isResumable = way.isRepeatable && way.isStream;
+      RoutePolicy& policy = configuration.policies[PolicyName{way.prefix}];
+      policy.due = 3000ms;
+      policy.isStream = way.isStream;
+      policy.isResumable = way.isRepeatable && way.isStream;
     }
-    told.specVersion = 2;
+    told.configurationVersion = 2;
     tell();
     for (auto& server : servers) {
       server->pause = [this] { passThroughRelay(); };
--- a/tests/relay_stage.h
+++ b/tests/relay_stage.h
@@ -37,24 +37,24 @@
   std::unique_ptr<Relay> relay;
   std::thread thread;
   Address callers = localAddress(1, 7202), ready = localAddress(1, 7203);
-  Spec spec;
+  Configuration configuration;
   Snapshot told;
 
   // `isTold` false: the relay has heard nothing of its agent. `extraShare`: of the budget for extra
   // tries; the default lets every test's further tries pass.
   explicit RelayStage(int count, std::chrono::milliseconds grace = 60s, bool isTold = true,
                       double extraShare = 20) {
-    spec.weights[ModelName{"m"}] = WeightsVersion{"1"};
-    spec.tenants[TenantName{"north"}] = {};
-    spec.tenants[TenantName{"hill"}].isolated = true;
-    spec.tenantOfDigest[keyDigest("key")] = TenantName{"north"};
-    spec.tenantOfDigest[keyDigest("hill-key")] = TenantName{"hill"};
+    configuration.weights[ModelName{"m"}] = WeightsVersion{"1"};
+    configuration.tenants[TenantName{"north"}] = {};
+    configuration.tenants[TenantName{"hill"}].isolated = true;
+    configuration.tenantOfDigest[keyDigest("key")] = TenantName{"north"};
+    configuration.tenantOfDigest[keyDigest("hill-key")] = TenantName{"hill"};
     addRoute("/once/", false, 1);
     addRoute("/twice/", false, 2);
     addRoute("/again/", true, 2);
-    spec.services[ServiceName{"svc"}] = {};
-    told.specVersion = 1;
-    told.specBody = "any";
+    configuration.services[ServiceName{"svc"}] = {};
+    told.configurationVersion = 1;
+    told.configurationBody = "any";
     told.confirmedAgoMicros = told.listedAgoMicros = 0;
     for (int i = 0; i < count; ++i) {
       servers.push_back(std::make_unique<ByteServer>(io, localAddress(20 + i, 7400)));
@@ -67,22 +67,24 @@
       row.identity = ServerIdentity{"i" + std::to_string(i)};
       row.model = ModelName{"m"};
       row.weights = WeightsVersion{"1"};
-      row.sound = true;
+      row.healthy = true;
       row.slots = 4;
       row.cacheTokens = 100000;
       told.servers.push_back(row);
     }
     thread = std::thread([this] { io.run(); });
-    Boot boot;
-    boot.callers = callers;
-    boot.ready = ready;
-    boot.trafficThreads = 1;
-    boot.extraShare = extraShare;
-    boot.grace = grace;
+    Settings settings;
+    settings.callers = callers;
+    settings.ready = ready;
+    settings.trafficThreads = 1;
+    settings.extraShare = extraShare;
+    settings.grace = grace;
     Dialect dialect = ownDialect();
     dialect.relayNames = relayTestNames();
-    dialect.readSpec = [this](const std::string&) -> absl::StatusOr<Spec> { return spec; };
-    relay = std::make_unique<Relay>(boot, dialect);
+    dialect.readConfiguration = [this](const std::string&) -> absl::StatusOr<Configuration> {
+      return configuration;
+    };
+    relay = std::make_unique<Relay>(settings, dialect);
     REQUIRE(relay->start().ok());
     if (isTold) tell();
   }
@@ -92,15 +94,15 @@
     thread.join();
   }
   void addRoute(const std::string& prefix, bool resumable, std::size_t tries) {
-    Contract contract;
-    contract.isStream = true;
-    contract.isResumable = contract.repeatable = resumable;
-    contract.tries = tries;
-    contract.target = 5000ms;
-    spec.contracts[ContractName{prefix}] = contract;
-    Route route{prefix, "h.example", prefix, ContractName{prefix}, {{ServiceName{"svc"}, 1}}};
-    spec.routes.push_back(route);
-    sortRoutes(&spec);
+    RoutePolicy policy;
+    policy.isStream = true;
+    policy.isResumable = policy.repeatable = resumable;
+    policy.tries = tries;
+    policy.target = 5000ms;
+    configuration.policies[PolicyName{prefix}] = policy;
+    Route route{prefix, "h.example", prefix, PolicyName{prefix}, {{ServiceName{"svc"}, 1}}};
+    configuration.routes.push_back(route);
+    sortRoutes(&configuration);
   }
   // Hands the present state on and waits until it is in force.
   void tell() {
--- a/tests/relay_tests.cpp
+++ b/tests/relay_tests.cpp
@@ -176,10 +176,10 @@
 
 TEST_CASE("relay: callers' limits are named by their statuses") {
   RelayStage stage(1);
-  stage.spec.callerLimits.headerBytes = 512;
-  stage.spec.callerLimits.bodyBytes = 100;
-  stage.spec.callerLimits.headerDue = 30ms;
-  stage.told.specVersion = 2;
+  stage.configuration.callerLimits.headerBytes = 512;
+  stage.configuration.callerLimits.bodyBytes = 100;
+  stage.configuration.callerLimits.headerDue = 30ms;
+  stage.told.configurationVersion = 2;
   stage.tell();
   CHECK(statusOf(stage.post("/once/", "r1", "X-Long: " + std::string(2000, 'a') + "\r\n")) == 431);
   CHECK(statusOf(RelayStage::ask(stage.callers,
--- a/tests/replica_leaving_tests.cpp
+++ b/tests/replica_leaving_tests.cpp
@@ -12,16 +12,16 @@
 namespace {
 constexpr Span kAckBound = 4s;
 
-WorldBoot small(std::uint64_t seed, std::size_t disks, std::size_t wanted) {
-  WorldBoot boot;
-  boot.seed = seed;
-  boot.bootstrap = true;
-  boot.diskMachines = disks;
-  boot.edgeMachines = 4;
-  boot.reserveMachines = 2;
-  boot.copiesWanted = wanted;
-  boot.catchUpSpan = 4s;
-  return boot;
+WorldSettings small(std::uint64_t seed, std::size_t disks, std::size_t wanted) {
+  WorldSettings settings;
+  settings.seed = seed;
+  settings.bootstrap = true;
+  settings.diskMachines = disks;
+  settings.edgeMachines = 4;
+  settings.reserveMachines = 2;
+  settings.replicasWanted = wanted;
+  settings.catchUpSpan = 4s;
+  return settings;
 }
 
 // Operators at the edges ask for one change after the other.
@@ -33,16 +33,16 @@
 
   explicit Busy(World& asking) : world(asking), lastAck(asking.elapsed()) {}
   std::size_t edge() const { return world.diskMachines(); }
-  const CopySet& copies() { return world.core(edge()).freshness().copies(); }
+  const ReplicaSet& replicas() { return world.core(edge()).freshness().replicas(); }
   bool isMember(std::size_t machine) {
     if (!world.isUp(machine)) return false;
     const StoreId store = world.core(machine).store();
-    return std::any_of(copies().members.begin(), copies().members.end(),
-                       [&](const CopyMember& member) { return member.store == store; });
+    return std::any_of(replicas().members.begin(), replicas().members.end(),
+                       [&](const ReplicaMember& member) { return member.store == store; });
   }
   void step() {
     world.run(25ms);
-    fewest = std::min(fewest, copies().members.size());
+    fewest = std::min(fewest, replicas().members.size());
     longestGap = std::max(longestGap, world.elapsed() - lastAck);
     if (asked != 0 && !world.asked(asked).done) return;
     if (asked != 0 && world.asked(asked).done->result == ChangeResult::Chosen) {
@@ -51,7 +51,7 @@
       ++acknowledged;
     }
     const std::size_t machine = edge() + world.random()() % 4;
-    const std::uint64_t known = world.core(machine).freshness().spec().value.version;
+    const std::uint64_t known = world.core(machine).freshness().configuration().value.version;
     asked = world.change(machine, std::max(known, newest), "body");
   }
   void run(Span span) {
@@ -108,9 +108,9 @@
 TEST_CASE("sim leaving: where no machine waits a member stays unless the rest bears as much") {
   for (const std::size_t members : {3U, 4U, 5U}) {
     INFO(members << " members");
-    WorldBoot boot = small(7, members, members);
-    boot.reserveMachines = 0;
-    World world(boot);
+    WorldSettings settings = small(7, members, members);
+    settings.reserveMachines = 0;
+    World world(settings);
     REQUIRE(runUntilFounded(world, 20s));
     Busy busy(world);
     busy.run(2s);
@@ -118,14 +118,14 @@
     busy.run(3s);
     CHECK(busy.isMember(1) == (members % 2 == 1));
     CHECK_FALSE(world.core(1).isHandingOver(world.localNow(1)));
-    const Epoch epoch = busy.copies().epoch;
+    const Epoch epoch = busy.replicas().epoch;
     world.crash(1, false);
     world.run(700ms);
     world.start(1);
     busy.run(5s);
     CHECK(busy.isMember(1));
-    CHECK(busy.copies().members.size() == members);
-    if (members % 2 == 1) CHECK(busy.copies().epoch == epoch);
+    CHECK(busy.replicas().members.size() == members);
+    if (members % 2 == 1) CHECK(busy.replicas().epoch == epoch);
     busy.check();
   }
 }
@@ -163,7 +163,7 @@
     CHECK(busy.acknowledged > 20);
     CHECK(busy.longestGap < kAckBound);
     CHECK(busy.fewest >= 3);
-    CHECK(busy.copies().members.size() == 3);
+    CHECK(busy.replicas().members.size() == 3);
     busy.check();
   }
 }
@@ -176,14 +176,14 @@
     Busy busy(world);
     busy.run(2s);
     const std::size_t stalled = someMember(busy);
-    const Epoch before = busy.copies().epoch;
+    const Epoch before = busy.replicas().epoch;
     for (int stall = 0; stall < 8; ++stall) {
       world.slowDisk(stalled, 3500ms);
       busy.run(100ms);
       world.slowDisk(stalled, Span{});
       busy.run(6s);
     }
-    CHECK(busy.copies().epoch.value - before.value <= 4);
+    CHECK(busy.replicas().epoch.value - before.value <= 4);
     CHECK(busy.fewest >= 3);
     CHECK(busy.longestGap < kAckBound);
     busy.check();
@@ -195,10 +195,10 @@
   REQUIRE(runUntilFounded(world, 20s));
   Busy busy(world);
   busy.run(2s);
-  const Epoch before = busy.copies().epoch;
+  const Epoch before = busy.replicas().epoch;
   world.slowDisk(someMember(busy), 150ms);
   busy.run(20s);
-  CHECK(busy.copies().epoch == before);
+  CHECK(busy.replicas().epoch == before);
   CHECK(busy.longestGap < kAckBound);
   busy.check();
 }
--- a/tests/replica_plan_tests.cpp
+++ b/tests/replica_plan_tests.cpp
@@ -25,24 +25,24 @@
          more;
 }
 
-absl::StatusOr<Boot> loadedWith(std::map<std::string, std::string> flags) {
+absl::StatusOr<Settings> loadedWith(std::map<std::string, std::string> flags) {
   flags.insert({{"role", "agent"},
                 {"cohort", "127.0.0.1:7001"},
                 {"operators", "127.0.0.1:7002"},
                 {"callers", "127.0.0.1:7003"},
                 {"platform", "127.0.0.1:7004"},
                 {"seeds", "127.0.0.1:7001"}});
-  return loadBoot({"", flags});
+  return loadSettings({"", flags});
 }
 
-const CopySet& setSeenBy(World& world, std::size_t machine) {
-  return world.core(machine).freshness().copies();
+const ReplicaSet& setSeenBy(World& world, std::size_t machine) {
+  return world.core(machine).freshness().replicas();
 }
 
 std::map<std::size_t, std::size_t> zoneCounts(World& world, std::size_t seenBy) {
   std::map<std::size_t, std::size_t> counts;
   for (std::size_t zone = 0; zone < 4; ++zone) counts[zone] = 0;
-  for (const CopyMember& member : setSeenBy(world, seenBy).members) {
+  for (const ReplicaMember& member : setSeenBy(world, seenBy).members) {
     for (std::size_t i = 0; i < world.size(); ++i) {
       if (world.isUp(i) && world.core(i).store() == member.store) ++counts[world.zoneOf(i)];
     }
@@ -51,16 +51,16 @@
 }
 
 // The grown deployments: five replicas, two machines may be lost at once.
-WorldBoot grown(std::uint64_t seed, std::size_t disks) {
-  WorldBoot boot;
-  boot.seed = seed;
-  boot.bootstrap = true;
-  boot.diskMachines = disks;
-  boot.edgeMachines = 3;
-  boot.losses = {2, 0, 0};
-  boot.catchUpSpan = 6s;
-  boot.copiesWanted = replicasWanted(boot.losses, {});
-  return boot;
+WorldSettings grown(std::uint64_t seed, std::size_t disks) {
+  WorldSettings settings;
+  settings.seed = seed;
+  settings.bootstrap = true;
+  settings.diskMachines = disks;
+  settings.edgeMachines = 3;
+  settings.losses = {2, 0, 0};
+  settings.catchUpSpan = 6s;
+  settings.replicasWanted = replicasWanted(settings.losses, {});
+  return settings;
 }
 }  // namespace
 
@@ -87,7 +87,7 @@
       settingsWith("tolerate.nodes=2\ntolerate.zones=0\ntolerate.regions=0\nbounds.catchupS=6\n"
                    "zones.east=north\nzones.west=north\n"));
   REQUIRE(two.ok());
-  CHECK(two->copiesWanted == 5);
+  CHECK(two->replicasWanted == 5);
   CHECK(two->losses.machines == 2);
   CHECK(two->catchUp == 6s);
   CHECK(two->topology.regionOf("east") == "north");
@@ -95,11 +95,11 @@
       settingsWith("tolerate.nodes=1\ntolerate.zones=2\nzones.a=n\nzones.b=n\nzones.c=n\n"
                    "zones.d=n\nzones.e=n\n"));
   REQUIRE(zones.ok());
-  CHECK(zones->copiesWanted == 5);
+  CHECK(zones->replicasWanted == 5);
   CHECK(zones->losses.zones == 2);
   const auto plain = platform::readSettings(settingsWith(""));
   REQUIRE(plain.ok());
-  CHECK(plain->copiesWanted == 3);
+  CHECK(plain->replicasWanted == 3);
   const auto wrong = platform::readSettings(settingsWith("tolerate.nodes=some\n"));
   REQUIRE_FALSE(wrong.ok());
   CHECK_THAT(std::string(wrong.status().message()), Contains("tolerate.nodes"));
@@ -108,11 +108,11 @@
 TEST_CASE("settings: losses to bear are checked against the number of replicas") {
   const auto plain = loadedWith({});
   REQUIRE(plain.ok());
-  CHECK(plain->copiesWanted == 4);
+  CHECK(plain->replicasWanted == 4);
   CHECK(plain->losses.machines == 1);
   const auto two = loadedWith({{"bear_machines", "2"}, {"catch_up_ms", "6000"}});
   REQUIRE(two.ok());
-  CHECK(two->copiesWanted == 5);
+  CHECK(two->replicasWanted == 5);
   CHECK(two->catchUp == 6s);
   const auto few = loadedWith({{"bear_machines", "2"}, {"copies_wanted", "4"}});
   REQUIRE_FALSE(few.ok());
@@ -129,8 +129,8 @@
     INFO("seed " << seed);
     World world(grown(seed, seed % 2 == 0 ? 8 : 5));
     const auto isFull = [&] {
-      const CopySet& copies = setSeenBy(world, world.diskMachines());
-      return copies.members.size() == 5 && copies.settled;
+      const ReplicaSet& replicas = setSeenBy(world, world.diskMachines());
+      return replicas.members.size() == 5 && replicas.settled;
     };
     while (!isFull() && world.elapsed() < 20s) world.run(50ms);
     slowest = std::max(slowest, world.elapsed() - Span(1s));  // the world's clock starts at 1 s
@@ -153,7 +153,7 @@
     world.run(10s);
     CHECK(isFull());
     CHECK(world.isConverged());
-    CHECK(world.core(edge).freshness().spec().value.body == "newer");
+    CHECK(world.core(edge).freshness().configuration().value.body == "newer");
     for (const auto& violation : world.violations()) FAIL_CHECK(violation.what);
   }
   CAPTURE(slowest.count());
@@ -204,15 +204,15 @@
 TEST_CASE("sim: where the loss of a zone is to be borne no zone keeps a majority's worth") {
   for (std::uint64_t seed = 1; seed <= 6; ++seed) {
     INFO("seed " << seed);
-    WorldBoot boot;
-    boot.seed = seed;
-    boot.bootstrap = true;
-    boot.diskMachines = 6;  // zones 0 to 2, two machines each
-    boot.edgeMachines = 3;
-    boot.zones = 3;
-    boot.losses = {1, 1, 0};
-    boot.copiesWanted = 3;
-    World world(boot);
+    WorldSettings settings;
+    settings.seed = seed;
+    settings.bootstrap = true;
+    settings.diskMachines = 6;  // zones 0 to 2, two machines each
+    settings.edgeMachines = 3;
+    settings.zones = 3;
+    settings.losses = {1, 1, 0};
+    settings.replicasWanted = 3;
+    World world(settings);
     REQUIRE(runUntilFounded(world, 20s));
     // Zone 0 is away for long: a second replica comes to stand in another zone.
     world.crash(0, true);
@@ -226,7 +226,7 @@
       if (zone < 3) CHECK(count == 1);
     }
     // So the loss of any one zone leaves a majority.
-    const std::uint64_t version = world.core(6).freshness().spec().value.version;
+    const std::uint64_t version = world.core(6).freshness().configuration().value.version;
     world.cut({seed % 3, seed % 3 + 3}, true);
     const std::uint64_t id = world.change(6, version, "kept");
     world.run(3s);
--- a/tests/rollout_tests.cpp
+++ b/tests/rollout_tests.cpp
@@ -35,7 +35,7 @@
 };
 
 struct Holder {
-  explicit Holder(RolloutBoot boot) : rollout(kModel, boot) {}
+  explicit Holder(RolloutSettings settings) : rollout(kModel, settings) {}
   Rollout rollout;
   ServerNotes notes;
   std::optional<Fence> fence;
@@ -53,7 +53,7 @@
       server.past.push_back({now, {1, false}});
       servers.push_back(server);
     }
-    for (int i = 0; i < 2; ++i) holders.emplace_back(RolloutBoot{due, takeoverWait});
+    for (int i = 0; i < 2; ++i) holders.emplace_back(RolloutSettings{due, takeoverWait});
   }
   Played& at(const ServerName& name) {
     return *std::find_if(servers.begin(), servers.end(),
@@ -69,7 +69,7 @@
     server.highest = order.fence;
     if (server.target > 0) return OrderAnswer::Busy;
     const std::uint64_t target = std::stoull(order.weights.value);
-    if (server.weights == target) return OrderAnswer::Holds;
+    if (server.weights == target) return OrderAnswer::Leases;
     server.target = target;
     server.streams = 500ms;
     server.load = loadSpan;
@@ -200,7 +200,7 @@
   for (const auto& [load, due] : {std::pair<Span, Span>{1800ms, 15s}, {1100ms, 12s}}) {
     Bench bench(18, load, due);
     bench.name(2);
-    bench.run(600ms);  // until the hold is there
+    bench.run(600ms);  // until the lease is there
     CHECK(bench.orders == 0);
     bench.holders[0].fence = Fence{7};
     CHECK(bench.untilAllOn(2) < due);
@@ -222,7 +222,7 @@
 }
 
 TEST_CASE(
-    "rollout: a hold that was taken over waits, and so do the orders, which then take no longer") {
+    "rollout: a lease that was taken over waits, and so do the orders, which then take no longer") {
   Bench bench(18, 1800ms, 15s, 3s);
   bench.name(2);
   bench.run(600ms);
@@ -339,9 +339,9 @@
   for (int i = 1; i < 100; ++i) rollout.onTick(view, bench.now + i * 100ms, &later);
   CHECK(later.orders.empty());
   CHECK(rollout.isIdle());
-  CHECK_FALSE(rollout.wantsHold(view));
+  CHECK_FALSE(rollout.wantsLease(view));
   view.servers[0].identity = ServerIdentity{"other"};
-  CHECK(rollout.wantsHold(view));
+  CHECK(rollout.wantsLease(view));
   rollout.onTick(view, bench.now + 11s, &later);
   CHECK(later.orders.size() == 1);
 }
@@ -361,7 +361,7 @@
     ordered.push_back(now);
     rollout.onOrderAnswer(made.orders[0], OrderAnswer::NotKnown, now, &made);
     CHECK(rollout.isIdle());
-    CHECK(rollout.wantsHold(view));
+    CHECK(rollout.wantsLease(view));
   }
   REQUIRE(ordered.size() >= 5);
   CHECK(ordered.size() <= 8);
@@ -372,8 +372,8 @@
   RolloutEffects made, done;
   rollout.onTick(view, start + 30s, &made);
   REQUIRE(made.orders.size() == 1);
-  rollout.onOrderAnswer(made.orders[0], OrderAnswer::Holds, start + 30s, &done);
-  CHECK_FALSE(rollout.wantsHold(view));
+  rollout.onOrderAnswer(made.orders[0], OrderAnswer::Leases, start + 30s, &done);
+  CHECK_FALSE(rollout.wantsLease(view));
 }
 
 TEST_CASE("rollout: a holder that is fenced off still has the orders open that it gave before") {
@@ -415,7 +415,7 @@
   CHECK(bench.servers[0].weights == 2);
   Bench late(6, 1800ms, 15s);
   late.name(2);
-  late.run(16s);  // nobody held the duty
+  late.run(16s);  // nobody held the leader role
   late.holders[0].fence = Fence{7};
   late.run(500ms);
   CHECK(late.mostSwitching == 6);
--- a/tests/scale/hollow_fleet.cpp
+++ b/tests/scale/hollow_fleet.cpp
@@ -1,5 +1,5 @@
 // Not a check: daemons without a proxy or a disk, many in one process, that join the fleet which
-// `jungfraujoch --keep-open` serves on the same net. docs/CAPACITY.md has the commands.
+// `quayrill-local --keep-open` serves on the same net. docs/CAPACITY.md has the commands.
 #include <glog/logging.h>
 #include <malloc.h>
 
@@ -30,22 +30,22 @@
   return resident * 4096 / 1e6;
 }
 
-Boot bootOf(int net, std::size_t number, std::size_t copies) {
+Settings bootOf(int net, std::size_t number, std::size_t replicas) {
   const std::string stem = "127." + std::to_string(net) + ".";
   const std::string ip =
       stem + std::to_string(10 + number / 200) + "." + std::to_string(number % 200 + 1);
-  Boot boot;
-  boot.role = "agent";
-  boot.cohort = Address{ip + ":7100"};
-  boot.operators = Address{ip + ":7101"};
-  boot.callers = Address{ip + ":7102"};
-  boot.platform = Address{stem + "4.1:7200"};
-  boot.store = Address{stem + "4.2:7200"};
-  boot.zone = "zone" + std::to_string(number % 5);
+  Settings settings;
+  settings.role = "agent";
+  settings.peer = Address{ip + ":7100"};
+  settings.operators = Address{ip + ":7101"};
+  settings.callers = Address{ip + ":7102"};
+  settings.platform = Address{stem + "4.1:7200"};
+  settings.store = Address{stem + "4.2:7200"};
+  settings.zone = "zone" + std::to_string(number % 5);
   for (int seed = 1; seed <= 3; ++seed)
-    boot.seeds.push_back(Address{stem + "1." + std::to_string(seed) + ":7100"});
-  boot.copiesWanted = copies;
-  return boot;
+    settings.seeds.push_back(Address{stem + "1." + std::to_string(seed) + ":7100"});
+  settings.replicasWanted = replicas;
+  return settings;
 }
 }  // namespace
 
--- a/tests/scenario_tests.cpp
+++ b/tests/scenario_tests.cpp
@@ -1,4 +1,5 @@
-// The named scenarios of the simulator, tens of seeds each; `mawson --scenario` runs thousands.
+// The named scenarios of the simulator, tens of seeds each; `quayrill-sim --scenario` runs
+// thousands.
 #include <catch2/catch.hpp>
 
 #include "sim/scenarios.h"
@@ -16,7 +17,7 @@
     for (const std::string& what : result.broken) FAIL_CHECK(what);
   }
 }
-// Some seed finds the planted defect.
+// Some seed finds the planted error.
 bool isFound(NamedResult (*run)(std::uint64_t, bool), std::uint64_t seeds) {
   for (std::uint64_t seed = 1; seed <= seeds; ++seed) {
     if (!run(seed, true).broken.empty()) return true;
@@ -31,11 +32,11 @@
   runSeeds(runRacingOperators, 20);
 }
 
-TEST_CASE("scenario: 600 changes while copies restart and disks fail") {
+TEST_CASE("scenario: 600 changes while replicas restart and disks fail") {
   runSeeds(runManyChanges, 3);
 }
 
-TEST_CASE("scenario: planted defects are found") {
+TEST_CASE("scenario: planted errors are found") {
   CHECK(isFound(runCutOff, 2));
   CHECK(isFound(runRacingOperators, 2));
   CHECK(isFound(runManyChanges, 4));
--- a/tests/server_notes_tests.cpp
+++ b/tests/server_notes_tests.cpp
@@ -54,7 +54,8 @@
 TEST_CASE("weights named: an age is never too low, and others' words only sharpen it") {
   WeightsNamed named;
   const Instant now{1000s};
-  named.onSpec({{kModel, WeightsVersion{"1"}}}, std::nullopt);  // the first spec of this life
+  named.onConfiguration({{kModel, WeightsVersion{"1"}}},
+                        std::nullopt);  // the first configuration of this life
   CHECK_FALSE(named.ago(kModel, now));
   CHECK(named.tell(now).empty());
   named.take({{kModel, WeightsVersion{"9"}, 5000000}}, now);  // of other weights
@@ -65,11 +66,12 @@
   CHECK(named.ago(kModel, now) == 5s);
   named.take({{kModel, WeightsVersion{"1"}, 4000000}}, now);
   CHECK(named.ago(kModel, now) == 4s);
-  named.onSpec({{kModel, WeightsVersion{"2"}}}, now - 300ms);
+  named.onConfiguration({{kModel, WeightsVersion{"2"}}}, now - 300ms);
   CHECK(named.ago(kModel, now) == 300ms);
-  named.onSpec({{kModel, WeightsVersion{"2"}}}, now);  // a later spec names the same
+  named.onConfiguration({{kModel, WeightsVersion{"2"}}},
+                        now);  // a later configuration names the same
   CHECK(named.ago(kModel, now) == 300ms);
   CHECK(named.tell(now) == std::vector<NamedWeights>{{kModel, WeightsVersion{"2"}, 300000}});
-  named.onSpec({}, now);
+  named.onConfiguration({}, now);
   CHECK_FALSE(named.ago(kModel, now));
 }
--- a/tests/settings_tests.cpp
+++ b/tests/settings_tests.cpp
@@ -25,7 +25,7 @@
 const std::string kOld = settingsText(R"("10.0.0.1:1","10.0.0.2:1")");
 const std::string kNew = settingsText(R"("10.0.0.2:1","10.0.0.3:1")");
 
-absl::StatusOr<Boot> readOwn(const std::string& text) { return readBoot(text, {}); }
+absl::StatusOr<Settings> readOwn(const std::string& text) { return readSettings(text, {}); }
 
 SettingsJudge judgeOf(const std::string& text) {
   return {SettingsSource{kFile, text, readOwn}, *readOwn(text)};
@@ -142,9 +142,9 @@
                             R"("callers":"10.0.0.1:7","role":"agent","platform":"10.0.9.2:1",)"
                             R"("seeds":["10.0.0.9:1"]})";
   const SettingsLook other = lookTwice(judge, moved);
-  CHECK_THAT(other.told, Catch::Contains("role, cohort, operators, callers"));
+  CHECK_THAT(other.told, Catch::Contains("role, peer, operators, callers"));
   CHECK(other.changed->role == "both");
-  CHECK(other.changed->cohort == Address{"10.0.0.1:1"});
+  CHECK(other.changed->peer == Address{"10.0.0.1:1"});
   CHECK(other.changed->platform == Address{"10.0.9.2:1"});
 }
 
@@ -155,9 +155,9 @@
            seeds + "\n" + more;
   };
   const std::string old = text("10.1.0.1:8", "bootstrap=true\n");
-  const auto boot = platform::readSettings(old);
-  REQUIRE(boot.ok());
-  SettingsJudge judge({kFile, old, platform::readSettings}, *boot);
+  const auto settings = platform::readSettings(old);
+  REQUIRE(settings.ok());
+  SettingsJudge judge({kFile, old, platform::readSettings}, *settings);
   const SettingsLook look =
       lookTwice(judge, text("10.1.0.2:8,10.1.0.3:8", "bootstrap=false\nfield.unknown=1\n"));
   REQUIRE(look.changed);
@@ -172,10 +172,11 @@
   const bool signalled = GENERATE(true, false);
   const SettingsFile file(kOld);
   SettingsSource source{file.path, "", readOwn};
-  const auto boot = loadSettings(&source);
-  REQUIRE(boot.ok());
-  std::promise<Boot> taken;
-  SettingsWatch watch(source, *boot, [&](const Boot& changed) { taken.set_value(changed); });
+  const auto settings = loadSettings(&source);
+  REQUIRE(settings.ok());
+  std::promise<Settings> taken;
+  SettingsWatch watch(source, *settings,
+                      [&](const Settings& changed) { taken.set_value(changed); });
   file.write(kNew);
   if (signalled) watch.onHup();
   auto changed = taken.get_future();
@@ -192,9 +193,9 @@
 }
 
 TEST_CASE("settings: a daemon whose seeds are all gone finds its fleet by new ones") {
-  sim::WorldBoot boot;
-  boot.seed = 31;
-  sim::World world(boot);
+  sim::WorldSettings settings;
+  settings.seed = 31;
+  sim::World world(settings);
   REQUIRE(sim::runUntilFounded(world, 60s));
   const std::size_t late = world.size() - 1;
   world.crash(late, true);
@@ -213,12 +214,12 @@
 }
 
 TEST_CASE("settings: new seeds cost a replica neither its identity nor a call under way") {
-  sim::WorldBoot boot;
-  boot.seed = 32;
-  sim::World world(boot);
+  sim::WorldSettings settings;
+  settings.seed = 32;
+  sim::World world(settings);
   REQUIRE(sim::runUntilFounded(world, 60s));
   const StoreId store = world.core(0).store();
-  const CopySet copies = world.core(0).freshness().copies();
+  const ReplicaSet replicas = world.core(0).freshness().replicas();
   const std::uint64_t id = world.change(0, 0, "kept");
   for (std::size_t i = 0; i < world.size(); ++i)
     world.setSeeds(i, {world.addressOf(2), world.addressOf(3)});
@@ -226,7 +227,7 @@
   REQUIRE(world.asked(id).done);
   CHECK(world.asked(id).done->result == ChangeResult::Chosen);
   CHECK(world.core(0).store() == store);
-  CHECK(world.core(0).freshness().copies() == copies);
+  CHECK(world.core(0).freshness().replicas() == replicas);
   CHECK(world.isConverged());
   CHECK(world.violations().empty());
 }
@@ -234,32 +235,32 @@
 TEST_CASE("settings: seeds that share none with the first ones found no second fleet") {
   for (std::uint64_t seed = 1; seed <= 8; ++seed) {
     INFO("seed " << seed);
-    sim::WorldBoot boot;
-    boot.seed = seed;
-    sim::World world(boot);
+    sim::WorldSettings settings;
+    settings.seed = seed;
+    sim::World world(settings);
     // All start with the first three as seeds. One is told of itself alone, by which it would found
     // a fleet of its own.
     world.setSeeds(3, {world.addressOf(3)});
     CHECK(sim::runUntilFounded(world, 60s));
     std::set<std::uint64_t> fleets;
     for (std::size_t i = 0; i < world.size(); ++i)
-      fleets.insert(world.core(i).freshness().copies().fleet);
+      fleets.insert(world.core(i).freshness().replicas().fleet);
     CHECK(fleets.size() == 1);
     CHECK(world.violations().empty());
   }
 }
 
 TEST_CASE("settings: a seed that dies before the founding is replaced, and the fleet is founded") {
-  sim::WorldBoot boot;
-  boot.seed = 33;
-  sim::World world(boot);
+  sim::WorldSettings settings;
+  settings.seed = 33;
+  sim::World world(settings);
   world.crash(2, true);
   world.run(20s);
-  REQUIRE(world.core(0).freshness().copies().epoch.value == 0);
+  REQUIRE(world.core(0).freshness().replicas().epoch.value == 0);
   for (std::size_t i = 0; i < world.size(); ++i)
     world.setSeeds(i, {world.addressOf(0), world.addressOf(1), world.addressOf(3)});
   world.run(20s);
   CHECK(world.isConverged());
-  CHECK(world.core(0).freshness().copies().members.size() == 3);
+  CHECK(world.core(0).freshness().replicas().members.size() == 3);
   CHECK(world.violations().empty());
 }
--- a/tests/amend_tests.cpp
+++ b/tests/update_tests.cpp
@@ -5,7 +5,7 @@
 
 #include "platform/operator_calls.h"
 #include "platform/register_body.h"
-#include "register/amending.h"
+#include "register/update_operation.h"
 #include "sim/world.h"
 
 using namespace quayrill;
@@ -20,13 +20,13 @@
          R"(,"routes":[{"name":"r","host":"h","prefix":"/","backend":"b"}],"backends":[{"name":")" +
          service + R"(","runtime":{"models":[{"name":"m"}]}}],"by":")" + service + "\"}";
 }
-Amendment onTop(std::uint64_t basis, std::uint64_t generation, const std::string& by = "") {
+Update onTop(std::uint64_t basis, std::uint64_t generation, const std::string& by = "") {
   platform::Document document = platform::Document::parse(config(generation));
   document["by"] = by;
   return *platform::wholeConfig(document.dump(), basis);
 }
 
-// A register of one copy. `fates` says what becomes of the changes that come next.
+// A register of one replica. `fates` says what becomes of the changes that come next.
 struct Script {
   enum class Fate { Plain, TakenUnheard, LostUnheard, NotTried };
   RegisterValue value;
@@ -40,7 +40,7 @@
       ++reads;
       now += readable ? 1ms : asked.due - now;
       return {{},
-              kSpecKey,
+              kConfigurationKey,
               readable ? ChangeResult::Chosen : ChangeResult::NotTried,
               readable ? value : RegisterValue{},
               {},
@@ -56,22 +56,25 @@
     if (fits && (fate == Fate::Plain || fate == Fate::TakenUnheard))
       value = {value.version + 1, {}, {}, asked.body};
     if (fate == Fate::Plain)
-      return {{}, kSpecKey, fits ? ChangeResult::Chosen : ChangeResult::Conflict, value, {}, {}};
+      return {
+          {}, kConfigurationKey, fits ? ChangeResult::Chosen : ChangeResult::Conflict, value, {},
+          {}};
     now = asked.due;
     const bool unknown = fate != Fate::NotTried;
-    return {{}, kSpecKey, unknown ? ChangeResult::Unknown : ChangeResult::NotTried, {}, {}, {}};
+    return {{}, kConfigurationKey, unknown ? ChangeResult::Unknown : ChangeResult::NotTried, {}, {},
+            {}};
   }
-  bool step(Amending& amending) {
-    const auto asked = amending.next(now);
-    if (asked) amending.onAnswer(answer(*asked));
+  bool step(UpdateOperation& updateOperation) {
+    const auto asked = updateOperation.next(now);
+    if (asked) updateOperation.onAnswer(answer(*asked));
     return asked.has_value();
   }
-  AmendResult carry(Amendment change) {
-    Amending amending(std::move(change), kLimit, now + kDue);
-    while (step(amending)) {
+  UpdateResult carry(Update change) {
+    UpdateOperation updateOperation(std::move(change), kLimit, now + kDue);
+    while (step(updateOperation)) {
     }
-    REQUIRE(amending.done());
-    return amending.done()->result;
+    REQUIRE(updateOperation.done());
+    return updateOperation.done()->result;
   }
 };
 using Fate = Script::Fate;
@@ -79,48 +82,48 @@
 
 TEST_CASE("amend: the same change comes twice, also behind later ones") {
   Script script;
-  CHECK(script.carry(onTop(0, 3)) == AmendResult::Taken);
-  CHECK(script.carry(onTop(0, 3)) == AmendResult::Holds);
-  CHECK(script.carry(onTop(3, 5)) == AmendResult::Taken);
-  CHECK(script.carry(onTop(5, 6)) == AmendResult::Taken);
-  CHECK(script.carry(onTop(0, 3)) == AmendResult::Holds);
-  CHECK(script.carry(onTop(3, 5)) == AmendResult::Holds);
+  CHECK(script.carry(onTop(0, 3)) == UpdateResult::Taken);
+  CHECK(script.carry(onTop(0, 3)) == UpdateResult::Leases);
+  CHECK(script.carry(onTop(3, 5)) == UpdateResult::Taken);
+  CHECK(script.carry(onTop(5, 6)) == UpdateResult::Taken);
+  CHECK(script.carry(onTop(0, 3)) == UpdateResult::Leases);
+  CHECK(script.carry(onTop(3, 5)) == UpdateResult::Leases);
   CHECK(script.value.version == 3);
   CHECK(script.changes == 3);
 }
 
 TEST_CASE("amend: what may not be is never proposed") {
   Script script;
-  CHECK(script.carry(onTop(0, 3)) == AmendResult::Taken);
-  CHECK(script.carry(onTop(3, 3, "other")) == AmendResult::Refused);
-  CHECK(script.carry(onTop(3, 2)) == AmendResult::Refused);
-  CHECK(script.carry(onTop(0, 9)) == AmendResult::Stale);
-  CHECK(script.carry(onTop(2, 9)) == AmendResult::Stale);
+  CHECK(script.carry(onTop(0, 3)) == UpdateResult::Taken);
+  CHECK(script.carry(onTop(3, 3, "other")) == UpdateResult::Refused);
+  CHECK(script.carry(onTop(3, 2)) == UpdateResult::Refused);
+  CHECK(script.carry(onTop(0, 9)) == UpdateResult::Stale);
+  CHECK(script.carry(onTop(2, 9)) == UpdateResult::Stale);
   CHECK(script.carry(*platform::configPatch(
             R"({"gen":9,"upsert":{"backends":[{"name":"x"}]},"remove":{"backends":["b"]}})", 3)) ==
-        AmendResult::Refused);
+        UpdateResult::Refused);
   const std::string large(kLimit, 'x');
-  CHECK(script.carry(onTop(3, 9, large)) == AmendResult::TooLarge);
+  CHECK(script.carry(onTop(3, 9, large)) == UpdateResult::TooLarge);
   CHECK(script.changes == 1);
   script.value.body = "{\"of\":\"another build\"}";
-  CHECK(script.carry(onTop(3, 9)) == AmendResult::NotTaken);
+  CHECK(script.carry(onTop(3, 9)) == UpdateResult::NotTaken);
   CHECK(script.changes == 1);
 }
 
 TEST_CASE("amend: of two on one version, one is taken and the other is told so by a read") {
   Script script;
-  Amending first(onTop(0, 3, "a"), kLimit, script.now + kDue);
-  Amending second(onTop(0, 4, "b"), kLimit, script.now + kDue);
-  Amending firstAgain(onTop(0, 3, "a"), kLimit, script.now + kDue);
+  UpdateOperation first(onTop(0, 3, "a"), kLimit, script.now + kDue);
+  UpdateOperation second(onTop(0, 4, "b"), kLimit, script.now + kDue);
+  UpdateOperation firstAgain(onTop(0, 3, "a"), kLimit, script.now + kDue);
   // All three have read before any is proposed.
-  for (Amending* each : {&first, &second, &firstAgain}) REQUIRE(script.step(*each));
-  for (Amending* each : {&first, &second, &firstAgain}) {
+  for (UpdateOperation* each : {&first, &second, &firstAgain}) REQUIRE(script.step(*each));
+  for (UpdateOperation* each : {&first, &second, &firstAgain}) {
     while (script.step(*each)) {
     }
   }
-  CHECK(first.done()->result == AmendResult::Taken);
-  CHECK(second.done()->result == AmendResult::Stale);
-  CHECK(firstAgain.done()->result == AmendResult::Holds);
+  CHECK(first.done()->result == UpdateResult::Taken);
+  CHECK(second.done()->result == UpdateResult::Stale);
+  CHECK(firstAgain.done()->result == UpdateResult::Leases);
   CHECK(script.reads == 5);  // the two that lost read again before they say so
   CHECK(script.value.version == 1);
 }
@@ -129,43 +132,43 @@
   Script script;
   SECTION("it was taken") {
     script.fates = {Fate::TakenUnheard};
-    CHECK(script.carry(onTop(0, 3)) == AmendResult::Holds);
+    CHECK(script.carry(onTop(0, 3)) == UpdateResult::Leases);
     CHECK(script.value.version == 1);
   }
   SECTION("it was not, and no time is left") {
     script.fates = {Fate::LostUnheard};
-    CHECK(script.carry(onTop(0, 3)) == AmendResult::NotTaken);
+    CHECK(script.carry(onTop(0, 3)) == UpdateResult::NotTaken);
     CHECK(script.value.version == 0);
   }
   SECTION("another one was taken meanwhile") {
-    Amending mine(onTop(0, 3, "a"), kLimit, script.now + kDue);
+    UpdateOperation mine(onTop(0, 3, "a"), kLimit, script.now + kDue);
     REQUIRE(script.step(mine));
     script.fates = {Fate::LostUnheard};
     REQUIRE(script.step(mine));
     script.carry(onTop(0, 4, "b"));
     while (script.step(mine)) {
     }
-    CHECK(mine.done()->result == AmendResult::Stale);
+    CHECK(mine.done()->result == UpdateResult::Stale);
   }
   SECTION("it was taken and more followed") {
-    Amending mine(onTop(0, 3, "a"), kLimit, script.now + kDue);
+    UpdateOperation mine(onTop(0, 3, "a"), kLimit, script.now + kDue);
     REQUIRE(script.step(mine));
     script.fates = {Fate::TakenUnheard};
     REQUIRE(script.step(mine));
-    CHECK(script.carry(onTop(3, 4, "b")) == AmendResult::Taken);
+    CHECK(script.carry(onTop(3, 4, "b")) == UpdateResult::Taken);
     while (script.step(mine)) {
     }
-    CHECK(mine.done()->result == AmendResult::Holds);
+    CHECK(mine.done()->result == UpdateResult::Leases);
   }
   SECTION("the read fails too") {
-    Amending mine(onTop(0, 3), kLimit, script.now + kDue);
+    UpdateOperation mine(onTop(0, 3), kLimit, script.now + kDue);
     REQUIRE(script.step(mine));
     script.fates = {Fate::TakenUnheard};
     REQUIRE(script.step(mine));
     script.readable = false;
     while (script.step(mine)) {
     }
-    CHECK(mine.done()->result == AmendResult::Unknown);
+    CHECK(mine.done()->result == UpdateResult::Unknown);
     CHECK(platform::answerOf(*mine.done()).result_int() == 504);
   }
 }
@@ -173,27 +176,27 @@
 TEST_CASE("amend: a resend whose change is forgotten has no clear answer, and is not proposed") {
   Script script;
   for (std::uint64_t basis = 0; basis < kTakenKept + 5; ++basis)
-    REQUIRE(script.carry(onTop(basis, basis + 1)) == AmendResult::Taken);
+    REQUIRE(script.carry(onTop(basis, basis + 1)) == UpdateResult::Taken);
   const std::size_t changes = script.changes;
-  CHECK(script.carry(onTop(2, 3)) == AmendResult::Unknown);
-  CHECK(script.carry(onTop(2, 3, "rival")) == AmendResult::Unknown);
-  CHECK(script.carry(onTop(5, 6)) == AmendResult::Holds);
-  CHECK(script.carry(onTop(5, 6, "rival")) == AmendResult::Stale);
-  CHECK(script.carry(onTop(2, kTakenKept + 9)) == AmendResult::Stale);
+  CHECK(script.carry(onTop(2, 3)) == UpdateResult::Unknown);
+  CHECK(script.carry(onTop(2, 3, "rival")) == UpdateResult::Unknown);
+  CHECK(script.carry(onTop(5, 6)) == UpdateResult::Leases);
+  CHECK(script.carry(onTop(5, 6, "rival")) == UpdateResult::Stale);
+  CHECK(script.carry(onTop(2, kTakenKept + 9)) == UpdateResult::Stale);
   CHECK(script.changes == changes);
 }
 
 TEST_CASE("amend: a change that is settled behind hundreds of others is never refused") {
   Script script;
-  Amending mine(onTop(0, 1, "a"), kLimit, script.now + kDue);
+  UpdateOperation mine(onTop(0, 1, "a"), kLimit, script.now + kDue);
   REQUIRE(script.step(mine));
   script.fates = {Fate::TakenUnheard};
   REQUIRE(script.step(mine));
   for (std::uint64_t basis = 1; basis < kTakenKept + 5; ++basis)
-    REQUIRE(script.carry(onTop(basis, basis + 1, "b")) == AmendResult::Taken);
+    REQUIRE(script.carry(onTop(basis, basis + 1, "b")) == UpdateResult::Taken);
   while (script.step(mine)) {
   }
-  CHECK(mine.done()->result == AmendResult::Unknown);
+  CHECK(mine.done()->result == UpdateResult::Unknown);
   CHECK(platform::answerOf(*mine.done()).result_int() == 504);
 }
 
@@ -201,13 +204,13 @@
   Script script;
   const Instant begun = script.now;
   script.readable = false;
-  CHECK(script.carry(onTop(0, 3)) == AmendResult::NotTaken);
+  CHECK(script.carry(onTop(0, 3)) == UpdateResult::NotTaken);
   CHECK(script.changes == 0);
   CHECK(script.now - begun <= kDue);
   script.readable = true;
   script.fates = {Fate::NotTried};
   const Instant later = script.now;
-  CHECK(script.carry(onTop(0, 3)) == AmendResult::NotTaken);
+  CHECK(script.carry(onTop(0, 3)) == UpdateResult::NotTaken);
   CHECK(script.value.version == 0);
   CHECK(script.now - later <= kDue);
 }
@@ -217,33 +220,34 @@
   const auto named = [](int generation) {
     return *platform::namedWeights(R"({"model":"m","gen":)" + std::to_string(generation) + "}");
   };
-  CHECK(script.carry(named(2)) == AmendResult::Refused);  // no service names it yet
-  CHECK(script.carry(onTop(0, 3)) == AmendResult::Taken);
-  Amending low(named(2), kLimit, script.now + kDue), high(named(3), kLimit, script.now + kDue);
+  CHECK(script.carry(named(2)) == UpdateResult::Refused);  // no service names it yet
+  CHECK(script.carry(onTop(0, 3)) == UpdateResult::Taken);
+  UpdateOperation low(named(2), kLimit, script.now + kDue),
+      high(named(3), kLimit, script.now + kDue);
   REQUIRE(script.step(low));
   REQUIRE(script.step(high));
-  for (Amending* each : {&high, &low}) {
+  for (UpdateOperation* each : {&high, &low}) {
     while (script.step(*each)) {
     }
   }
-  CHECK(high.done()->result == AmendResult::Taken);
-  CHECK(low.done()->result == AmendResult::Holds);
-  CHECK(platform::readSpec(script.value.body)->weights.at(ModelName{"m"}).value == "3");
-  CHECK(script.carry(onTop(3, 4)) == AmendResult::Taken);
-  CHECK(platform::readSpec(script.value.body)->weights.at(ModelName{"m"}).value == "3");
+  CHECK(high.done()->result == UpdateResult::Taken);
+  CHECK(low.done()->result == UpdateResult::Leases);
+  CHECK(platform::readConfiguration(script.value.body)->weights.at(ModelName{"m"}).value == "3");
+  CHECK(script.carry(onTop(3, 4)) == UpdateResult::Taken);
+  CHECK(platform::readConfiguration(script.value.body)->weights.at(ModelName{"m"}).value == "3");
 }
 
 TEST_CASE("platform calls: each outcome has its status, and the version header is read strictly") {
-  const auto statusOf = [](AmendResult result) {
+  const auto statusOf = [](UpdateResult result) {
     return platform::answerOf({result, "why"}).result_int();
   };
-  CHECK(statusOf(AmendResult::Taken) == 200);
-  CHECK(statusOf(AmendResult::Holds) == 200);
-  CHECK(statusOf(AmendResult::Refused) == 400);
-  CHECK(statusOf(AmendResult::Stale) == 412);
-  CHECK(statusOf(AmendResult::TooLarge) == 413);
-  CHECK(statusOf(AmendResult::NotTaken) == 503);
-  CHECK_FALSE(platform::answerOf({AmendResult::NotTaken, ""})[http::field::retry_after].empty());
+  CHECK(statusOf(UpdateResult::Taken) == 200);
+  CHECK(statusOf(UpdateResult::Leases) == 200);
+  CHECK(statusOf(UpdateResult::Refused) == 400);
+  CHECK(statusOf(UpdateResult::Stale) == 412);
+  CHECK(statusOf(UpdateResult::TooLarge) == 413);
+  CHECK(statusOf(UpdateResult::NotTaken) == 503);
+  CHECK_FALSE(platform::answerOf({UpdateResult::NotTaken, ""})[http::field::retry_after].empty());
   const auto basis = [](const std::string& text) {
     HttpRequest request;
     if (!text.empty()) request.set(http::field::if_match, text);
@@ -256,10 +260,10 @@
 }
 
 namespace {
-// One amendment at one daemon of the simulated fleet.
+// One update at one daemon of the simulated fleet.
 struct Call {
   std::size_t machine;
-  Amending amending;
+  UpdateOperation updateOperation;
   std::optional<std::uint64_t> pending{};
 };
 
@@ -267,10 +271,10 @@
   sim::World world;
   std::vector<std::unique_ptr<Call>> calls;
 
-  explicit Fleet(const sim::WorldBoot& boot) : world(boot) { world.run(12s); }
-  Call& begin(std::size_t machine, Amendment change) {
+  explicit Fleet(const sim::WorldSettings& settings) : world(settings) { world.run(12s); }
+  Call& begin(std::size_t machine, Update change) {
     calls.push_back(std::make_unique<Call>(
-        Call{machine, Amending(std::move(change), kLimit, world.localNow(machine) + kDue)}));
+        Call{machine, UpdateOperation(std::move(change), kLimit, world.localNow(machine) + kDue)}));
     return *calls.back();
   }
   void pump(Call& call) {
@@ -278,9 +282,9 @@
       const auto& done = world.asked(*call.pending).done;
       if (!done) return;
       call.pending.reset();
-      call.amending.onAnswer(*done);
+      call.updateOperation.onAnswer(*done);
     }
-    const auto asked = call.amending.next(world.localNow(call.machine));
+    const auto asked = call.updateOperation.next(world.localNow(call.machine));
     if (!asked) return;
     call.pending = asked->isRead ? world.read(call.machine)
                                  : world.change(call.machine, asked->expectedVersion, asked->body);
@@ -288,7 +292,7 @@
   void run(Span span) {
     for (Span past{}; past < span; past += 5ms) {
       for (const auto& call : calls) {
-        if (!call->amending.done()) pump(*call);
+        if (!call->updateOperation.done()) pump(*call);
       }
       world.run(5ms);
     }
@@ -299,11 +303,11 @@
 TEST_CASE("amend: rivals and second tries at several daemons, in a lossy fleet") {
   for (std::uint64_t seed = 1; seed <= 6; ++seed) {
     INFO("seed " << seed);
-    sim::WorldBoot boot;
-    boot.seed = seed;
-    boot.edgeMachines = 3;
-    boot.lossRate = 0.05;
-    Fleet fleet(boot);
+    sim::WorldSettings settings;
+    settings.seed = seed;
+    settings.edgeMachines = 3;
+    settings.lossRate = 0.05;
+    Fleet fleet(settings);
     std::uint64_t basis = 0;
     for (std::uint64_t round = 1; round <= 5; ++round) {
       const std::uint64_t generation = basis + 1 + seed % 3;
@@ -313,20 +317,20 @@
       Call& a2 = fleet.begin(2, onTop(basis, generation, "a"));
       Call& b2 = fleet.begin(3, onTop(basis, generation, "b"));
       fleet.run(9s);
-      for (Call* call : {&a1, &b1, &a2, &b2}) REQUIRE(call->amending.done());
+      for (Call* call : {&a1, &b1, &a2, &b2}) REQUIRE(call->updateOperation.done());
       // Whatever was lost on the way: a try after that gets the answer that holds for ever.
       Call& a3 = fleet.begin(0, onTop(basis, generation, "a"));
       fleet.run(4s);
       Call& b3 = fleet.begin(1, onTop(basis, generation, "b"));
       fleet.run(4s);
-      REQUIRE(a3.amending.done());
-      REQUIRE(b3.amending.done());
+      REQUIRE(a3.updateOperation.done());
+      REQUIRE(b3.updateOperation.done());
       const auto isYes = [](const Call& call) {
-        const AmendResult result = call.amending.done()->result;
-        return result == AmendResult::Taken || result == AmendResult::Holds;
+        const UpdateResult result = call.updateOperation.done()->result;
+        return result == UpdateResult::Taken || result == UpdateResult::Leases;
       };
       const auto isNo = [](const Call& call) {
-        return call.amending.done()->result == AmendResult::Stale;
+        return call.updateOperation.done()->result == UpdateResult::Stale;
       };
       CHECK(isYes(a3) != isYes(b3));
       CHECK(isNo(a3) != isNo(b3));
