Names in SQL, settings and the build's link line stay as users and CMake write them

The renaming had touched the tables' names in a test's SQL and a setting's name in another; a message had kept its old word before a colon. CMake quotes the objects of a target whose name has a hyphen, which the check of packages took for part of the path.

--- a/src/agent/core/founding.cpp
+++ b/src/agent/core/founding.cpp
@@ -164,7 +164,7 @@
 AgentCore::Recovered AgentCore::recover(const std::string& given, std::uint64_t givenVersion,
                                         Instant now, AgentEffects* effects) {
   if (!replica_ || !replica_->isVoting())
-    return {"this daemon has no sound register copy: ask one with a data folder", {}, 0};
+    return {"this daemon has no sound register replica: ask one with a data folder", {}, 0};
   const auto confirmed = freshness_.confirmedAt();
   if (confirmed && now - *confirmed < kRecoverAfter)
     return {"the register's majority answered lately: nothing is lost", {}, 0};
--- a/tests/packages_test.sh
+++ b/tests/packages_test.sh
@@ -62,7 +62,7 @@
   cat "$target"/CMakeFiles/*.dir/build.make | sed -n 's/^\t@\?\([^ ]*\).*/\1/p' |
     cat - "$target"/CMakeFiles/*.dir/link.txt | cut -d ' ' -f 1 |
     grep -vE '^(cd|:|true|\$\(CMAKE_COMMAND\))?$' | sort -u | xargs which
-  link=$(cat "$target/CMakeFiles/quayrilld-platform.dir/link.txt")
+  link=$(tr -d '"' <"$target/CMakeFiles/quayrilld-platform.dir/link.txt")
   compiler=${link%% *}
   $compiler -c "$source_dir/platform/quayrilld_platform.cpp" -o "$scratch/none.o" '-###' 2>&1 | paths
   (cd "$build_dir" && $link '-###' 2>&1 | paths)
@@ -78,7 +78,7 @@
 
 linked() {
   local link
-  link=$(cat "$scratch/target/CMakeFiles/quayrilld-platform.dir/link.txt")
+  link=$(tr -d '"' <"$scratch/target/CMakeFiles/quayrilld-platform.dir/link.txt")
   (cd "$build_dir" && ${link/-o quayrilld-platform/-o $scratch/quayrilld-platform} -Wl,--trace) | paths
 }
 
--- a/tests/query_tests.cpp
+++ b/tests/query_tests.cpp
@@ -30,7 +30,7 @@
 TEST_CASE("query: tables join, and only those that are named are read, each path once") {
   Script script;
   const auto joined = script.query(
-      "SELECT members.cohort, replicas.store FROM members LEFT JOIN replicas USING (peer) ORDER BY "
+      "SELECT members.cohort, copies.store FROM members LEFT JOIN copies USING (cohort) ORDER BY "
       "1");
   INFO(joined.status().ToString());
   REQUIRE(joined.ok());
@@ -38,7 +38,7 @@
   CHECK(joined->rows == std::vector<Json>{{"10.0.0.1:7", 5}, {"10.0.0.2:7", nullptr}});
   CHECK(script.asked == std::vector<std::string>{"/q/members"});
   const auto ways = script.query(
-      "SELECT ways.name, model, repeatable FROM ways JOIN policies ON policy = policies.name");
+      "SELECT ways.name, model, repeatable FROM ways JOIN contracts ON contract = contracts.name");
   REQUIRE(ways.ok());
   CHECK(ways->rows == std::vector<Json>{{"x", "till", 1}, {"y", "till", 1}});
   CHECK(script.query("SELECT fence FROM decisions")->rows == std::vector<Json>{{7}});
--- a/tests/settings_tests.cpp
+++ b/tests/settings_tests.cpp
@@ -142,7 +142,7 @@
                             R"("callers":"10.0.0.1:7","role":"agent","platform":"10.0.9.2:1",)"
                             R"("seeds":["10.0.0.9:1"]})";
   const SettingsLook other = lookTwice(judge, moved);
-  CHECK_THAT(other.told, Catch::Contains("role, peer, operators, callers"));
+  CHECK_THAT(other.told, Catch::Contains("role, cohort, operators, callers"));
   CHECK(other.changed->role == "both");
   CHECK(other.changed->peer == Address{"10.0.0.1:1"});
   CHECK(other.changed->platform == Address{"10.0.9.2:1"});
