--- a/tests/power_loss_tests.cpp
+++ b/tests/power_loss_tests.cpp
@@ -305,7 +305,8 @@
     longestOpening = std::max(longestOpening, BootClock::now() - begun);
     REQUIRE(opened.ok());
     REQUIRE(opened->has_value());
-    if (life > 0) CHECK((**opened).at("slot/spec").back() == 'a' + (written - 1) % 26);
+    if (life > 0)
+      CHECK((**opened).at("slot/spec").back() == static_cast<char>('a' + (written - 1) % 26));
     for (int i = 0; i < 10; ++i) {
       std::string body(kMegabyte, static_cast<char>('a' + written % 26));
       REQUIRE(put(disk, "slot/spec", std::move(body)).ok());
