--- a/src/net/synced_folder_env.cpp
+++ b/src/net/synced_folder_env.cpp
@@ -25,7 +25,7 @@
   const auto failed = [&] { return leveldb::Status::IOError(folder, std::strerror(errno)); };
   const int handle = ::open(folder.c_str(), O_RDONLY | O_CLOEXEC);
   if (handle < 0) return failed();
-  const auto status = ::fsync(handle) == 0 ? leveldb::Status::OK() : failed();
+  auto status = ::fsync(handle) == 0 ? leveldb::Status::OK() : failed();
   ::close(handle);
   return status;
 }
@@ -36,22 +36,22 @@
       : leveldb::EnvWrapper(files.env), syncFolder_(std::move(files.syncFolder)) {}
 
   leveldb::Status NewWritableFile(const std::string& name, leveldb::WritableFile** made) override {
-    const auto status = target()->NewWritableFile(name, made);
+    auto status = target()->NewWritableFile(name, made);
     if (!status.ok() || !(endsWith(name, ".log") || endsWith(name, ".ldb"))) return status;
-    const auto synced = syncFolder_(folderOf(name));
+    auto synced = syncFolder_(folderOf(name));
     if (synced.ok()) return synced;
     delete *made;
     *made = nullptr;
     return synced;
   }
   leveldb::Status RenameFile(const std::string& from, const std::string& to) override {
-    const auto status = target()->RenameFile(from, to);
+    auto status = target()->RenameFile(from, to);
     // LevelDB's diary of itself; nobody reads it back.
     if (!status.ok() || endsWith(to, "/LOG.old")) return status;
     return syncFolder_(folderOf(to));
   }
   leveldb::Status CreateDir(const std::string& name) override {
-    const auto status = target()->CreateDir(name);
+    auto status = target()->CreateDir(name);
     return status.ok() ? syncFolder_(folderOf(name)) : status;
   }
 
