--- a/tests/power_loss_env.cpp
+++ b/tests/power_loss_env.cpp
@@ -14,7 +14,7 @@
  public:
   explicit Bytes(std::string bytes) : bytes_(std::move(bytes)) {}
   Status Read(std::size_t n, leveldb::Slice* result, char* scratch) override {
-    const Status status = Read(at_, n, result, scratch);
+    Status status = Read(at_, n, result, scratch);
     at_ += result->size();
     return status;
   }
--- a/tests/power_loss_tests.cpp
+++ b/tests/power_loss_tests.cpp
@@ -309,7 +309,8 @@
       CHECK((**opened).at("slot/spec").back() == static_cast<char>('a' + (written - 1) % 26));
     for (int i = 0; i < 10; ++i) {
       std::string body(kMegabyte, static_cast<char>('a' + written % 26));
-      REQUIRE(put(disk, "slot/spec", std::move(body)).ok());
+      const auto status = put(disk, "slot/spec", std::move(body));
+      REQUIRE(status.ok());
       ++written;
     }
   }
