--- a/tests/model_tests.cpp
+++ b/tests/model_tests.cpp
@@ -19,7 +19,7 @@
   Bounds bounds;
   bounds.states = states;
   bounds.time = std::chrono::seconds(250);  // a loaded machine: the states are the bound
-  const Report report = explore(configuration, bounds);
+  Report report = explore(configuration, bounds);
   std::string schedule;
   for (const std::string& event : report.schedule) schedule += "\n  " + event;
   WARN(configuration.name << ": distinct " << report.distinct << " visited " << report.visited
@@ -61,7 +61,7 @@
 
 // The error is found, and up to twice as many states without it are clean.
 Report checkPlanted(Configuration configuration, std::size_t states) {
-  const Report found = search(configuration, states);
+  Report found = search(configuration, states);
   CHECK_FALSE(found.broken.empty());
   CHECK(found.schedule.size() == found.depth);
   configuration.plant = Plant::None;
--- a/tests/relay_boundary_tests.cpp
+++ b/tests/relay_boundary_tests.cpp
@@ -143,7 +143,7 @@
     }
     const std::string id = "r" + number;
     const int brokenBefore = broken();
-    const ReadAnswer answer = readAnswer(post(next.way.prefix, id), "X-Id", "X-Seal");
+    ReadAnswer answer = readAnswer(post(next.way.prefix, id), "X-Id", "X-Seal");
     // The next case must not meet this one's end on a connection that was given back before it.
     if (next.breaks != Break::Not) eventually([&] { return broken() > brokenBefore; });
     std::lock_guard lock(caseMutex);
