--- a/src/agent/core/rollout.cpp
+++ b/src/agent/core/rollout.cpp
@@ -194,7 +194,7 @@
       return;
     case OrderAnswer::Unclear:
       return;  // its report will tell
-    case OrderAnswer::Leases:
+    case OrderAnswer::AlreadyHolds:
       row.switching = false;  // it did not switch now, so this tells nothing of how long that takes
       return finish(order.server, row, order.weights, now, effects);
     case OrderAnswer::Busy:
--- a/src/agent/core/rollout.h
+++ b/src/agent/core/rollout.h
@@ -14,13 +14,13 @@
 
 // What became of an order, as far as its answer tells.
 enum class OrderAnswer {
-  Taken,     // it is being done
-  Leases,    // it held already
-  Busy,      // another is under way
-  Fenced,    // a higher fence was seen there
-  Refused,   // it will not be done: another server is there
-  NotKnown,  // the server knows no such version now; it may learn of it
-  Unclear,   // no answer; it may have been taken
+  Taken,         // it is being done
+  AlreadyHolds,  // the version was there before
+  Busy,          // another is under way
+  Fenced,        // a higher fence was seen there
+  Refused,       // it will not be done: another server is there
+  NotKnown,      // the server knows no such version now; it may learn of it
+  Unclear,       // no answer; it may have been taken
 };
 const char* orderAnswerName(OrderAnswer answer);
 
--- a/src/configuration/update.h
+++ b/src/configuration/update.h
@@ -71,13 +71,13 @@
     std::function<absl::StatusOr<std::optional<std::string>>(const std::string& standing)>;
 
 enum class UpdateResult {
-  Taken,     // in the register
-  Leases,    // was in the register before
-  Refused,   // not allowed; never takes effect
-  Stale,     // a settled read showed that another version stands; never takes effect
-  TooLarge,  // never takes effect
-  NotTaken,  // the register did not answer; never takes effect
-  Unknown,   // it may be taken or not
+  Taken,         // in the register
+  AlreadyTaken,  // was in the register before
+  Refused,       // not allowed; never takes effect
+  Stale,         // a settled read showed that another version stands; never takes effect
+  TooLarge,      // never takes effect
+  NotTaken,      // the register did not answer; never takes effect
+  Unknown,       // it may be taken or not
 };
 
 struct UpdateDone {
--- a/src/model/history.cpp
+++ b/src/model/history.cpp
@@ -6,7 +6,7 @@
 
 namespace {
 bool isYes(UpdateResult result) {
-  return result == UpdateResult::Taken || result == UpdateResult::Leases;
+  return result == UpdateResult::Taken || result == UpdateResult::AlreadyTaken;
 }
 bool isNo(UpdateResult result) {
   return result == UpdateResult::Refused || result == UpdateResult::Stale ||
--- a/src/register/update_operation.cpp
+++ b/src/register/update_operation.cpp
@@ -72,7 +72,7 @@
         return finish(UpdateResult::NotTaken, why);
     }
   }
-  if (!*body) return finish(UpdateResult::Leases);
+  if (!*body) return finish(UpdateResult::AlreadyTaken);
   if ((*body)->size() > bodyLimit_)
     return finish(UpdateResult::TooLarge,
                   "the configuration would have " + std::to_string((*body)->size()) +
--- a/src/sim/operators.cpp
+++ b/src/sim/operators.cpp
@@ -13,7 +13,7 @@
 constexpr Span kStep = 5ms;
 
 bool isYes(UpdateResult result) {
-  return result == UpdateResult::Taken || result == UpdateResult::Leases;
+  return result == UpdateResult::Taken || result == UpdateResult::AlreadyTaken;
 }
 bool isNo(UpdateResult result) {
   return result == UpdateResult::Refused || result == UpdateResult::Stale ||
--- a/tests/platform_servers_tests.cpp
+++ b/tests/platform_servers_tests.cpp
@@ -109,7 +109,7 @@
 
 TEST_CASE("platform servers: each answer to an order says what became of it") {
   CHECK(platform::readOrderAnswer(202) == OrderAnswer::Taken);
-  CHECK(platform::readOrderAnswer(200) == OrderAnswer::Leases);
+  CHECK(platform::readOrderAnswer(200) == OrderAnswer::AlreadyHolds);
   CHECK(platform::readOrderAnswer(409) == OrderAnswer::Busy);
   CHECK(platform::readOrderAnswer(412) == OrderAnswer::Fenced);
   CHECK(platform::readOrderAnswer(400) == OrderAnswer::NotKnown);
--- a/tests/rollout_order_tests.cpp
+++ b/tests/rollout_order_tests.cpp
@@ -114,7 +114,7 @@
   RolloutEffects made, done;
   rollout.onTick(view, start + 30s, &made);
   REQUIRE(made.orders.size() == 1);
-  rollout.onOrderAnswer(made.orders[0], OrderAnswer::Leases, start + 30s, &done);
+  rollout.onOrderAnswer(made.orders[0], OrderAnswer::AlreadyHolds, start + 30s, &done);
   CHECK_FALSE(rollout.wantsLease(view));
 }
 
--- a/tests/rollout_stage.h
+++ b/tests/rollout_stage.h
@@ -68,7 +68,7 @@
     server.highest = order.fence;
     if (server.target > 0) return OrderAnswer::Busy;
     const std::uint64_t target = std::stoull(order.weights.value);
-    if (server.weights == target) return OrderAnswer::Leases;
+    if (server.weights == target) return OrderAnswer::AlreadyHolds;
     server.target = target;
     server.streams = 500ms;
     server.load = loadSpan;
--- a/tests/update_tests.cpp
+++ b/tests/update_tests.cpp
@@ -83,11 +83,11 @@
 TEST_CASE("amend: the same change comes twice, also behind later ones") {
   Script script;
   CHECK(script.carry(onTop(0, 3)) == UpdateResult::Taken);
-  CHECK(script.carry(onTop(0, 3)) == UpdateResult::Leases);
+  CHECK(script.carry(onTop(0, 3)) == UpdateResult::AlreadyTaken);
   CHECK(script.carry(onTop(3, 5)) == UpdateResult::Taken);
   CHECK(script.carry(onTop(5, 6)) == UpdateResult::Taken);
-  CHECK(script.carry(onTop(0, 3)) == UpdateResult::Leases);
-  CHECK(script.carry(onTop(3, 5)) == UpdateResult::Leases);
+  CHECK(script.carry(onTop(0, 3)) == UpdateResult::AlreadyTaken);
+  CHECK(script.carry(onTop(3, 5)) == UpdateResult::AlreadyTaken);
   CHECK(script.value.version == 3);
   CHECK(script.changes == 3);
 }
@@ -123,7 +123,7 @@
   }
   CHECK(first.done()->result == UpdateResult::Taken);
   CHECK(second.done()->result == UpdateResult::Stale);
-  CHECK(firstAgain.done()->result == UpdateResult::Leases);
+  CHECK(firstAgain.done()->result == UpdateResult::AlreadyTaken);
   CHECK(script.reads == 5);  // the two that lost read again before they say so
   CHECK(script.value.version == 1);
 }
@@ -132,7 +132,7 @@
   Script script;
   SECTION("it was taken") {
     script.fates = {Fate::TakenUnheard};
-    CHECK(script.carry(onTop(0, 3)) == UpdateResult::Leases);
+    CHECK(script.carry(onTop(0, 3)) == UpdateResult::AlreadyTaken);
     CHECK(script.value.version == 1);
   }
   SECTION("it was not, and no time is left") {
@@ -158,7 +158,7 @@
     CHECK(script.carry(onTop(3, 4, "b")) == UpdateResult::Taken);
     while (script.step(mine)) {
     }
-    CHECK(mine.done()->result == UpdateResult::Leases);
+    CHECK(mine.done()->result == UpdateResult::AlreadyTaken);
   }
   SECTION("the read fails too") {
     UpdateOperation mine(onTop(0, 3), kLimit, script.now + kDue);
@@ -180,7 +180,7 @@
   const std::size_t changes = script.changes;
   CHECK(script.carry(onTop(2, 3)) == UpdateResult::Unknown);
   CHECK(script.carry(onTop(2, 3, "rival")) == UpdateResult::Unknown);
-  CHECK(script.carry(onTop(5, 6)) == UpdateResult::Leases);
+  CHECK(script.carry(onTop(5, 6)) == UpdateResult::AlreadyTaken);
   CHECK(script.carry(onTop(5, 6, "rival")) == UpdateResult::Stale);
   CHECK(script.carry(onTop(2, kTakenKept + 9)) == UpdateResult::Stale);
   CHECK(script.changes == changes);
@@ -231,7 +231,7 @@
     }
   }
   CHECK(high.done()->result == UpdateResult::Taken);
-  CHECK(low.done()->result == UpdateResult::Leases);
+  CHECK(low.done()->result == UpdateResult::AlreadyTaken);
   CHECK(platform::readConfiguration(script.value.body)->weights.at(ModelName{"m"}).value == "3");
   CHECK(script.carry(onTop(3, 4)) == UpdateResult::Taken);
   CHECK(platform::readConfiguration(script.value.body)->weights.at(ModelName{"m"}).value == "3");
@@ -242,7 +242,7 @@
     return platform::answerOf({result, "why"}).result_int();
   };
   CHECK(statusOf(UpdateResult::Taken) == 200);
-  CHECK(statusOf(UpdateResult::Leases) == 200);
+  CHECK(statusOf(UpdateResult::AlreadyTaken) == 200);
   CHECK(statusOf(UpdateResult::Refused) == 400);
   CHECK(statusOf(UpdateResult::Stale) == 412);
   CHECK(statusOf(UpdateResult::TooLarge) == 413);
@@ -327,7 +327,7 @@
       REQUIRE(b3.updateOperation.done());
       const auto isYes = [](const Call& call) {
         const UpdateResult result = call.updateOperation.done()->result;
-        return result == UpdateResult::Taken || result == UpdateResult::Leases;
+        return result == UpdateResult::Taken || result == UpdateResult::AlreadyTaken;
       };
       const auto isNo = [](const Call& call) {
         return call.updateOperation.done()->result == UpdateResult::Stale;
