--- a/src/agent/agent.cpp
+++ b/src/agent/agent.cpp
@@ -14,7 +14,6 @@
 constexpr Span kPollEvery = 400ms;
 constexpr Span kListDue = 800ms;
 constexpr Span kHealthySpan = 1500ms;
-constexpr Span kNamedLongAgo = 24h;
 constexpr char kDiskClosed[] =
     "the data folder can't be written now: no register replica votes here; make room, it is tried "
     "again each second";
@@ -274,12 +273,7 @@
   for (const auto& [name, row] : servers_) {
     if (row.state) snapshot.servers.push_back(toSnapshot(stateOf(row, now), now));
   }
-  if (!configuration_) return snapshot;
-  for (const auto& [model, weights] : configuration_->weights) {
-    const auto named = core_->weightsNamed().ago(model, now).value_or(kNamedLongAgo);
-    snapshot.weightsNamedAgoMicros.emplace_back(
-        model, std::chrono::duration_cast<std::chrono::microseconds>(named).count());
-  }
+  snapshot.superseded = core_->weights().tell(now);
   return snapshot;
 }
 
--- a/src/agent/agent.h
+++ b/src/agent/agent.h
@@ -68,7 +68,7 @@
   awaitable<void> pollLoop(ServerName server, std::uint64_t life);
   void takeTold(Polled& row, Instant readAt) const;
   void tickOrders(Instant now);
-  RolloutView rolloutView(const ModelName& model, const WeightsVersion& wanted, Instant now) const;
+  RolloutView rolloutView(const ModelName& model, Instant now) const;
   void applyRollout(const ModelName& model, const RolloutEffects& made, Instant now);
   std::string orderOwner() const;
   // `decidedAt` is when the lease was last seen to outlast the order.
--- a/src/agent/core/agent_core.cpp
+++ b/src/agent/core/agent_core.cpp
@@ -131,7 +131,8 @@
     sendListAnswers(std::move(sends), now, effects);
   } else if (const auto* told = std::get_if<ListAnswer>(&envelope.body)) {
     std::vector<Envelope> sends;
-    if (const auto toldAt = list_.onAnswer(*told, now, &sends)) named_.take(told->named, *toldAt);
+    if (const auto toldAt = list_.onAnswer(*told, now, &sends))
+      weights_.take(told->superseded, *toldAt);
     sendListAnswers(std::move(sends), now, effects);
   } else if (const auto* note = std::get_if<ServerNote>(&envelope.body)) {
     notes_.take(*note, now);
@@ -251,7 +252,8 @@
 
 void AgentCore::sendListAnswers(std::vector<Envelope> sends, Instant now, AgentEffects* effects) {
   for (Envelope& envelope : sends) {
-    if (auto* answer = std::get_if<ListAnswer>(&envelope.body)) answer->named = named_.tell(now);
+    if (auto* answer = std::get_if<ListAnswer>(&envelope.body))
+      answer->superseded = weights_.tell(now);
     effects->sends.push_back(std::move(envelope));
   }
 }
--- a/src/agent/core/agent_core.h
+++ b/src/agent/core/agent_core.h
@@ -11,7 +11,7 @@
 #include "agent/core/news.h"
 #include "agent/core/server_list.h"
 #include "agent/core/server_notes.h"
-#include "agent/core/weights_named.h"
+#include "agent/core/weights_histories.h"
 #include "register/epoch_sweep.h"
 #include "register/proposer.h"
 #include "register/replica.h"
@@ -108,13 +108,15 @@
   // What this daemon learned of a server whose weights it orders, told to all that live.
   void tellNote(const ServerNote& note, Instant now, AgentEffects* effects);
   const ServerNotes& notes() const { return notes_; }
-  // The configuration in force names these weights; `before` is when it was not in force for
-  // certain.
+  // The configuration in force names these weights. `confirmedAt`: when the one before it was
+  // certainly still the newest.
   void nameWeights(const std::map<ModelName, WeightsVersion>& weights,
-                   std::optional<Instant> before) {
-    named_.onConfiguration(weights, before);
+                   std::optional<Instant> confirmedAt) {
+    weights_.onConfiguration(weights, confirmedAt);
   }
-  const WeightsNamed& weightsNamed() const { return named_; }
+  // Weights that were superseded before `before` are used no more.
+  void forgetWeightsBefore(Instant before) { weights_.forgetBefore(before); }
+  const WeightsHistories& weights() const { return weights_; }
   const Freshness& freshness() const { return freshness_; }
   std::vector<NewsItem> live(Instant now) const { return news_.live(now); }
   const AgentSettings& settings() const { return settings_; }
@@ -199,7 +201,7 @@
   ServerList list_;
   ListPeers listPeers_;  // as of the last time that it was due to be made anew
   ServerNotes notes_;
-  WeightsNamed named_;
+  WeightsHistories weights_;
   std::map<OperationId, Purpose> purposes_;  // one row per operation under way
   std::uint64_t operationCounter_ = 0;
   // Copy work handed out and not yet done; past the limit the replica takes no more messages, so a
--- a/src/agent/core/rollout.cpp
+++ b/src/agent/core/rollout.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <cmath>
+#include <tuple>
 
 #include "base/digest.h"
 
@@ -20,13 +21,7 @@
 constexpr double kPlanned = 0.75;  // of the bound: the rest is for what goes wrong
 constexpr double kForced = 0.8;  // of the bound: from here on, half of a model's servers may switch
 
-// Names go by address, and so by zone; hashes mix them, so that no zone loses all its servers.
-std::vector<RolloutServer> inTurn(std::vector<RolloutServer> servers) {
-  std::sort(servers.begin(), servers.end(), [](const auto& a, const auto& b) {
-    return stableHash(a.name.value) < stableHash(b.name.value);
-  });
-  return servers;
-}
+double secondsOf(Span span) { return std::chrono::duration<double>(span).count(); }
 }  // namespace
 
 const char* orderAnswerName(OrderAnswer answer) {
@@ -50,8 +45,9 @@
 }
 
 bool Rollout::wantsLease(const RolloutView& view) const {
-  return std::any_of(view.servers.begin(), view.servers.end(),
-                     [&](const RolloutServer& s) { return isBehindHere(s, view.wanted); });
+  return std::any_of(view.servers.begin(), view.servers.end(), [&](const RolloutServer& s) {
+    return isBehindHere(s, view.weights.newest());
+  });
 }
 
 bool Rollout::isIdle() const { return switchingCount() == 0; }
@@ -66,24 +62,56 @@
   }));
 }
 
-// As many as the time left for those that are behind makes necessary. More than a third only when
-// the bound is near; past it no request begins on old weights any more, so nothing is spared.
-std::size_t Rollout::mostAtOnce(const RolloutView& view) const {
-  const auto usable = static_cast<std::size_t>(std::count_if(
-      view.servers.begin(), view.servers.end(), [](const RolloutServer& s) { return s.usable; }));
-  const auto behind = static_cast<std::size_t>(
-      std::count_if(view.servers.begin(), view.servers.end(),
-                    [&](const RolloutServer& s) { return isBehindHere(s, view.wanted); }));
-  const double ago = std::chrono::duration<double>(view.namedAgo).count();
-  const double due = std::chrono::duration<double>(settings_.due).count();
-  if (ago >= due) return std::max<std::size_t>(1, usable);
-  std::size_t cap = std::max<std::size_t>(1, usable / 3);
-  if (ago >= due * kForced) cap = std::max(cap, (usable + 1) / 2);
-  const double left = due * kPlanned - ago;
-  if (left <= 0) return cap;
-  const double work =
-      static_cast<double>(behind) * std::chrono::duration<double>(switchSpan_).count();
-  return std::clamp<std::size_t>(static_cast<std::size_t>(std::ceil(work / left)), 1, cap);
+Span Rollout::timeLeft(const RolloutServer& server, const RolloutView& view, Instant now) const {
+  const Instant until = view.weights.usableUntil(weightsOf(server), settings_.due);
+  if (until <= now) return Span{};
+  return std::min(until - now, settings_.due);
+}
+
+// Those with the least time left come first. Among equals, names go by address, and so by zone;
+// hashes mix them, so that no zone loses all its servers.
+std::vector<Rollout::Waiting> Rollout::waitingServers(const RolloutView& view, Instant now) const {
+  std::vector<Waiting> waiting;
+  for (const RolloutServer& server : view.servers) {
+    if (isBehindHere(server, view.weights.newest()))
+      waiting.push_back({&server, timeLeft(server, view, now)});
+  }
+  std::sort(waiting.begin(), waiting.end(), [](const Waiting& a, const Waiting& b) {
+    return std::make_tuple(a.left, stableHash(a.server->name.value)) <
+           std::make_tuple(b.left, stableHash(b.server->name.value));
+  });
+  return waiting;
+}
+
+// A server that answers nothing serves nobody either: it is no reason to spare another.
+bool Rollout::holdsPlace(const Row& row) { return row.open || (row.switching && !row.isUnclear); }
+
+// As many as the time left makes necessary: of the servers up to each one that waits, all have to
+// be done before that one is due.
+std::size_t Rollout::mostAtOnce(const std::vector<Waiting>& waiting) const {
+  const double reserve = secondsOf(settings_.due) * (1 - kPlanned);
+  std::size_t most = 1;
+  for (std::size_t count = 1; count <= waiting.size(); ++count) {
+    const double planned = secondsOf(waiting[count - 1].left) - reserve;
+    const double work = static_cast<double>(count) * secondsOf(switchSpan_);
+    const bool isAllAtOnce = planned * static_cast<double>(count) <= work;
+    most =
+        std::max(most, isAllAtOnce ? count : static_cast<std::size_t>(std::ceil(work / planned)));
+  }
+  return most;
+}
+
+// Whether one more server may switch now beside `switching` others. More than a third of the usable
+// ones do so only for a server whose own bound is near: loads that run at once slow each other
+// down, so those with more time left would be in its way. Past its bound a server serves nobody
+// until it is switched, so nothing is spared.
+bool Rollout::maySwitch(const Waiting& next, std::size_t switching, std::size_t most,
+                        std::size_t usable, Instant now) const {
+  if (next.left <= Span{}) return true;
+  const bool isNear = secondsOf(next.left) <= secondsOf(settings_.due) * (1 - kForced);
+  if (!isNear && now < nextStart_) return false;
+  const std::size_t cap = std::max<std::size_t>(1, isNear ? (usable + 1) / 2 : usable / 3);
+  return switching < std::min(most, cap);
 }
 
 // A fence that follows the last own one directly was taken from nobody else.
@@ -121,15 +149,56 @@
   row.switching = row.open = true;
   row.again = false;
   row.orderedAt = now;
-  row.ordered = view.wanted;
+  row.ordered = view.weights.newest();
   row.fence = *view.fence;
-  effects->orders.push_back({server.name, server.identity, view.wanted, *view.fence});
+  effects->orders.push_back({server.name, server.identity, row.ordered, *view.fence});
   note(server.name, row, {}, now, effects);
 }
 
+// Goes on with an order that was given before.
+void Rollout::follow(const RolloutServer& server, const RolloutView& view, Row& row, Instant now,
+                     RolloutEffects* effects) {
+  if (!row.switching) return;
+  if (!row.open && now - row.orderedAt > kStuckSpan) {
+    row.switching = false;
+    row.nextOrder = now + kOrderAgain;
+    note(server.name, row, {}, now, effects);
+    return;
+  }
+  if (!row.open && row.again && now >= row.nextOrder && server.usable && mayOrder(view, now))
+    order(server, view, now, effects);
+  if (!view.fence) return;
+  if (now - row.notedAt >= kNoteEvery) note(server.name, row, {}, now, effects);
+  if (!row.open && !row.asking && !row.again && now >= row.nextQuestion) {
+    row.asking = true;
+    row.nextQuestion = now + kQuestionEvery;
+    effects->questions.push_back({server.name, row.identity});
+  }
+}
+
+// Orders as many of those that wait as may switch beside `switching` others.
+void Rollout::begin(const RolloutView& view, std::size_t switching, Instant now,
+                    RolloutEffects* effects) {
+  const std::vector<Waiting> waiting = waitingServers(view, now);
+  const std::size_t most = mostAtOnce(waiting);
+  const auto usable = static_cast<std::size_t>(std::count_if(
+      view.servers.begin(), view.servers.end(), [](const RolloutServer& s) { return s.usable; }));
+  for (const Waiting& next : waiting) {
+    if (!maySwitch(next, switching, most, usable, now)) break;
+    const RolloutServer& server = *next.server;
+    const auto row = rows_.find(server.name);
+    const bool ours = row != rows_.end();
+    if (ours && (row->second.switching || row->second.open || now < row->second.nextOrder))
+      continue;
+    // Where another holder's order is being done, ours takes its place and no further one.
+    if (!server.switching) ++switching;
+    order(server, view, now, effects);
+    nextStart_ = now + switchSpan_ / static_cast<Span::rep>(most);
+  }
+}
+
 void Rollout::onTick(const RolloutView& view, Instant now, RolloutEffects* effects) {
   meetFence(view, now);
-  wanted_ = view.wanted;
   std::erase_if(rows_, [&](const auto& row) {
     return std::none_of(view.servers.begin(), view.servers.end(), [&](const RolloutServer& s) {
       return s.name == row.first && s.identity == row.second.identity;
@@ -138,42 +207,13 @@
   std::size_t switching = 0;
   for (const RolloutServer& server : view.servers) {
     const auto entry = rows_.find(server.name);
-    if (entry == rows_.end()) {
-      switching += server.switching ? 1 : 0;
-      continue;
-    }
-    Row& row = entry->second;
-    if (row.switching && !row.open && now - row.orderedAt > kStuckSpan) {
-      row.switching = false;
-      row.nextOrder = now + kOrderAgain;
-      note(server.name, row, {}, now, effects);
-    }
-    if (row.switching && !row.open && row.again && now >= row.nextOrder && server.usable &&
-        mayOrder(view, now))
-      order(server, view, now, effects);
-    if (row.switching && now - row.notedAt >= kNoteEvery && view.fence)
-      note(server.name, row, {}, now, effects);
-    if (row.switching && !row.open && !row.asking && !row.again && view.fence &&
-        now >= row.nextQuestion) {
-      row.asking = true;
-      row.nextQuestion = now + kQuestionEvery;
-      effects->questions.push_back({server.name, row.identity});
-    }
-    switching += row.switching || row.open || server.switching ? 1 : 0;
-  }
-  if (!mayOrder(view, now)) return;
-  const std::size_t most = mostAtOnce(view);
-  for (const RolloutServer& server : inTurn(view.servers)) {
-    if (switching >= most) break;
-    if (!isBehindHere(server, view.wanted)) continue;
-    const auto row = rows_.find(server.name);
-    const bool ours = row != rows_.end();
-    if (ours && (row->second.switching || row->second.open || now < row->second.nextOrder))
-      continue;
-    // Where another holder's order is being done, ours takes its place and no further one.
-    if (ours || !server.switching) ++switching;
-    order(server, view, now, effects);
+    if (entry != rows_.end()) follow(server, view, entry->second, now, effects);
+    // Notes of our own orders tell nothing beyond our own row.
+    const bool isOurs = entry != rows_.end() && (entry->second.switching || entry->second.open);
+    const bool counts = isOurs ? holdsPlace(entry->second) : server.switching;
+    switching += counts ? 1 : 0;
   }
+  if (mayOrder(view, now)) begin(view, switching, now, effects);
 }
 
 void Rollout::onOrderAnswer(const WeightsOrder& order, OrderAnswer answer, Instant now,
@@ -184,6 +224,7 @@
     return;
   Row& row = entry->second;
   row.open = false;
+  row.isUnclear = answer == OrderAnswer::Unclear;
   row.answeredAt = now;
   row.nextQuestion = now + kQuestionEvery;
   if (answer != OrderAnswer::NotKnown) row.notKnown = 0;
@@ -196,6 +237,7 @@
       return;  // its report will tell
     case OrderAnswer::AlreadyHolds:
       row.switching = false;  // it did not switch now, so this tells nothing of how long that takes
+      nextStart_ = std::min(nextStart_, now);
       return finish(order.server, row, order.weights, now, effects);
     case OrderAnswer::Busy:
       return;  // the same: once it is busy no more, it may still be behind
@@ -212,6 +254,7 @@
       break;
   }
   row.switching = false;
+  nextStart_ = std::min(nextStart_, now);  // nothing was begun there
   note(order.server, row, {}, now, effects);
 }
 
@@ -221,13 +264,13 @@
   if (entry == rows_.end() || entry->second.identity != asked.identity) return;
   Row& row = entry->second;
   row.asking = false;
+  if (report) row.isUnclear = false;
   if (!report || !row.switching || row.open || report->busy) return;
-  if (!isBehind(report->weights, row.ordered)) {
-    if (!isBehind(report->weights, wanted_))
-      return finish(asked.server, row, report->weights, now, effects);
-    row.again = true;  // newer weights were named meanwhile
-    row.nextOrder = now;
-  } else if (askedAt >= row.answeredAt + kReportLag) {
+  // Where newer weights were named meanwhile it serves on these until its turn comes again: one
+  // that went on at once might never serve, and keep the place of those with less time left.
+  if (!isBehind(report->weights, row.ordered))
+    return finish(asked.server, row, report->weights, now, effects);
+  if (askedAt >= row.answeredAt + kReportLag) {
     row.again = true;  // the order was not taken, or has come to nothing
     row.nextOrder = now;
   }
--- a/src/agent/core/rollout.h
+++ b/src/agent/core/rollout.h
@@ -1,7 +1,8 @@
 #pragma once
-// Brings one model's servers to the weights that were named last. It orders only under a lease, and
-// no more servers at a time than the time left for the rest makes necessary, for a server that
-// switches serves nobody.
+// Brings one model's servers to the weights that were named last, each before the first naming that
+// superseded its own weights is too long ago: the server with the least time left goes first. It
+// orders only under a lease, and no more servers at a time than the time left for the rest makes
+// necessary, for a server that switches serves nobody.
 #include <map>
 #include <optional>
 #include <vector>
@@ -9,6 +10,7 @@
 #include "agent/core/server_notes.h"
 #include "base/clock.h"
 #include "base/types.h"
+#include "base/weights_version.h"
 
 namespace quayrill {
 
@@ -32,7 +34,7 @@
 };
 
 struct RolloutSettings {
-  Span due{};           // of the naming: by then every server is to begin on the new weights
+  Span due{};           // of a naming: by then no server is to begin on weights older than it
   Span takeoverWait{};  // after a lease was taken over, before the first order under it
 };
 
@@ -45,8 +47,7 @@
 };
 
 struct RolloutView {
-  WeightsVersion wanted;
-  Span namedAgo{};
+  WeightsHistory weights;              // of the model
   std::vector<RolloutServer> servers;  // all of the model that are listed
   std::optional<Fence> fence;          // while the lease is sure to outlast an order
 };
@@ -100,16 +101,32 @@
     std::optional<WeightsVersion> reached;  // seen there after an order
     Fence fence;
     bool switching = false, open = false, asking = false;
-    bool again = false;                     // the last order was not taken, or is outdated
+    bool isUnclear = false;  // neither the last order was answered nor a question since
+    bool again = false;      // the last order was not taken
     std::optional<WeightsVersion> refused;  // not ordered again in this life
     std::uint32_t notKnown = 0;             // answers of that kind in a row
     Instant begunAt, orderedAt, answeredAt, nextOrder, nextQuestion, notedAt;
   };
+  // A server that is behind, and how long requests may still begin on its weights.
+  struct Waiting {
+    const RolloutServer* server;
+    Span left;
+  };
   WeightsVersion weightsOf(const RolloutServer& server) const;
   bool isBehindHere(const RolloutServer& server, const WeightsVersion& wanted) const;
   bool mayOrder(const RolloutView& view, Instant now) const;
-  std::size_t mostAtOnce(const RolloutView& view) const;
+  // Zero where none is left.
+  Span timeLeft(const RolloutServer& server, const RolloutView& view, Instant now) const;
+  // One of those that may switch at once.
+  static bool holdsPlace(const Row& row);
+  std::vector<Waiting> waitingServers(const RolloutView& view, Instant now) const;
+  std::size_t mostAtOnce(const std::vector<Waiting>& waiting) const;
+  bool maySwitch(const Waiting& next, std::size_t switching, std::size_t most, std::size_t usable,
+                 Instant now) const;
   void meetFence(const RolloutView& view, Instant now);
+  void follow(const RolloutServer& server, const RolloutView& view, Row& row, Instant now,
+              RolloutEffects* effects);
+  void begin(const RolloutView& view, std::size_t switching, Instant now, RolloutEffects* effects);
   void order(const RolloutServer& server, const RolloutView& view, Instant now,
              RolloutEffects* effects);
   void finish(const ServerName& server, Row& row, const WeightsVersion& weights, Instant now,
@@ -121,11 +138,13 @@
   ModelName model_;
   RolloutSettings settings_;
   std::map<ServerName, Row> rows_;  // of listed servers only
-  WeightsVersion wanted_;
   std::optional<Fence> lastFence_;
   Fence fencedOff_;
   Instant mayOrderAt_{};
   Span switchSpan_ = std::chrono::milliseconds(2500);  // from order to new weights, by experience
+  // Starts are spread over the time that one switch takes: servers in step would all wait for
+  // their streams at the same time, and then share the loading.
+  Instant nextStart_{};
   std::uint64_t noteSequence_ = 0;
 };
 
--- a/src/agent/core/server_notes.cpp
+++ b/src/agent/core/server_notes.cpp
@@ -1,7 +1,6 @@
 #include "agent/core/server_notes.h"
 
 #include <algorithm>
-#include <charconv>
 #include <set>
 #include <tuple>
 
@@ -15,23 +14,8 @@
 // Versions without an order: the list and the servers' own word show a switch within this.
 constexpr Span kUnorderedSpan = 3s;
 constexpr Span kKeepSpan = 10s;
-
-std::optional<std::uint64_t> numberOf(const WeightsVersion& version) {
-  std::uint64_t number = 0;
-  const std::string& text = version.value;
-  const auto [end, error] = std::from_chars(text.data(), text.data() + text.size(), number);
-  if (error != std::errc{} || end != text.data() + text.size()) return std::nullopt;
-  return number;
-}
 }  // namespace
 
-bool isBehind(const WeightsVersion& version, const WeightsVersion& wanted) {
-  const auto number = numberOf(version);
-  const auto wantedNumber = numberOf(wanted);
-  if (number && wantedNumber) return *number < *wantedNumber;
-  return version != wanted;
-}
-
 void ServerNotes::take(const ServerNote& note, Instant now) {
   signs_[note.model] = now;
   Row& row = rows_[note.server];
--- a/src/agent/core/server_notes.h
+++ b/src/agent/core/server_notes.h
@@ -6,13 +6,11 @@
 #include <vector>
 
 #include "base/clock.h"
+#include "base/weights_version.h"
 #include "peers/messages.h"
 
 namespace quayrill {
 
-// Versions that are numbers rise and never fall; any other is behind as soon as it differs.
-bool isBehind(const WeightsVersion& version, const WeightsVersion& wanted);
-
 struct ServerKnown {
   WeightsVersion weights;
   bool switching = false;  // it takes nothing until its weights are there
--- /dev/null
+++ b/src/agent/core/weights_histories.cpp
@@ -0,0 +1,47 @@
+#include "agent/core/weights_histories.h"
+
+#include <algorithm>
+
+namespace quayrill {
+
+void WeightsHistories::onConfiguration(const std::map<ModelName, WeightsVersion>& weights,
+                                       std::optional<Instant> confirmedAt) {
+  std::erase_if(rows_, [&](const auto& row) { return !weights.contains(row.first); });
+  for (const auto& [model, version] : weights) rows_[model].name(version, confirmedAt);
+}
+
+void WeightsHistories::take(const std::vector<SupersededWeights>& superseded, Instant toldAt) {
+  for (const SupersededWeights& told : superseded) {
+    const auto row = rows_.find(told.model);
+    if (row == rows_.end() || told.agoMicros < 0) continue;
+    row->second.noteNewestAt(told.weights, toldAt - std::chrono::microseconds(told.agoMicros));
+  }
+}
+
+std::vector<SupersededWeights> WeightsHistories::tell(Instant now) const {
+  std::vector<SupersededWeights> told;
+  for (const auto& [model, history] : rows_) {
+    for (const auto& [version, newestAt] : history.superseded()) {
+      const auto ago = std::chrono::ceil<std::chrono::microseconds>(now - newestAt);
+      told.push_back({model, version, ago.count()});
+    }
+  }
+  return told;
+}
+
+void WeightsHistories::forgetBefore(Instant before) {
+  for (auto& [model, history] : rows_) history.forgetBefore(before);
+}
+
+const WeightsHistory* WeightsHistories::of(const ModelName& model) const {
+  const auto row = rows_.find(model);
+  return row == rows_.end() ? nullptr : &row->second;
+}
+
+Instant WeightsHistories::usableUntil(const ModelName& model, const WeightsVersion& weights,
+                                      Span bound) const {
+  const WeightsHistory* history = of(model);
+  return history ? history->usableUntil(weights, bound) : Instant::max();
+}
+
+}  // namespace quayrill
--- a/src/agent/orders.cpp
+++ b/src/agent/orders.cpp
@@ -21,11 +21,9 @@
   return name + "/" + std::to_string(core_->settings().nonce);
 }
 
-RolloutView Agent::rolloutView(const ModelName& model, const WeightsVersion& wanted,
-                               Instant now) const {
+RolloutView Agent::rolloutView(const ModelName& model, Instant now) const {
   RolloutView view;
-  view.wanted = wanted;
-  view.namedAgo = core_->weightsNamed().ago(model, now).value_or(settings_.rolloutDue);
+  if (const WeightsHistory* history = core_->weights().of(model)) view.weights = *history;
   for (const auto& [name, row] : servers_) {
     if (!row.state || row.state->model != model) continue;
     const ServerState state = stateOf(row, now);
@@ -39,14 +37,15 @@
 }
 
 void Agent::tickOrders(Instant now) {
+  core_->forgetWeightsBefore(now - settings_.rolloutDue);
   if (!configuration_) return;
   std::erase_if(rollouts_,
                 [&](const auto& row) { return !configuration_->weights.contains(row.first); });
-  for (const auto& [model, wanted] : configuration_->weights) {
+  for (const auto& [model, newest] : configuration_->weights) {
     // The lease itself waits a lease out before it counts.
     const RolloutSettings rolloutSettings{settings_.rolloutDue, Span{}};
     Rollout& rollout = rollouts_.try_emplace(model, model, rolloutSettings).first->second;
-    const RolloutView view = rolloutView(model, wanted, now);
+    const RolloutView view = rolloutView(model, now);
     const RegisterKey key = orderLease(model);
     AgentEffects effects;
     const auto held = core_->held(key, Span{}, now);
--- a/src/agent/snapshot.h
+++ b/src/agent/snapshot.h
@@ -30,12 +30,11 @@
   std::int64_t confirmedAgoMicros = -1;  // -1: never confirmed
   std::int64_t listedAgoMicros = -1;     // -1: never read from the platform
   std::vector<SnapshotServer> servers;
-  // Since the configuration's weights of each model were named: never less than it truly is, and a
-  // day where that is not known.
-  std::vector<std::pair<ModelName, std::int64_t>> weightsNamedAgoMicros;
+  // A version without a row was superseded any time ago.
+  std::vector<SupersededWeights> superseded;
   std::uint32_t proxies = 0;  // live daemons that take requests, as far as is known; this one too
   QUAYRILL_FIELDS(configurationVersion, configurationBody, confirmedAgoMicros, listedAgoMicros,
-                  servers, weightsNamedAgoMicros, proxies)
+                  servers, superseded, proxies)
 };
 
 SnapshotServer toSnapshot(const ServerState& state, Instant now);
--- a/src/agent/view.cpp
+++ b/src/agent/view.cpp
@@ -21,9 +21,9 @@
   next.listedAt = since(told.listedAgoMicros);
   next.servers.clear();
   for (const SnapshotServer& row : told.servers) next.servers.push_back(fromSnapshot(row, askedAt));
-  next.weightsNamedAt.clear();
-  for (const auto& [model, agoMicros] : told.weightsNamedAgoMicros)
-    next.weightsNamedAt[model] = askedAt - std::chrono::microseconds(agoMicros);
+  next.weights = {};
+  if (next.configuration) next.weights.onConfiguration(next.configuration->weights, std::nullopt);
+  next.weights.take(told.superseded, askedAt);
   return next;
 }
 
--- a/src/agent/view.h
+++ b/src/agent/view.h
@@ -4,6 +4,7 @@
 #include <map>
 #include <memory>
 
+#include "agent/core/weights_histories.h"
 #include "agent/snapshot.h"
 #include "configuration/configuration.h"
 
@@ -17,7 +18,13 @@
       confirmedAt{};   // the latest instant for which the configuration is known to be the newest
   Instant listedAt{};  // the same for the server list
   std::vector<ServerState> servers;
-  std::map<ModelName, Instant> weightsNamedAt;  // never later than they truly were
+  WeightsHistories weights;
+
+  // Until when requests may begin on that server's weights: `bound` after the first newer ones
+  // were named.
+  Instant usableUntil(const ServerState& server, Span bound) const {
+    return weights.usableUntil(server.model, server.weights, bound);
+  }
 };
 
 // The view that follows `before` by a snapshot asked for at `askedAt`. A configuration that can't
--- /dev/null
+++ b/src/base/weights_version.cpp
@@ -0,0 +1,59 @@
+#include "base/weights_version.h"
+
+#include <algorithm>
+#include <charconv>
+
+namespace quayrill {
+
+namespace {
+// Ours: namings within one bound that are told apart. Beyond that the oldest are forgotten.
+constexpr std::size_t kMostSuperseded = 64;
+}  // namespace
+
+std::optional<std::uint64_t> numberOf(const WeightsVersion& version) {
+  std::uint64_t number = 0;
+  const std::string& text = version.value;
+  const auto [end, error] = std::from_chars(text.data(), text.data() + text.size(), number);
+  if (error != std::errc{} || end != text.data() + text.size()) return std::nullopt;
+  return number;
+}
+
+bool isBehind(const WeightsVersion& version, const WeightsVersion& wanted) {
+  const auto number = numberOf(version);
+  const auto wantedNumber = numberOf(wanted);
+  if (number && wantedNumber) return *number < *wantedNumber;
+  return version != wanted;
+}
+
+void WeightsHistory::name(const WeightsVersion& weights, std::optional<Instant> confirmedAt) {
+  if (weights == newest_) return;
+  const WeightsVersion before = std::exchange(newest_, weights);
+  if (confirmedAt) noteNewestAt(before, *confirmedAt);
+}
+
+void WeightsHistory::noteNewestAt(const WeightsVersion& weights, Instant at) {
+  if (weights == newest_) return;
+  const auto [row, isNew] = newestAt_.try_emplace(weights, at);
+  if (!isNew) row->second = std::max(row->second, at);
+  if (newestAt_.size() <= kMostSuperseded) return;
+  newestAt_.erase(
+      std::min_element(newestAt_.begin(), newestAt_.end(),
+                       [](const auto& a, const auto& b) { return a.second < b.second; }));
+}
+
+void WeightsHistory::forgetBefore(Instant before) {
+  std::erase_if(newestAt_, [&](const auto& row) { return row.second < before; });
+}
+
+Instant WeightsHistory::usableUntil(const WeightsVersion& weights, Span bound) const {
+  if (!isBehind(weights, newest_)) return Instant::max();
+  // While an older version was the newest, this one was not superseded either.
+  std::optional<Instant> newestAt;
+  for (const auto& [version, at] : newestAt_) {
+    if (version != WeightsVersion{} && isBehind(weights, version)) continue;
+    newestAt = newestAt ? std::max(*newestAt, at) : at;
+  }
+  return newestAt ? *newestAt + bound : Instant::min();
+}
+
+}  // namespace quayrill
--- a/src/fleet/checker.cpp
+++ b/src/fleet/checker.cpp
@@ -56,6 +56,43 @@
   }
 }
 
+// Whether the server had weights by `due` that were named at `named` or later.
+bool hadWeightsSince(const Ledger& ledger, const std::string& server, Instant named, Instant due) {
+  const std::string& inEnd = ledger.serversAtEnd.at(server);
+  for (const auto& [weights, namedAt] : ledger.weightsNamedAt) {
+    if (namedAt < named) continue;
+    const auto row = ledger.weightsReachedAt.find(weights);
+    const bool switched = row != ledger.weightsReachedAt.end() && row->second.contains(server);
+    // One that had these weights all along need not switch.
+    if (switched ? row->second.at(server) <= due : inEnd == weights) return true;
+  }
+  return false;
+}
+
+// Each naming has its own bound, which no later one extends: by then every server has those weights
+// or newer ones, and nothing begins on older ones.
+void checkWeights(const Ledger& ledger, Instant trafficEnd, std::vector<Finding>* findings) {
+  for (const auto& [weights, named] : ledger.weightsNamedAt) {
+    for (const auto& [server, inEnd] : ledger.serversAtEnd) {
+      Instant due = named + kWeightsBound;
+      // One that came back since has the time from then.
+      if (const auto back = ledger.backAt.find(server); back != ledger.backAt.end())
+        due = std::max(due, back->second + kWeightsBound);
+      if (due > trafficEnd || hadWeightsSince(ledger, server, named, due)) continue;
+      findings->push_back({"weights-bound", server + " did not take " + weights + " within " +
+                                                millis(kWeightsBound)});
+    }
+    for (const RunRow& run : ledger.runs) {
+      const auto own = ledger.weightsNamedAt.find(run.weights);
+      const bool isOlder = own == ledger.weightsNamedAt.end() || own->second < named;
+      if (isOlder && run.at > named + kWeightsBound)
+        findings->push_back({"superseded-weights", run.nonce + " ran on " + run.weights + " " +
+                                                       millis(run.at - named) + " after " +
+                                                       weights + " were named"});
+    }
+  }
+}
+
 void checkBounds(const Ledger& ledger, Instant trafficEnd, std::vector<Finding>* findings) {
   for (const CallRow& call : ledger.calls) {
     const auto withdrawn = ledger.withdrawnAt.find(call.tenant);
@@ -80,27 +117,7 @@
                                                    " after it showed as leaving"});
     }
   }
-  for (const auto& [weights, named] : ledger.weightsNamedAt) {
-    const bool superseded = std::any_of(
-        ledger.weightsNamedAt.begin(), ledger.weightsNamedAt.end(), [&](const auto& other) {
-          return other.second > named && other.second < named + kWeightsBound;
-        });
-    if (superseded || trafficEnd < named + kWeightsBound) continue;
-    const auto row = ledger.weightsReachedAt.find(weights);
-    for (const auto& [server, inEnd] : ledger.serversAtEnd) {
-      Instant due = named + kWeightsBound;
-      // One that came back since has the time from then.
-      if (const auto back = ledger.backAt.find(server); back != ledger.backAt.end())
-        due = std::max(due, back->second + kWeightsBound);
-      if (due > trafficEnd) continue;
-      const bool switched = row != ledger.weightsReachedAt.end() && row->second.contains(server);
-      // One that had these weights all along need not switch.
-      const bool reached = switched ? row->second.at(server) <= due : inEnd == weights;
-      if (!reached)
-        findings->push_back({"weights-bound", server + " did not take " + weights + " within " +
-                                                  millis(kWeightsBound)});
-    }
-  }
+  checkWeights(ledger, trafficEnd, findings);
 }
 
 // Fences rise, and no two holders have an order open at one server at once.
--- a/src/peers/messages.h
+++ b/src/peers/messages.h
@@ -224,12 +224,12 @@
   std::int64_t knownAgoMicros = -1;  // since that reading began; -1: none
   QUAYRILL_FIELDS(sequence, knownDigest, knownAgoMicros)
 };
-// Weights that the configuration in force names. They were named less than agoMicros ago.
-struct NamedWeights {
+// Weights that were the newest of their model agoMicros ago at the latest, and are no more.
+struct SupersededWeights {
   ModelName model;
   WeightsVersion weights;
   std::int64_t agoMicros = 0;
-  bool operator==(const NamedWeights&) const = default;
+  bool operator==(const SupersededWeights&) const = default;
   QUAYRILL_FIELDS(model, weights, agoMicros)
 };
 // Spans are of the answering daemon's clock. No rows: they are those of the digest that was asked
@@ -240,8 +240,8 @@
   std::int64_t agoMicros = 0;   // since the reading began
   std::uint64_t digest = 0;     // of the reading's rows
   std::vector<ListRow> rows;
-  std::vector<NamedWeights> named;
-  QUAYRILL_FIELDS(sequence, heldMicros, agoMicros, digest, rows, named)
+  std::vector<SupersededWeights> superseded;
+  QUAYRILL_FIELDS(sequence, heldMicros, agoMicros, digest, rows, superseded)
 };
 // Who orders weights tells all daemons at once what it knows of a server. Notes of one server are
 // ordered by (fence, sequence).
--- a/src/placement/placement.cpp
+++ b/src/placement/placement.cpp
@@ -4,8 +4,8 @@
 #include <cmath>
 #include <tuple>
 
-#include "agent/core/server_notes.h"
 #include "base/digest.h"
+#include "base/weights_version.h"
 
 namespace quayrill {
 
@@ -41,10 +41,6 @@
   for (std::size_t i = 0; i + 1 < prefix.parts.size(); ++i) tokens += prefix.parts[i].tokens;
   return tokens;
 }
-bool isNumber(const WeightsVersion& weights) {
-  return !weights.value.empty() &&
-         weights.value.find_first_not_of("0123456789") == std::string::npos;
-}
 std::string nameSpaceName(const ServerState& state, const CacheSalt& salt) {
   return state.model.value + '\0' + state.weights.value + '\0' + salt.value;
 }
@@ -103,7 +99,7 @@
     const bool known = !row.state.identity.value.empty();
     const bool sameLife = known && row.state.identity == server.identity;
     const bool older = sameLife && isBehind(server.weights, row.state.weights) &&
-                       row.state.model == server.model && isNumber(server.weights);
+                       row.state.model == server.model && numberOf(server.weights);
     if (known && server.healthy && (!sameLife || (row.state.weights != server.weights && !older))) {
       dropTree(row);
       if (row.state.identity != server.identity) {
@@ -197,8 +193,7 @@
   for (auto& [name, row] : rows_) {
     const ServerState& state = row.state;
     if (!state.healthy || state.leaving || state.switching || asked.avoid.contains(name)) continue;
-    if (!asked.weightsNeeded.value.empty() && isBehind(state.weights, asked.weightsNeeded))
-      continue;
+    if (asked.mayUse && !asked.mayUse(state)) continue;
     if (!asked.service.value.empty() && state.service != asked.service) continue;
     if (state.model != asked.model && !(asked.model.value.empty() && !asked.service.value.empty()))
       continue;
@@ -213,7 +208,7 @@
     candidate.isNewest = std::none_of(open.begin(), open.end(), [&row = row](const auto& other) {
       return other.first->state.model == row->state.model &&
              isBehind(row->state.weights, other.first->state.weights) &&
-             isNumber(row->state.weights);
+             numberOf(row->state.weights);
     });
   }
   const double mean = loadSum / static_cast<double>(open.size());
--- a/src/placement/placement.h
+++ b/src/placement/placement.h
@@ -1,6 +1,7 @@
 #pragma once
 // The index and the choice of a server. One owner works on this table; nothing here blocks.
 #include <deque>
+#include <functional>
 #include <map>
 #include <optional>
 #include <set>
@@ -46,10 +47,10 @@
   TenantName tenant;
   CacheSalt salt;
   PromptPrefix prefix;
-  std::set<ServerName> avoid;      // tried already
-  bool overShare = false;          // its tenant leaves the last places to the others
-  ServiceName service{};           // "": any that serves the model
-  WeightsVersion weightsNeeded{};  // servers with older weights are out of the choice; "": none is
+  std::set<ServerName> avoid;  // tried already
+  bool overShare = false;      // its tenant leaves the last places to the others
+  ServiceName service{};       // "": any that serves the model
+  std::function<bool(const ServerState&)> mayUse{};  // the others are out; empty: none is
 };
 
 struct Candidate {
--- a/src/proxy/proxy.cpp
+++ b/src/proxy/proxy.cpp
@@ -69,12 +69,13 @@
 }
 
 // Asked right before a request's first byte leaves: what let it in must still stand.
-bool Proxy::mayRun(const Job& job, const ServerName& server) const {
+bool Proxy::mayRun(const Job& job, const ServerState& server) const {
   const auto seen = view();
   if (!isFresh(*seen, BootClock::now())) return false;
   if (!seen->configuration->tenantOfDigest.contains(job.digest)) return false;
   for (const ServerState& row : seen->servers) {
-    if (row.name == server) return !row.leaving;
+    if (row.name == server.name)
+      return !row.leaving && seen->usableUntil(server, settings_.rolloutDue) > BootClock::now();
   }
   return false;
 }
--- a/src/proxy/proxy.h
+++ b/src/proxy/proxy.h
@@ -50,7 +50,7 @@
 
   std::shared_ptr<const ProxyView> view() const;
   bool isFresh(const ProxyView& view, Instant now) const;
-  bool mayRun(const Job& job, const ServerName& server) const;
+  bool mayRun(const Job& job, const ServerState& server) const;
 
   awaitable<void> feedLoop();
   awaitable<void> eventLoop();
--- a/src/proxy/run.cpp
+++ b/src/proxy/run.cpp
@@ -12,6 +12,7 @@
 namespace {
 constexpr Span kFetchDue = 300ms;        // ours: past this, prefill is the better bet
 constexpr std::size_t kFetchGain = 256;  // ours: fewer tokens than this are not worth the calls
+constexpr Span kBeginsWithin = 2s;       // ours: from a request's sending to its first piece
 
 // The first try of what may be repeated leaves half of the time to another, where one could be
 // paid.
@@ -89,8 +90,13 @@
       late = true;
       break;
     }
-    const PlacementAsked asked{job.policy.model, job.tenant, job.salt,
-                               job.prefix,       tried,      job.entered.overShare};
+    PlacementAsked asked{job.policy.model, job.tenant, job.salt,
+                         job.prefix,       tried,      job.entered.overShare};
+    const auto seen = view();
+    // What is sent now may wait at the server before it begins.
+    asked.mayUse = [seen, bound = Span(settings_.rolloutDue)](const ServerState& server) {
+      return seen->usableUntil(server, bound) > BootClock::now() + kBeginsWithin;
+    };
     const std::function<std::optional<Placed>(Placement&)> place = [asked](Placement& placement) {
       return placement.place(asked, BootClock::now());
     };
@@ -117,16 +123,13 @@
     }
     const Fetched fetched = co_await fetch(job, placed);
 
-    Delivery delivery{job.id,
-                      placed.chosenServer,
-                      job.salt,
-                      formatPrefix(job.prefix),
-                      job.body,
-                      job.due,
-                      firstPieceDueOf(job.policy, job.entered, attempt, job.due)};
-    const ServerName chosenName = placed.chosenServer.name;
-    const std::function<bool()> mayStart = [this, &job, chosenName, wasSent] {
-      if (!mayRun(job, chosenName)) return false;
+    const Instant firstPieceDue =
+        std::min(firstPieceDueOf(job.policy, job.entered, attempt, job.due),
+                 view()->usableUntil(placed.chosenServer, settings_.rolloutDue));
+    Delivery delivery{job.id,  placed.chosenServer, job.salt, formatPrefix(job.prefix), job.body,
+                      job.due, firstPieceDue};
+    const std::function<bool()> mayStart = [this, &job, &placed, wasSent] {
+      if (!mayRun(job, placed.chosenServer)) return false;
       if (!wasSent)
         admission_.mustPost([model = job.policy.model](Admission& admission) {
           admission.countFirst(model, BootClock::now());
--- a/src/relay/attempt.cpp
+++ b/src/relay/attempt.cpp
@@ -66,6 +66,9 @@
   attempt.watch->signs = signsOf(server.name);
   attempt.watch->begun = now;
   attempt.watch->latest = job.deadline;
+  // Only a stream shows when it begins.
+  if (job.policy.isStream)
+    attempt.watch->mayBeginUntil = [this, &server] { return mayBeginUntil(server); };
   caller->endTry = [watch = attempt.watch] {
     ErrorCode ignored;
     if (watch->socket) watch->socket->close(ignored);
@@ -100,8 +103,9 @@
   if (result.end != TryEnd::Done && caller->isGone)
     co_return TryResult{TryEnd::CallerGone, result.detail};
   if (attempt.watch->expired && result.end == TryEnd::Unknown) {
-    result.end = TryEnd::Silent;
-    result.detail = "silent";
+    if (!attempt.watch->isOutdated) result.end = TryEnd::Silent;
+    result.detail =
+        attempt.watch->isOutdated ? "its weights were superseded too long ago" : "silent";
   }
   if (sender.isWhole()) keepConnection(attempt, result);
   co_return result;
--- a/src/relay/attempt.h
+++ b/src/relay/attempt.h
@@ -6,6 +6,9 @@
 
 // Ours: a server that sent something this lately is alive.
 inline constexpr Span kSignsOfLife = std::chrono::milliseconds(500);
+// Ours: how often it is asked until when a request that waits at a server may begin there. Newer
+// weights may be named while it waits.
+inline constexpr Span kBeginningEvery = std::chrono::seconds(1);
 
 struct Relay::Attempt {
   // Outlives the timer's handler; `socket` is null once the try has ended.
@@ -15,7 +18,9 @@
     // Until the first event: a server that answered others since `begun` is given more time.
     std::shared_ptr<Instant> signs;
     Instant begun{}, latest{};
-    bool hasBegun = false, expired = false;
+    // Until when the request may begin at the server.
+    std::function<Instant()> mayBeginUntil = [] { return Instant::max(); };
+    bool hasBegun = false, expired = false, isOutdated = false;
     bool deservesMore(Instant now) const {
       return !hasBegun && now<latest&& * signs> begun && now - *signs < kSignsOfLife;
     }
@@ -35,12 +40,19 @@
 
   void arm(Instant deadline) {
     watch->deadline = deadline;
-    timer.expires_after(deadline - BootClock::now());
+    const Instant now = BootClock::now();
+    const Instant next = watch->hasBegun
+                             ? deadline
+                             : std::min({deadline, watch->mayBeginUntil(), now + kBeginningEvery});
+    timer.expires_after(std::max(next, now) - now);
     timer.async_wait([this, watch = watch](const ErrorCode& code) {
       if (code || !watch->socket) return;
       const Instant now = BootClock::now();
-      if (now < watch->deadline) return arm(watch->deadline);
-      if (watch->deservesMore(now)) return arm(std::min(watch->latest, now + kSignsOfLife));
+      watch->isOutdated = !watch->hasBegun && now >= watch->mayBeginUntil();
+      if (!watch->isOutdated) {
+        if (now < watch->deadline) return arm(watch->deadline);
+        if (watch->deservesMore(now)) return arm(std::min(watch->latest, now + kSignsOfLife));
+      }
       watch->expired = true;
       ErrorCode ignored;
       watch->socket->close(ignored);
--- a/src/relay/relay.cpp
+++ b/src/relay/relay.cpp
@@ -12,7 +12,12 @@
 using namespace std::chrono_literals;
 
 namespace {
-constexpr Span kBeginsWithin = 2s;    // ours: from a request's sending to its first token, at most
+// Ours: from a request's sending to its first token, as a rule. One that waits longer is ended when
+// its server's weights may be begun on no more.
+constexpr Span kBeginsWithin = 2s;
+// Ours: from a server's first token until it is seen here, and from a close here until the server
+// knows of it.
+constexpr Span kBeginningSlack = 200ms;
 constexpr Span kSilentSlack = 400ms;  // ours: beyond the route's target for a first event
 }  // namespace
 
@@ -73,7 +78,14 @@
   const auto row = viewRows_.find(server.name);
   if (row == viewRows_.end()) return false;
   const ServerState& now = seen.servers[row->second];
-  return !now.leaving && now.identity == server.identity;
+  return !now.leaving && now.identity == server.identity &&
+         mayBeginUntil(server) > BootClock::now();
+}
+
+// By the weights that a request for that server asks for.
+Instant Relay::mayBeginUntil(const ServerState& server) const {
+  const Instant until = view_->usableUntil(server, settings_.rolloutDue);
+  return until == Instant::max() || until == Instant::min() ? until : until - kBeginningSlack;
 }
 
 std::optional<Placed> Relay::place(const RelayRequest& job, const std::set<ServerName>& tried) {
@@ -81,12 +93,9 @@
   std::vector<SplitShare> left = job.split;
   const Instant now = BootClock::now();
   // What is sent now may wait at the server before it begins.
-  const auto named = view_->weightsNamedAt.find(job.model);
-  if (named != view_->weightsNamedAt.end() &&
-      now - named->second >= settings_.rolloutDue - kBeginsWithin) {
-    const auto wanted = view_->configuration->weights.find(job.model);
-    if (wanted != view_->configuration->weights.end()) asked.weightsNeeded = wanted->second;
-  }
+  asked.mayUse = [this, now](const ServerState& server) {
+    return mayBeginUntil(server) > now + kBeginsWithin;
+  };
   while (!left.empty()) {
     std::uint64_t sum = 0;
     for (const SplitShare& share : left) sum += share.weight;
--- a/src/relay/relay.h
+++ b/src/relay/relay.h
@@ -145,6 +145,7 @@
   void keepBudgets(std::size_t daemons, Instant now);
   std::optional<Placed> place(const RelayRequest& job, const std::set<ServerName>& tried);
   bool mayRun(const RelayRequest& job, const ServerState& server) const;
+  Instant mayBeginUntil(const ServerState& server) const;
   void noteOutcome(const ServerState& server, const TryResult& result);
   void record(const RelayRequest& job, const std::string& tries, const char* outcome);
 
--- a/tests/checker_tests.cpp
+++ b/tests/checker_tests.cpp
@@ -116,6 +116,34 @@
   CHECK(weights(0s) == "weights-bound");  // never
 }
 
+TEST_CASE("checker: each naming has its own bound, whatever is named within it") {
+  const auto named = [](Span reached, const std::string& inEnd) {
+    return rulesBroken([=](Ledger& l) {
+      l.serversAtEnd = {{"s", inEnd}};
+      l.weightsNamedAt = {{"w1", kStart}, {"w2", kStart + 10s}, {"w3", kStart + 20s}};
+      l.weightsReachedAt["w2"]["s"] = kStart + reached;
+      if (inEnd == "w3") l.weightsReachedAt["w3"]["s"] = kStart + 44s;
+    });
+  };
+  CHECK(named(24s, "w3").empty());  // w1 was passed over for w2
+  CHECK(named(26s, "w3") == "weights-bound");
+  CHECK(named(24s, "w2") == "weights-bound");  // w3 never came
+  const auto ran = [](const std::string& weights, Span after) {
+    return rulesBroken([=](Ledger& l) {
+      l.weightsNamedAt = {{"w1", kStart}, {"w2", kStart + 10s}, {"w3", kStart + 20s}};
+      for (RunRow& row : l.runs) row.weights = "w3";
+      l.runs.back().weights = weights;
+      l.runs.back().at = kStart + after;
+    });
+  };
+  CHECK(ran("w0", 24s).empty());
+  CHECK(ran("w0", 26s) == "superseded-weights");
+  CHECK(ran("w1", 34s).empty());
+  CHECK(ran("w1", 36s) == "superseded-weights");
+  CHECK(ran("w2", 46s) == "superseded-weights");
+  CHECK(ran("w3", 46s).empty());
+}
+
 TEST_CASE(
     "checker: one daemon or one way that never serves again is found, a hindered one is not") {
   const auto silent = [](auto error) {
--- a/tests/proxy_tests.cpp
+++ b/tests/proxy_tests.cpp
@@ -142,3 +142,42 @@
   asked.target = "/q/explain?id=none";
   CHECK(stage.call(asked).result_int() == 404);
 }
+
+namespace {
+// Has the proxy take the first server for one with weights that were the newest `ago`.
+void supersede(Stage* stage, std::chrono::microseconds ago) {
+  stage->tell([&](Snapshot& told) {
+    ++told.configurationVersion;
+    told.servers[0].weights = WeightsVersion{"w0"};
+    told.superseded = {{ModelName{"till"}, WeightsVersion{"w0"}, ago.count()},
+                       {ModelName{"till"}, WeightsVersion{"between"}, 1}};
+  });
+}
+const std::chrono::microseconds kWeightsBound = Settings{}.rolloutDue;
+}  // namespace
+
+TEST_CASE("proxy: past a version's own bound nothing begins on it, whatever was named since") {
+  Stage stage(1);
+  supersede(&stage, kWeightsBound + 1s);
+  eventually([&] { return stage.post("once").result_int() == 503; });
+  const int before = stage.arrivals();
+  CHECK(isTurnedAway(stage.post("once")));
+  CHECK(stage.arrivals() == before);
+  supersede(&stage, kWeightsBound - 10s);
+  eventually([&] { return stage.post("once").result_int() == 200; });
+  CHECK(stage.arrivals() == before + 1);
+}
+
+TEST_CASE("proxy: a request that waits at a server does not begin there past the bound") {
+  Stage stage(1);
+  supersede(&stage, kWeightsBound + 1s);
+  eventually([&] { return stage.post("once").result_int() == 503; });
+  stage.all(Act::Hang);
+  const int before = stage.arrivals();
+  supersede(&stage, kWeightsBound - 3s);
+  // Its own due is a minute, and the call waits for five seconds.
+  HttpResponse answer;
+  eventually([&] { return (answer = stage.post("slow")).result_int() != 503; });
+  CHECK(stage.arrivals() == before + 1);
+  CHECK(isUnknown(answer));
+}
--- /dev/null
+++ b/tests/relay_weights_tests.cpp
@@ -0,0 +1,118 @@
+// Which weights requests may begin on, and until when, in a whole relay.
+#include "relay_stage.h"
+
+using namespace quayrill;
+using namespace quayrill::tests;
+using namespace std::chrono_literals;
+
+namespace {
+const ModelName kModel{"m"};
+const std::chrono::microseconds kBound = Settings{}.rolloutDue;
+
+// Names `newest`; `superseded` tells how long ago each older version was the newest at least.
+void nameWeights(RelayStage* stage, const std::string& newest,
+                 const std::vector<std::pair<std::string, std::chrono::microseconds>>& superseded) {
+  stage->configuration.weights[kModel] = WeightsVersion{newest};
+  ++stage->told.configurationVersion;
+  stage->told.superseded.clear();
+  for (const auto& [version, ago] : superseded)
+    stage->told.superseded.push_back({kModel, WeightsVersion{version}, ago.count()});
+}
+}  // namespace
+
+TEST_CASE("relay: past a version's own bound nothing begins on it, whatever was named since") {
+  RelayStage stage(2);
+  nameWeights(&stage, "4", {{"1", kBound + 1s}, {"2", 8s}, {"3", 1s}});
+  stage.told.servers[1].weights = WeightsVersion{"2"};
+  stage.tell();
+  for (int i = 0; i < 12; ++i)
+    CHECK(statusOf(stage.post("/once/", "r" + std::to_string(i))) == 200);
+  CHECK(stage.servers[0]->seen().empty());
+  CHECK(stage.servers[1]->seen().size() == 12);
+}
+
+TEST_CASE("relay: a model that a request does not name is bound by its weights too") {
+  RelayStage stage(2);
+  nameWeights(&stage, "2", {{"1", kBound + 1s}});
+  stage.told.servers[1].weights = WeightsVersion{"2"};
+  stage.tell();
+  for (int i = 0; i < 8; ++i) {
+    const std::string id = "r" + std::to_string(i);
+    CHECK(statusOf(RelayStage::ask(stage.callers,
+                                   "POST /once/ HTTP/1.1\r\nHost: h.example\r\nX-Id: " + id +
+                                       "\r\nX-Key: key\r\nConnection: close\r\nContent-Length: "
+                                       "2\r\n\r\n{}")) == 200);
+  }
+  CHECK(stage.servers[0]->seen().empty());
+}
+
+TEST_CASE("relay: where the time of a naming is not known, the newest weights alone serve") {
+  RelayStage stage(2);
+  nameWeights(&stage, "2", {});
+  stage.tell();
+  const std::string refused = stage.post("/once/", "r1");
+  CHECK(statusOf(refused) == 503);
+  CHECK_FALSE(headerIn(refused, "Retry-After").empty());
+  CHECK(stage.arrivals() == 0);
+  stage.told.servers[1].weights = WeightsVersion{"2"};
+  stage.tell();
+  CHECK(statusOf(stage.post("/once/", "r2")) == 200);
+  CHECK(stage.servers[1]->seen().size() == 1);
+}
+
+TEST_CASE("relay: a request that waits at a server does not begin there past the bound") {
+  RelayStage stage(2);
+  // Nothing but the bound of the weights ends a try.
+  stage.configuration.policies[PolicyName{"/again/"}].target = 600s;
+  ++stage.told.configurationVersion;
+  stage.told.servers[1].leaving = true;
+  stage.tell();
+  stage.servers[0]->answer([](int, const std::string&) { return Reply{"", false, true}; });
+  stage.servers[1]->answer([](int, const std::string& request) {
+    return Reply{streamHead(request, "s2") + chunked({event(1)})};
+  });
+  const bool isRepeatable = GENERATE(false, true);
+  std::string answer;
+  std::thread caller([&] {
+    answer =
+        stage.post(isRepeatable ? "/again/" : "/once/", "r1", "X-Key: key\r\nX-Due: 600000\r\n");
+  });
+  eventually([&] { return stage.servers[0]->arrived == 1; });
+  // Newer weights were named meanwhile, and the bound of the old ones is near.
+  nameWeights(&stage, "2", {{"1", kBound - 500ms}});
+  stage.told.servers[1].weights = WeightsVersion{"2"};
+  stage.told.servers[1].leaving = false;
+  stage.tell();
+  caller.join();
+  CHECK(stage.servers[0]->seen().size() == 1);
+  if (isRepeatable) {
+    CHECK(statusOf(answer) == 200);
+    CHECK(headerIn(answer, "X-Seal") == "s2");
+    CHECK(endsWhole(answer));
+  } else {  // it may have run
+    CHECK(statusOf(answer) == 502);
+    CHECK(answer.find("superseded") != std::string::npos);
+    CHECK(stage.servers[1]->seen().empty());
+  }
+}
+
+TEST_CASE("relay: a stream that has begun goes on past the bound of its weights") {
+  RelayStage stage(1);
+  constexpr auto kLeft = 3500ms;  // more than a request that is sent now must have
+  nameWeights(&stage, "2", {{"1", kBound - kLeft}});
+  const Instant past = BootClock::now() + kLeft + 100ms;
+  stage.tell();
+  stage.servers[0]->pause = [past] {
+    while (BootClock::now() < past) std::this_thread::yield();
+  };
+  stage.servers[0]->answer([](int, const std::string& request) {
+    const std::string first = streamHead(request) + chunked({event(1)}, false);
+    Reply reply{first + chunked({event(2)})};
+    reply.cut = first.size();
+    return reply;
+  });
+  const std::string answer = stage.post("/once/", "r1");
+  CHECK(BootClock::now() >= past);
+  CHECK(statusOf(answer) == 200);
+  CHECK(endsWhole(answer));
+}
--- a/tests/rollout_tests.cpp
+++ b/tests/rollout_tests.cpp
@@ -98,3 +98,37 @@
   late.run(500ms);
   CHECK(late.mostSwitching == 6);
 }
+
+TEST_CASE("rollout: each version's own bound holds, whatever is named within it") {
+  struct Day {
+    Span load, due;
+    std::size_t namings;
+    Span gap;
+  };
+  for (const Day& day : {Day{1800ms, 15s, 3, 7s}, Day{1100ms, 12s, 3, 7s}, Day{1800ms, 15s, 7, 3s},
+                         Day{1100ms, 12s, 7, 3s}, Day{1800ms, 15s, 12, 2s}}) {
+    CAPTURE(day.due.count(), day.namings, day.gap.count());
+    Bench bench(18, day.load, day.due);
+    bench.holders[0].fence = Fence{7};
+    for (std::size_t i = 0; i < day.namings; ++i) {
+      bench.name(2 + i);
+      bench.run(day.gap);
+    }
+    bench.untilAllOn(1 + day.namings);
+    CHECK(bench.allOn(1 + day.namings));
+    CHECK(bench.longestBehind < day.due);
+    CHECK(bench.mostSwitching <= 9);
+  }
+}
+
+TEST_CASE("rollout: a server that reached a superseded version serves before it is ordered again") {
+  Bench bench(6, 1800ms, 15s);
+  bench.holders[0].fence = Fence{7};
+  // Never longer without a naming than a server takes to switch.
+  for (std::uint64_t version = 2; version < 12; ++version) {
+    bench.name(version);
+    bench.run(2s);
+  }
+  for (const Played& server : bench.servers) CHECK(server.orders >= 1);
+  CHECK(bench.longestBehind < 15s);
+}
