Roll-out: past the bound half of the servers switch at once, not all

Cause: servers past their bound were all ordered together. Loads share what they load from, so in the test's model 18 servers came back together after 11.3 s and more, later than an order is taken for stuck (10 s), so each was ordered twice (36 orders); nobody served until then. It comes when nobody held the leader role until the bound, and after a restart of the whole fleet, when no daemon knows the time of a naming.

--- a/src/agent/core/rollout.cpp
+++ b/src/agent/core/rollout.cpp
@@ -101,13 +101,12 @@
   return most;
 }
 
-// Whether one more server may switch now beside `switching` others. More than a third of the usable
-// ones do so only for a server whose own bound is near: loads that run at once slow each other
-// down, so those with more time left would be in its way. Past its bound a server serves nobody
-// until it is switched, so nothing is spared.
+// Whether one more server may switch now beside `switching` others. Loads that run at once slow
+// each other down, so more than a third of the usable ones do so only for a server whose own bound
+// is near or past, and never more than half: the first half then serves again before the rest
+// could.
 bool Rollout::maySwitch(const Waiting& next, std::size_t switching, std::size_t most,
                         std::size_t usable, Instant now) const {
-  if (next.left <= Span{}) return true;
   const bool isNear = secondsOf(next.left) <= secondsOf(settings_.due) * (1 - kForced);
   if (!isNear && now < nextStart_) return false;
   const std::size_t cap = std::max<std::size_t>(1, isNear ? (usable + 1) / 2 : usable / 3);
--- a/tests/relay_weights_tests.cpp
+++ b/tests/relay_weights_tests.cpp
@@ -116,3 +116,33 @@
   CHECK(statusOf(answer) == 200);
   CHECK(endsWhole(answer));
 }
+
+TEST_CASE("relay: a stream is taken up again on weights that may still be begun on") {
+  RelayStage stage(3);
+  stage.told.servers[1].leaving = stage.told.servers[2].leaving = true;
+  stage.tell();
+  // While the first server answers, newer weights are known to have been named long ago.
+  stage.servers[0]->answer([&](int, const std::string& request) {
+    nameWeights(&stage, "2", {{"1", kBound + 1s}});
+    stage.told.servers[1].leaving = stage.told.servers[2].leaving = false;
+    stage.told.servers[2].weights = WeightsVersion{"2"};
+    stage.relay->takeSnapshot(stage.told, BootClock::now());
+    const std::string first = streamHead(request) + chunked({event(1)}, false);
+    Reply reply{first + chunked({event(2), event(3)})};
+    reply.cut = first.size();
+    reply.breaks = Break::Closes;
+    return reply;
+  });
+  for (int i : {1, 2}) {
+    stage.servers[i]->answer([](int, const std::string& request) {
+      return Reply{streamHead(request) + chunked({event(2), event(3)})};
+    });
+  }
+  const std::string answer = stage.post("/again/", "r1");
+  CHECK(statusOf(answer) == 200);
+  CHECK(endsWhole(answer));
+  CHECK(stage.servers[1]->seen().empty());
+  REQUIRE(stage.servers[2]->seen().size() == 1);
+  CHECK(headerIn(stage.servers[2]->seen()[0], "Last-Event-Id") == "1");
+  CHECK(headerIn(stage.servers[2]->seen()[0], "X-Want-Weights") == "2");
+}
