Relay: an answer that comes as its time for a first event ends is not cut off by that

Cause: the timer for a first event closed the server's connection while the answer's head was already read and its first event lay in the buffer, with the coroutine queued behind the timer's handler.

Change: a timer that is due looks at what was read by then first; a head that was read, or bytes that wait, give the first event half a second; and once a connection was given up no first event goes out, so the request may go to another server.

The new test brings both about at once: the relay's thread stands still until the event is there and the time has passed.

--- a/src/relay/answer.cpp
+++ b/src/relay/answer.cpp
@@ -91,7 +91,10 @@
     const bool isSealed = names_.seal.empty() || head.find(names_.seal) != head.end();
     if (isOurs && isSuccess && !isSealed)
       co_return TryResult{TryEnd::Unknown, "a success without a seal"};
-    if (isOurs && isSuccess && attempt.job.policy.isStream) co_return co_await passEvents(attempt);
+    if (isOurs && isSuccess && attempt.job.policy.isStream) {
+      attempt.watch->headAt = BootClock::now();
+      co_return co_await passEvents(attempt);
+    }
     // Anything else is read whole before it is judged.
     auto body = co_await readBody(attempt);
     if (!body.ok()) co_return TryResult{TryEnd::Unknown, std::string(body.status().message())};
@@ -135,6 +138,8 @@
     parser.get().body().size = sizeof block;
     co_await http::async_read_some(socket, attempt.connection->buffer, parser, into(code));
     if (code == http::error::need_buffer) code = {};
+    // Once the connection was given up no first event goes out: the rest of the answer is lost.
+    if (attempt.watch->expired && !attempt.watch->hasBegun) code = asio::error::operation_aborted;
     if (code) break;
     *attempt.watch->signs = BootClock::now();
     const std::size_t got = sizeof block - parser.get().body().size;
--- a/src/relay/attempt.cpp
+++ b/src/relay/attempt.cpp
@@ -14,6 +14,40 @@
 constexpr Span kStoodStill = 100ms;
 }  // namespace
 
+void Relay::Attempt::arm(Instant deadline) {
+  watch->deadline = deadline;
+  const Instant now = BootClock::now();
+  const Instant until = watch->hasBegun ? Instant::max() : watch->mayBeginUntil();
+  Instant next = deadline;
+  if (!watch->hasBegun) next = std::min(next, now + kBeginningEvery);
+  if (until > now) next = std::min(next, until);
+  timer.expires_after(std::max(next, now) - now);
+  timer.async_wait([this, watch = watch](const ErrorCode& code) {
+    if (!code && watch->socket) onTimer();
+  });
+}
+
+// Ends the try where it is due. An answer that is there by then is never cut off by it: what was
+// read before is handled first, and events that follow a head are waited for.
+void Relay::Attempt::onTimer() {
+  const Instant now = BootClock::now();
+  watch->isOutdated = !watch->hasBegun && now >= watch->mayBeginUntil();
+  if (!watch->isOutdated && now < watch->deadline) return arm(watch->deadline);
+  if (!watch->hasBegun) {
+    if (!std::exchange(watch->isPutOff, true))
+      return asio::post(timer.get_executor(), [this, watch = watch] {
+        if (watch->socket) onTimer();
+      });
+    watch->isPutOff = false;
+    const bool isAlive =
+        watch->isAnswering(now) || (!watch->isOutdated && watch->deservesMore(now));
+    if (isAlive) return arm(std::min(watch->latest, now + kSignsOfLife));
+  }
+  watch->expired = true;
+  ErrorCode ignored;
+  watch->socket->close(ignored);
+}
+
 // Asked right before bytes of the request leave. "" lets them.
 std::string Relay::whyNot(const Caller& caller, const RelayRequest& job, const ServerState& server,
                           Instant now) const {
--- a/src/relay/attempt.h
+++ b/src/relay/attempt.h
@@ -18,11 +18,17 @@
     // Until the first event: a server that answered others since `begun` is given more time.
     std::shared_ptr<Instant> signs;
     Instant begun{}, latest{};
+    Instant headAt{};  // when the head of its own success was read: the first event is close behind
     // Until when the request may begin at the server.
     std::function<Instant()> mayBeginUntil = [] { return Instant::max(); };
     bool hasBegun = false, expired = false, isOutdated = false;
+    bool isPutOff = false;  // it was due, and what was read by then is looked at first
+    bool isAnswering(Instant now) const {
+      ErrorCode ignored;
+      return now < latest && (now - headAt < kSignsOfLife || socket->available(ignored) > 0);
+    }
     bool deservesMore(Instant now) const {
-      return !hasBegun && now<latest&& * signs> begun && now - *signs < kSignsOfLife;
+      return now<latest&& * signs> begun && now - *signs < kSignsOfLife;
     }
   };
   const std::shared_ptr<Caller>& caller;
@@ -38,26 +44,9 @@
   Instant sentAt{};  // right before the latest piece of the request left
   int strays = 0;    // whole answers that were not the request's
 
-  void arm(Instant deadline) {
-    watch->deadline = deadline;
-    const Instant now = BootClock::now();
-    const Instant next = watch->hasBegun
-                             ? deadline
-                             : std::min({deadline, watch->mayBeginUntil(), now + kBeginningEvery});
-    timer.expires_after(std::max(next, now) - now);
-    timer.async_wait([this, watch = watch](const ErrorCode& code) {
-      if (code || !watch->socket) return;
-      const Instant now = BootClock::now();
-      watch->isOutdated = !watch->hasBegun && now >= watch->mayBeginUntil();
-      if (!watch->isOutdated) {
-        if (now < watch->deadline) return arm(watch->deadline);
-        if (watch->deservesMore(now)) return arm(std::min(watch->latest, now + kSignsOfLife));
-      }
-      watch->expired = true;
-      ErrorCode ignored;
-      watch->socket->close(ignored);
-    });
-  }
+  // Defined in attempt.cpp.
+  void arm(Instant deadline);
+  void onTimer();
 };
 
 }  // namespace quayrill
--- a/tests/relay_stage.h
+++ b/tests/relay_stage.h
@@ -39,6 +39,8 @@
   Address callers = localAddress(1, 7202), ready = localAddress(1, 7203);
   Configuration configuration;
   Snapshot told;
+  // Called on the relay's own thread as it reads a configuration.
+  std::function<void()> whileReading = [] {};
 
   // `isTold` false: the relay has heard nothing of its agent. `extraShare`: of the budget for extra
   // tries; the default lets every test's further tries pass.
@@ -82,6 +84,7 @@
     Dialect dialect = ownDialect();
     dialect.relayNames = relayTestNames();
     dialect.readConfiguration = [this](const std::string&) -> absl::StatusOr<Configuration> {
+      whileReading();
       return configuration;
     };
     relay = std::make_unique<Relay>(settings, dialect);
--- a/tests/relay_tests.cpp
+++ b/tests/relay_tests.cpp
@@ -228,3 +228,46 @@
     CHECK(splitter.rest() == "tail");
   }
 }
+
+TEST_CASE("relay: an answer that comes as its time for a first event ends is passed on whole") {
+  RelayStage stage(1);
+  RoutePolicy& policy = stage.configuration.policies[PolicyName{"/again/"}];
+  policy.isResumable = false;
+  policy.target = 0ms;
+  ++stage.told.configurationVersion;
+  stage.tell();
+  std::atomic<bool> isStill{false}, hasFirst{false};
+  stage.servers[0]->answer([&](int, const std::string& request) {
+    while (!isStill) std::this_thread::yield();
+    Reply reply{streamHead(request) + chunked({event(1)}, false)};
+    reply.cut = reply.bytes.size();
+    reply.bytes += chunked({event(2), event(3)});
+    return reply;
+  });
+  stage.servers[0]->pause = [&] {
+    while (!hasFirst) std::this_thread::yield();
+  };
+  // The relay stands still until the first event is there and its time has passed, so that it finds
+  // both at once.
+  stage.whileReading = [&] {
+    const Instant past = BootClock::now() + 1s;
+    isStill = true;
+    while (BootClock::now() < past) std::this_thread::yield();
+  };
+  asio::io_context own;
+  Tcp::socket socket(own);
+  socket.connect(endpointOf(stage.callers));
+  asio::write(socket, asio::buffer(RelayStage::request("/again/", "r1")));
+  eventually([&] { return stage.servers[0]->arrived == 1; });
+  ++stage.told.configurationVersion;
+  stage.relay->takeSnapshot(stage.told, BootClock::now());
+  std::string answer;
+  ErrorCode code;
+  asio::read_until(socket, asio::dynamic_buffer(answer), "data: d1", code);
+  hasFirst = true;
+  asio::read(socket, asio::dynamic_buffer(answer), code);
+  CHECK(statusOf(answer) == 200);
+  CHECK(answer.find("data: d3") != std::string::npos);
+  CHECK(endsWhole(answer));
+  CHECK(stage.arrivals() == 1);
+}
