Roll-out: the first servers are ordered at once, only the later starts are spread

Cause: with all starts spread, a holder that is lost a second after a naming has ordered one server instead of four or five, and its follower comes after some 8.6 s.

Ruled out: batches again whenever nothing switches (orders fall into step again: 15.9 s against 15 s in the test's model). Not changed: the 8.6 s until a follower orders.

--- a/src/agent/core/rollout.cpp
+++ b/src/agent/core/rollout.cpp
@@ -106,9 +106,9 @@
 // is near or past, and never more than half: the first half then serves again before the rest
 // could.
 bool Rollout::maySwitch(const Waiting& next, std::size_t switching, std::size_t most,
-                        std::size_t usable, Instant now) const {
+                        std::size_t usable, bool mayStart) const {
   const bool isNear = secondsOf(next.left) <= secondsOf(settings_.due) * (1 - kForced);
-  if (!isNear && now < nextStart_) return false;
+  if (!isNear && !mayStart) return false;
   const std::size_t cap = std::max<std::size_t>(1, isNear ? (usable + 1) / 2 : usable / 3);
   return switching < std::min(most, cap);
 }
@@ -182,8 +182,10 @@
   const std::size_t most = mostAtOnce(waiting);
   const auto usable = static_cast<std::size_t>(std::count_if(
       view.servers.begin(), view.servers.end(), [](const RolloutServer& s) { return s.usable; }));
+  // Who orders may be lost soon, and is followed late: the first ones go out at once.
+  const bool isFirst = !hasBegun_;
   for (const Waiting& next : waiting) {
-    if (!maySwitch(next, switching, most, usable, now)) break;
+    if (!maySwitch(next, switching, most, usable, isFirst || now >= nextStart_)) break;
     const RolloutServer& server = *next.server;
     const auto row = rows_.find(server.name);
     const bool ours = row != rows_.end();
@@ -193,7 +195,9 @@
     if (!server.switching) ++switching;
     order(server, view, now, effects);
     nextStart_ = now + switchSpan_ / static_cast<Span::rep>(most);
+    hasBegun_ = true;
   }
+  if (waiting.empty()) hasBegun_ = false;
 }
 
 void Rollout::onTick(const RolloutView& view, Instant now, RolloutEffects* effects) {
--- a/src/agent/core/rollout.h
+++ b/src/agent/core/rollout.h
@@ -122,7 +122,7 @@
   std::vector<Waiting> waitingServers(const RolloutView& view, Instant now) const;
   std::size_t mostAtOnce(const std::vector<Waiting>& waiting) const;
   bool maySwitch(const Waiting& next, std::size_t switching, std::size_t most, std::size_t usable,
-                 Instant now) const;
+                 bool mayStart) const;
   void meetFence(const RolloutView& view, Instant now);
   void follow(const RolloutServer& server, const RolloutView& view, Row& row, Instant now,
               RolloutEffects* effects);
@@ -145,6 +145,7 @@
   // Starts are spread over the time that one switch takes: servers in step would all wait for
   // their streams at the same time, and then share the loading.
   Instant nextStart_{};
+  bool hasBegun_ = false;  // since all servers had the newest weights last
   std::uint64_t noteSequence_ = 0;
 };
 
--- a/tests/rollout_tests.cpp
+++ b/tests/rollout_tests.cpp
@@ -152,3 +152,22 @@
   for (const Played& server : bench.servers) CHECK(server.orders >= 1);
   CHECK(bench.longestBehind < 15s);
 }
+
+TEST_CASE(
+    "rollout: the first servers are ordered at once, the others spread over a switch's time") {
+  Bench bench(18, 1800ms, 15s);
+  bench.holders[0].fence = Fence{7};
+  bench.name(2);
+  bench.run(100ms);
+  // Their number is what a holder that is lost now has done.
+  const std::size_t first = bench.orders;
+  CHECK(first >= 4);
+  std::size_t most = 0;
+  while (!bench.allOn(2) && bench.now - bench.namedAt < 12s) {
+    const std::size_t before = bench.orders;
+    bench.run(100ms);
+    most = std::max(most, bench.orders - before);
+  }
+  CHECK(most == 1);
+  CHECK(bench.untilAllOn(2) < 15s);
+}
