Tests of a delivery share their request and their caller's connection

The same lines stood three times in deliver_tests and deliver_boundary_tests; they are in deliver_stage.h now.

--- a/tests/deliver_boundary_tests.cpp
+++ b/tests/deliver_boundary_tests.cpp
@@ -1,7 +1,7 @@
 // A delivery against a server that is split, cut off, reset or garbled at every byte boundary of
 // its answers.
 #include "boundary.h"
-#include "proxy/deliver.h"
+#include "deliver_stage.h"
 
 using namespace quayrill;
 using namespace quayrill::tests;
@@ -76,24 +76,16 @@
             Break breaks) {
   Played played;
   std::string bytes;
-  Tcp::acceptor callers(io, {asio::ip::make_address("127.0.0.1"), 0});
-  Tcp::socket callerEnd(io);
-  callerEnd.connect(callers.local_endpoint());
-  Connection connection(callers.accept());
-  Delivery delivery;
-  delivery.request = RequestId{"r1"};
-  delivery.server.name = ServerName{"127.0.0.1:" + std::to_string(server.local_endpoint().port())};
-  delivery.server.weights = WeightsVersion{"w1"};
-  delivery.body = "{}";
-  delivery.due = delivery.firstPieceDue = BootClock::now() + 20s;
+  CallerConnection caller(io);
+  Delivery delivery = deliveryTo(server, "{}", 20s);
   asio::co_spawn(io, serve(server, script, cut, breaks), asio::detached);
-  asio::async_read(callerEnd, asio::dynamic_buffer(bytes), [](const ErrorCode&, std::size_t) {});
+  asio::async_read(caller.far, asio::dynamic_buffer(bytes), [](const ErrorCode&, std::size_t) {});
   asio::co_spawn(
       io,
       [&]() -> awaitable<void> {
         const std::function<bool()> mayStart = [] { return true; };
-        played.result = co_await deliver(std::move(delivery), connection, mayStart);
-        connection.close();
+        played.result = co_await deliver(std::move(delivery), caller.near, mayStart);
+        caller.near.close();
       },
       asio::detached);
   io.run();
@@ -160,16 +152,8 @@
 TEST_CASE("deliver: an answer that comes before the body is in goes back at once") {
   asio::io_context io;
   Tcp::acceptor server(io, {asio::ip::make_address("127.0.0.1"), 0});
-  Tcp::acceptor callers(io, {asio::ip::make_address("127.0.0.1"), 0});
-  Tcp::socket callerEnd(io);
-  callerEnd.connect(callers.local_endpoint());
-  Connection connection(callers.accept());
-  Delivery delivery;
-  delivery.request = RequestId{"r1"};
-  delivery.server.name = ServerName{"127.0.0.1:" + std::to_string(server.local_endpoint().port())};
-  delivery.server.weights = WeightsVersion{"w1"};
-  delivery.body = std::string(20 << 20, 'b');
-  delivery.due = delivery.firstPieceDue = BootClock::now() + 3s;
+  CallerConnection caller(io);
+  Delivery delivery = deliveryTo(server, std::string(20 << 20, 'b'), 3s);
   DeliveryResult result;
   bool hasEnded = false;
   std::size_t late = 0;
@@ -192,8 +176,8 @@
       io,
       [&]() -> awaitable<void> {
         const std::function<bool()> mayStart = [] { return true; };
-        result = co_await deliver(std::move(delivery), connection, mayStart);
-        connection.close();
+        result = co_await deliver(std::move(delivery), caller.near, mayStart);
+        caller.near.close();
         hasEnded = true;
       },
       asio::detached);
--- /dev/null
+++ b/tests/deliver_stage.h
@@ -0,0 +1,37 @@
+#pragma once
+// What the tests of a single delivery share: the request, and the caller's connection.
+#include "proxy/deliver.h"
+
+namespace quayrill::tests {
+
+// Both ends of a caller's connection.
+struct CallerConnection {
+  explicit CallerConnection(asio::io_context& io) : CallerConnection(io, loopback(io)) {}
+  Tcp::socket far;
+  Connection near;
+
+ private:
+  static Tcp::acceptor loopback(asio::io_context& io) {
+    return Tcp::acceptor(io, {asio::ip::make_address("127.0.0.1"), 0});
+  }
+  CallerConnection(asio::io_context& io, Tcp::acceptor acceptor)
+      : far(connected(io, acceptor)), near(acceptor.accept()) {}
+  static Tcp::socket connected(asio::io_context& io, const Tcp::acceptor& acceptor) {
+    Tcp::socket socket(io);
+    socket.connect(acceptor.local_endpoint());
+    return socket;
+  }
+};
+
+// Request r1 on weights w1 to the server that listens there, due in `due` with its first piece too.
+inline Delivery deliveryTo(const Tcp::acceptor& server, std::string body, Span due) {
+  Delivery delivery;
+  delivery.request = RequestId{"r1"};
+  delivery.server.name = ServerName{"127.0.0.1:" + std::to_string(server.local_endpoint().port())};
+  delivery.server.weights = WeightsVersion{"w1"};
+  delivery.body = std::move(body);
+  delivery.due = delivery.firstPieceDue = BootClock::now() + due;
+  return delivery;
+}
+
+}  // namespace quayrill::tests
--- a/tests/deliver_tests.cpp
+++ b/tests/deliver_tests.cpp
@@ -1,9 +1,10 @@
 // One delivery against a scripted model server: the bytes it answers are the script.
 #include <catch2/catch.hpp>
 
-#include "proxy/deliver.h"
+#include "deliver_stage.h"
 
 using namespace quayrill;
+using namespace quayrill::tests;
 using namespace std::chrono_literals;
 
 namespace {
@@ -60,27 +61,19 @@
   asio::io_context io;
   Played played;
   Tcp::acceptor server(io, {asio::ip::make_address("127.0.0.1"), 0});
-  Tcp::acceptor callers(io, {asio::ip::make_address("127.0.0.1"), 0});
-  Tcp::socket callerEnd(io);
-  callerEnd.connect(callers.local_endpoint());
-  Connection connection(callers.accept());
-  Delivery delivery;
-  delivery.request = RequestId{"r1"};
-  delivery.server.name = ServerName{"127.0.0.1:" + std::to_string(server.local_endpoint().port())};
-  delivery.server.weights = WeightsVersion{"w1"};
-  delivery.body = "{}";
-  delivery.due = delivery.firstPieceDue = BootClock::now() + asked.due;
+  CallerConnection caller(io);
+  Delivery delivery = deliveryTo(server, "{}", asked.due);
   if (asked.listening)
     asio::co_spawn(io, playServer(server, asked.script, asked.hang, &played), asio::detached);
   else
     server.close();
-  asio::co_spawn(io, readAll(callerEnd, &played), asio::detached);
+  asio::co_spawn(io, readAll(caller.far, &played), asio::detached);
   asio::co_spawn(
       io,
       [&]() -> awaitable<void> {
         const std::function<bool()> mayStart = [&] { return asked.mayStart; };
-        played.result = co_await deliver(std::move(delivery), connection, mayStart);
-        connection.close();
+        played.result = co_await deliver(std::move(delivery), caller.near, mayStart);
+        caller.near.close();
         ErrorCode ignored;
         if (server.is_open()) server.close(ignored);
       },
