Platform settings: bounds may be fractions; "nan" and what no bound can mean are refused

Part of a try is none, so the slack is taken down to a whole one; the other bounds were read as fractions before.

--- a/tests/settings_tests.cpp
+++ b/tests/settings_tests.cpp
@@ -264,3 +264,23 @@
   CHECK(world.core(0).freshness().replicas().members.size() == 3);
   CHECK(world.violations().empty());
 }
+
+TEST_CASE("settings: the platform's bounds may be fractions, and what is no number is refused") {
+  const auto read = [](const std::string& more) {
+    return platform::readSettings(
+        "ip=10.1.0.1\nportRange=7000,7010\nlisten.http=10.1.0.1:80\nprovider.addr=10.9.0.1:1\n"
+        "seeds=10.1.0.1:8\n" +
+        more);
+  };
+  const auto fractions =
+      read("bounds.retrySlack=32.94736842105263\nbounds.retryRatio=0.2\nbounds.rolloutMs=1500.5\n");
+  REQUIRE(fractions.ok());
+  CHECK(fractions->extraSlack == 32);
+  CHECK(fractions->rolloutDue == 1500ms);
+  for (const char* wrong : {"nan", "inf", "-1", "1e300", "many", "5x"}) {
+    CAPTURE(wrong);
+    const auto refused = read("bounds.retrySlack=" + std::string(wrong) + "\n");
+    REQUIRE_FALSE(refused.ok());
+    CHECK_THAT(std::string(refused.status().message()), Catch::Contains("'bounds.retrySlack'"));
+  }
+}
