Weights history: the newest version is known by its text, before either is read as a number

usableUntil is asked for each server at each placement, and nearly always of the newest version. The answer is the same, since no version is behind itself. Not measured. 83 tests of weights, roll-out, relay, proxy, notes and placement pass.

--- a/src/base/weights_version.cpp
+++ b/src/base/weights_version.cpp
@@ -46,7 +46,8 @@
 }
 
 Instant WeightsHistory::usableUntil(const WeightsVersion& weights, Span bound) const {
-  if (!isBehind(weights, newest_)) return Instant::max();
+  // Asked for each server at each placement; nearly always these are the newest.
+  if (weights == newest_ || !isBehind(weights, newest_)) return Instant::max();
   // While an older version was the newest, this one was not superseded either.
   std::optional<Instant> newestAt;
   for (const auto& [version, at] : newestAt_) {
