Freshness: a large configuration's body is asked of one replica; lanes are bounded in bytes

Change: answers to a confirming read leave a configuration's body out (over 4 KB) and name its version and write; a daemon that sees a majority at one ballot asks one of those replicas for it, another after a second. Lanes hold 2 MB each and 48 MB in all. Machines without a store settle values later, since they are many. Also here: the exchange of what data planes observe (loads, cache events) and who reads whose events; wire version 4.

--- a/src/agent/core/agent_core.cpp
+++ b/src/agent/core/agent_core.cpp
@@ -13,6 +13,7 @@
 constexpr std::size_t kReplicaBacklog = 64;
 constexpr char kMayFound[] = "may-found";
 constexpr Span kHearSpan = 3s;
+constexpr Span kSettleLater = 1500ms;
 constexpr Span kConfirmEvery = 250ms;
 constexpr Span kConfirmEveryUnsettled = 100ms;
 constexpr std::uint64_t kListKeysEvery = 8;
@@ -29,7 +30,8 @@
       freshness_(settings_.nonce),
       proposer_(ProposerId{settings_.nonce}, settings_.nonce + 2),
       leases_(settings_.self, settings_.nonce, settings_.leaseSpan),
-      list_({settings_.self, settings_.listEvery, settings_.listCallsPerS}) {
+      list_({settings_.self, settings_.listEvery, settings_.listCallsPerS}),
+      exchange_(settings_.self, settings_.zone) {
   ownFleet_ = random_() | 1;
   if (!disk) return;
   replica_.emplace(StoreId{random_() | 1});
@@ -136,6 +138,10 @@
     sendListAnswers(std::move(sends), now, effects);
   } else if (const auto* note = std::get_if<ServerNote>(&envelope.body)) {
     notes_.take(*note, now);
+  } else if (const auto* report = std::get_if<PlaneReport>(&envelope.body)) {
+    exchange_.onReport(envelope.from, *report, now);
+  } else if (const auto* digest = std::get_if<PlaneDigest>(&envelope.body)) {
+    exchange_.onDigest(*digest, now);
   } else if (const auto* replicaAnswer = std::get_if<ReplicaAnswer>(&envelope.body)) {
     sendAll(proposer_.onAnswer(*replicaAnswer, now, &done), effects);
     adopt(replicaAnswer->replicas, now, effects);
@@ -346,10 +352,12 @@
     if (neighbour != Address{}) effects->sends.push_back({settings_.self, neighbour, news_.ask()});
   }
   tickList(now, effects);
+  if (exchange_.isDue(now)) exchange_.onTick(news_.live(now), now, &effects->sends);
   tickFounding(now, effects);
   tickConfirm(now, effects);
-  if (const auto key = freshness_.wantsSettling(now, settlePatience_);
-      key && !proposer_.isBusy(*key)) {
+  // Machines that keep a store settle a value first: the others are many.
+  const Span patience = replica_ ? settlePatience_ : settlePatience_ + kSettleLater;
+  if (const auto key = freshness_.wantsSettling(now, patience); key && !proposer_.isBusy(*key)) {
     settlePatience_ = std::chrono::milliseconds(300 + random_() % 600);
     begin({{}, *key, true, 0, {}, {}, now + 2s}, Purpose::Settle, now, effects);
   }
--- a/src/agent/core/agent_core.h
+++ b/src/agent/core/agent_core.h
@@ -9,6 +9,7 @@
 #include "agent/core/leases.h"
 #include "agent/core/membership.h"
 #include "agent/core/news.h"
+#include "agent/core/plane_exchange.h"
 #include "agent/core/server_list.h"
 #include "agent/core/server_notes.h"
 #include "agent/core/weights_histories.h"
@@ -117,6 +118,10 @@
   // Weights that were superseded before `before` are used no more.
   void forgetWeightsBefore(Instant before) { weights_.forgetBefore(before); }
   const WeightsHistories& weights() const { return weights_; }
+  // What the data plane of this daemon observed since its last report.
+  void takePlaneReport(PlaneReport report) { exchange_.takeOwn(std::move(report)); }
+  // What the fleet's data planes observed, for the data plane of this daemon.
+  std::vector<PlaneDigest> takePlaneDigests() { return exchange_.takeDigests(); }
   const Freshness& freshness() const { return freshness_; }
   std::vector<NewsItem> live(Instant now) const { return news_.live(now); }
   const AgentSettings& settings() const { return settings_; }
@@ -201,6 +206,7 @@
   ServerList list_;
   ListPeers listPeers_;  // as of the last time that it was due to be made anew
   ServerNotes notes_;
+  PlaneExchange exchange_;
   WeightsHistories weights_;
   std::map<OperationId, Purpose> purposes_;  // one row per operation under way
   std::uint64_t operationCounter_ = 0;
--- a/src/agent/core/freshness.cpp
+++ b/src/agent/core/freshness.cpp
@@ -11,6 +11,16 @@
 constexpr Span kAnswerOverdue = 150ms;
 constexpr Span kUnconfirmedSpan = 500ms;
 constexpr Span kSlowest = 2s;
+constexpr Span kBodyEvery = 1s;  // ours: a body may take as long on a slow link
+
+bool isWithoutBody(const ConfirmAnswer& answer, const RegisterKey& key) {
+  return std::find(answer.withoutBody.begin(), answer.withoutBody.end(), key) !=
+         answer.withoutBody.end();
+}
+
+bool isSameWrite(const RegisterValue& left, const RegisterValue& right) {
+  return left.version == right.version && left.writeId == right.writeId;
+}
 
 const ConfirmedKey* find(const ConfirmAnswer& answer, const RegisterKey& key) {
   for (const ConfirmedKey& held : answer.keys) {
@@ -47,7 +57,8 @@
           replicas_.epoch,
           replicas_.fleet,
           replicas_.settled,
-          wantsKeys};
+          wantsKeys,
+          false};
 }
 
 Freshness::Sends Freshness::begin(Instant now, bool askAll, bool wantsKeys) {
@@ -73,6 +84,7 @@
 Freshness::Sends Freshness::widen(Instant now) {
   Sends sends;
   if (rounds_.empty()) return sends;
+  askBody(now, &sends);
   Round& round = rounds_.rbegin()->second;
   if (round.confirmed || (!round.unsettled && now - round.sentAt < kAnswerOverdue)) return sends;
   for (const ReplicaMember& member : replicas_.members) {
@@ -94,14 +106,18 @@
                                     ChosenValue* chosen) {
   std::map<Ballot, std::size_t> counts;
   const auto newer = [&](const ConfirmedKey& held) {
-    return held.acceptedAt > chosen->ballot && (held.value.version != chosen->value.version ||
-                                                held.value.writeId != chosen->value.writeId);
+    return held.acceptedAt > chosen->ballot && !isSameWrite(held.value, chosen->value);
   };
+  std::map<Ballot, std::vector<StoreId>> lacking;
   for (const auto& [store, answer] : round.answers) {
     const ConfirmedKey* held = find(answer, key);
     if (!held || held->acceptedAt <= chosen->ballot) continue;
-    if (++counts[held->acceptedAt] == majorityOf(replicas_))
-      learnChosen(key, {held->acceptedAt, held->value});
+    lacking[held->acceptedAt].push_back(store);
+    if (++counts[held->acceptedAt] < majorityOf(replicas_)) continue;
+    if (const auto value = wholeValue(key, answer, *held, *chosen))
+      learnChosen(key, {held->acceptedAt, *value});
+    else
+      bodyHolders_ = lacking[held->acceptedAt];
   }
   for (const auto& [store, answer] : round.answers) {
     const ConfirmedKey* held = find(answer, key);
@@ -110,16 +126,56 @@
   return Verdict::Current;
 }
 
+// What a replica accepted, with the body that its answer left out where that is known here.
+std::optional<RegisterValue> Freshness::wholeValue(const RegisterKey& key,
+                                                   const ConfirmAnswer& answer,
+                                                   const ConfirmedKey& held,
+                                                   const ChosenValue& chosen) const {
+  if (!isWithoutBody(answer, key)) return held.value;
+  RegisterValue value = held.value;
+  if (isSameWrite(value, chosen.value))
+    value.body = chosen.value.body;
+  else if (isSameWrite(value, body_.value))
+    value.body = body_.value.body;
+  else
+    return std::nullopt;
+  return value;
+}
+
+void Freshness::keepBodies(const ConfirmAnswer& answer) {
+  const ConfirmedKey* held = find(answer, kConfigurationKey);
+  if (!held || isWithoutBody(answer, kConfigurationKey)) return;
+  if (held->acceptedAt > body_.ballot && held->value.version > 0)
+    body_ = {held->acceptedAt, held->value};
+}
+
+// One replica at a time: the body is the same at each of those that accepted it.
+void Freshness::askBody(Instant now, Sends* sends) {
+  if (bodyHolders_.empty() || now < nextBody_) return;
+  nextBody_ = now + kBodyEvery;
+  const StoreId chosen = bodyHolders_[(sequence_ + bodiesAsked_++) % bodyHolders_.size()];
+  bodyHolders_.clear();
+  for (const ReplicaMember& member : replicas_.members) {
+    if (member.store != chosen) continue;
+    Confirm asked = question(member.store, false);
+    asked.wantsBodies = true;
+    sends->emplace_back(member, asked);
+  }
+}
+
 void Freshness::onAnswer(const ConfirmAnswer& answer, Instant now) {
   adopt(answer.replicas);
   const bool isMember =
       std::any_of(replicas_.members.begin(), replicas_.members.end(),
                   [&](const ReplicaMember& member) { return member.store == answer.store; });
-  auto entry = rounds_.find(answer.sequence);
-  if (!isMember || entry == rounds_.end() || answer.asked != answer.store) return;
+  if (!isMember || answer.asked != answer.store) return;
   // What a replica of another fleet holds says nothing about this one, nor what a replica says that
   // is no member by its own set.
   if (answer.replicas.fleet != replicas_.fleet || answer.keys.empty()) return;
+  // A body of an earlier round is as good as one of a round that is still open.
+  keepBodies(answer);
+  auto entry = rounds_.find(answer.sequence);
+  if (entry == rounds_.end()) return;
   entry->second.answers[answer.store] = answer;
   Span& span = answerSpan_[answer.store];
   span = (span * 3 + std::min(now - entry->second.sentAt, kSlowest)) / 4;
--- a/src/agent/core/freshness.h
+++ b/src/agent/core/freshness.h
@@ -34,7 +34,8 @@
   // Asks as many replicas as meet every majority, those first that answer fastest; all of them
   // where the caller says so, the epoch is unsettled, or nothing was confirmed for a while.
   Sends begin(Instant now, bool askAll, bool wantsKeys);
-  // The rest of the newest round's replicas, once an answer is overdue or shows something newer.
+  // The rest of the newest round's replicas, once an answer is overdue or shows something newer,
+  // and one replica for a body that is lacking.
   Sends widen(Instant now);
   Confirm question(StoreId store, bool wantsKeys) const;
   void onAnswer(const ConfirmAnswer& answer, Instant now);
@@ -52,6 +53,11 @@
     bool unsettled = false;  // an answer shows something newer
     bool confirmed = false;
   };
+  std::optional<RegisterValue> wholeValue(const RegisterKey& key, const ConfirmAnswer& answer,
+                                          const ConfirmedKey& held,
+                                          const ChosenValue& chosen) const;
+  void keepBodies(const ConfirmAnswer& answer);
+  void askBody(Instant now, Sends* sends);
   enum class Verdict { Current, Unsettled };
   Verdict judge(const Round& round, const RegisterKey& key, ChosenValue* chosen);
 
@@ -64,6 +70,12 @@
   std::uint64_t sequence_;
   std::map<StoreId, Span> answerSpan_;  // smoothed; a guide for whom to ask, never for what holds
   std::map<RegisterKey, Instant> unsettledSince_;
+  // The newest accepted configuration that came with its body; chosen or not.
+  ChosenValue body_;
+  // Replicas that hold a configuration which a majority accepted and whose body is lacking here.
+  std::vector<StoreId> bodyHolders_;
+  std::uint64_t bodiesAsked_ = 0;
+  Instant nextBody_{};
   std::vector<RegisterKey> knownKeys_;
 };
 
--- a/src/model/machine.cpp
+++ b/src/model/machine.cpp
@@ -49,6 +49,7 @@
   Confirm question;
   question.store = replica_.store();
   question.known = {{key, Ballot{}}};
+  question.wantsBodies = true;
   const ReplicaEffects effects = replica_.onConfirm(question);
   if (!effects.answer) return {key, {}, {}};
   const auto& answer = std::get<ConfirmAnswer>(*effects.answer);
--- a/src/net/peer_link.cpp
+++ b/src/net/peer_link.cpp
@@ -10,6 +10,8 @@
 namespace {
 constexpr std::size_t kQueueLimit = 256;
 constexpr std::size_t kLaneLimit = 1024;
+// Ours: frames that wait for one daemon, and for all: a slow link must not fill the memory.
+constexpr std::size_t kLaneBytes = 2 << 20, kAllBytes = 48 << 20;
 constexpr Span kConnectDue = 500ms;  // a dropped opening packet is sent again only after a second
 constexpr int kUserTimeoutMs = 2000;
 
@@ -78,17 +80,24 @@
   auto& lane = lanes_[envelope.to];
   if (!lane) {
     if (lanes_.size() > kLaneLimit) {
-      lanes_.erase(envelope.to);
+      lanes_.erase(envelope.to);  // it was made just now and holds nothing
       ++dropped_;
       return;
     }
     lane = std::make_shared<Lane>(io_);
   }
-  if (lane->frames.size() >= kQueueLimit) {
-    lane->frames.pop_front();  // the oldest is the least worth sending
+  std::string frame = framed(encodeEnvelope(envelope));
+  const auto isOver = [&] {
+    return lane->frames.size() >= kQueueLimit || lane->bytes + frame.size() > kLaneBytes ||
+           bytes_ + frame.size() > kAllBytes;
+  };
+  while (!lane->frames.empty() && isOver()) {
+    takeOldest(*lane);  // the least worth sending
     ++dropped_;
   }
-  lane->frames.push_back(framed(encodeEnvelope(envelope)));
+  lane->bytes += frame.size();
+  bytes_ += frame.size();
+  lane->frames.push_back(std::move(frame));
   lane->wake.cancel();
   if (!lane->running) {
     lane->running = true;
@@ -96,6 +105,19 @@
   }
 }
 
+std::string PeerLink::takeOldest(Lane& lane) {
+  std::string frame = std::move(lane.frames.front());
+  lane.frames.pop_front();
+  lane.bytes -= frame.size();
+  bytes_ -= frame.size();
+  return frame;
+}
+
+void PeerLink::clear(Lane& lane) {
+  dropped_ += lane.frames.size();
+  while (!lane.frames.empty()) takeOldest(lane);
+}
+
 awaitable<void> PeerLink::drain(Address to, std::shared_ptr<Lane> lane) {
   Connection connection(io_);
   ErrorCode code;
@@ -121,14 +143,12 @@
       co_await lane->wake.async_wait(into(woken));
       if (lane->frames.empty()) break;
     }
-    const std::string frame = std::move(lane->frames.front());
-    lane->frames.pop_front();
+    const std::string frame = takeOldest(*lane);
     connection.expires_after(2s);
     co_await asio::async_write(connection, asio::buffer(frame), into(code));
   }
   if (code) {
-    dropped_ += lane->frames.size();
-    lane->frames.clear();
+    clear(*lane);
     co_await pauseFor(100ms);  // a dead end costs one attempt per pause, not per envelope
   }
   lane->running = false;
--- a/src/peers/messages.h
+++ b/src/peers/messages.h
@@ -13,7 +13,7 @@
 namespace quayrill {
 
 // Raised when a frame of this build could be misread by an older one.
-inline constexpr std::uint32_t kWireVersion = 3;
+inline constexpr std::uint32_t kWireVersion = 4;
 
 #define QUAYRILL_FIELDS(...)                   \
   template <class Archive>                     \
@@ -165,7 +165,9 @@
   std::uint64_t fleet = 0;
   bool settled = false;
   bool wantsKeys = false;
-  QUAYRILL_FIELDS(sequence, store, known, epoch, fleet, settled, wantsKeys)
+  // False: a large body of the configuration is left out of the answer, which names its version.
+  bool wantsBodies = false;
+  QUAYRILL_FIELDS(sequence, store, known, epoch, fleet, settled, wantsKeys, wantsBodies)
 };
 struct ConfirmedKey {
   RegisterKey key;
@@ -181,9 +183,10 @@
   StoreId store;  // the one that answers
   ReplicaSet replicas;
   std::vector<ConfirmedKey> keys;
-  bool listsKeys = false;  // allKeys was wanted and is whole
+  std::vector<RegisterKey> withoutBody;  // of `keys`: the value's body was left out
+  bool listsKeys = false;                // allKeys was wanted and is whole
   std::vector<RegisterKey> allKeys;
-  QUAYRILL_FIELDS(sequence, asked, store, replicas, keys, listsKeys, allKeys)
+  QUAYRILL_FIELDS(sequence, asked, store, replicas, keys, withoutBody, listsKeys, allKeys)
 };
 // fleet: the fleet that the asker would found; 0 where it only asks for one that exists.
 struct FoundAsk {
@@ -256,6 +259,59 @@
   QUAYRILL_FIELDS(server, identity, model, weights, switching, fence, sequence)
 };
 
+// Requests at one server of one daemon, or of several together, and the prompt tokens that the
+// server has still to read for them.
+struct OutstandingRow {
+  ServerName server;
+  std::uint32_t requests = 0;
+  std::uint64_t unreadTokens = 0;
+  bool operator==(const OutstandingRow&) const = default;
+  QUAYRILL_FIELDS(server, requests, unreadTokens)
+};
+// One cache event of a server or store: it keeps so many tokens of a part now.
+struct PartEventRow {
+  std::uint64_t position = 0;
+  bool isAdded = false;
+  std::string part;
+  std::uint32_t tokens = 0;
+  bool operator==(const PartEventRow&) const = default;
+  QUAYRILL_FIELDS(position, isAdded, part, tokens)
+};
+// Events under one salt. Events of one part are in one group, in the order of their positions.
+struct PartEventGroup {
+  CacheSalt salt;
+  ModelName model;
+  std::vector<PartEventRow> rows;
+  bool operator==(const PartEventGroup&) const = default;
+  QUAYRILL_FIELDS(salt, model, rows)
+};
+// One reading of a server's or a store's events, from position `first` on.
+struct PartEventBatch {
+  ServerName source;
+  bool isReachable = true;  // false: the call failed, and nothing below is told
+  std::string life;
+  std::uint64_t first = 0, next = 0;
+  bool hasGap = false;
+  std::vector<PartEventGroup> groups;
+  bool operator==(const PartEventBatch&) const = default;
+  QUAYRILL_FIELDS(source, isReachable, life, first, next, hasGap, groups)
+};
+// What one data plane observed: a daemon tells it to the aggregator of its zone.
+struct PlaneReport {
+  std::vector<OutstandingRow> outstanding;  // all of its own; servers without any are left out
+  std::vector<PartEventBatch> batches;      // read since its last report
+  QUAYRILL_FIELDS(outstanding, batches)
+};
+// What the data planes of one zone, or of the fleet, observed. An aggregator tells its zone's to
+// the aggregators of the other zones, and the fleet's to the daemons of its zone.
+struct PlaneDigest {
+  std::string zone;            // "": of the fleet
+  std::int64_t agoMicros = 0;  // since the rows of `outstanding` were told, on average
+  std::vector<OutstandingRow> outstanding;
+  std::vector<PartEventBatch> batches;
+  QUAYRILL_FIELDS(zone, agoMicros, outstanding, batches)
+};
+
 // clang-format off
 #define QUAYRILL_MESSAGES(X) \
   X(Probe) \
@@ -273,7 +329,9 @@
   X(FoundAnswer) \
   X(ListAsk) \
   X(ListAnswer) \
-  X(ServerNote)
+  X(ServerNote) \
+  X(PlaneReport) \
+  X(PlaneDigest)
 // clang-format on
 
 using Message = std::variant<std::monostate
--- a/src/register/replica.cpp
+++ b/src/register/replica.cpp
@@ -156,7 +156,7 @@
 
 ReplicaEffects RegisterReplica::onConfirm(const Confirm& message) const {
   if (!voting_) return {};
-  ConfirmAnswer answer{message.sequence, message.store, store_, replicas_, {}, false, {}};
+  ConfirmAnswer answer{message.sequence, message.store, store_, replicas_, {}, {}, false, {}};
   if (message.epoch == replicas_.epoch && message.fleet == replicas_.fleet &&
       message.settled == replicas_.settled)
     answer.replicas.members.clear();
@@ -167,6 +167,10 @@
       held.acceptedAt = slot->second.acceptedAt;
       if (held.acceptedAt > known) held.value = slot->second.value;
     }
+    if (!message.wantsBodies && key == kConfigurationKey && held.value.body.size() > kSmallBody) {
+      held.value.body.clear();
+      answer.withoutBody.push_back(key);
+    }
     answer.keys.push_back(std::move(held));
   }
   answer.listsKeys = message.wantsKeys;
--- a/src/register/replica.h
+++ b/src/register/replica.h
@@ -12,6 +12,8 @@
 
 inline const RegisterKey kReplicaSetKey{"copies"};
 inline const RegisterKey kConfigurationKey{"spec"};
+// Ours: a body up to this many bytes goes along with each answer.
+inline constexpr std::size_t kSmallBody = 4096;
 
 struct DiskWrite {
   std::string key;
--- /dev/null
+++ b/tests/freshness_tests.cpp
@@ -0,0 +1,130 @@
+// How a configuration gets from its replicas to a daemon: its body once, whatever its size.
+#include <catch2/catch.hpp>
+
+#include "agent/core/freshness.h"
+
+using namespace quayrill;
+using namespace std::chrono_literals;
+
+namespace {
+constexpr std::size_t kLarge = 200000;
+
+// Five replicas that accepted one configuration, and a daemon that asks them.
+struct Register {
+  std::vector<RegisterReplica> replicas;
+  ReplicaSet set;
+  Freshness freshness{7};
+  Instant now{100s};
+  std::size_t bodies = 0, bytes = 0;
+
+  Register() {
+    set.epoch = Epoch{1};
+    set.fleet = 9;
+    set.settled = true;
+    for (std::uint64_t i = 1; i <= 5; ++i) {
+      replicas.emplace_back(StoreId{i});
+      set.members.push_back({StoreId{i}, Address{"r" + std::to_string(i)}});
+    }
+    for (RegisterReplica& replica : replicas) replica.adopt(set);
+    freshness.adopt(set);
+  }
+  RegisterValue valueOf(std::uint64_t version, std::size_t size) const {
+    return {version, WriteId{version}, {}, std::string(size, static_cast<char>('a' + version))};
+  }
+  void accept(const RegisterValue& value, std::size_t from, std::size_t to) {
+    const Ballot ballot{set.epoch, value.version, ProposerId{3}};
+    for (std::size_t i = from; i < to; ++i)
+      replicas[i].onAccept({{}, kConfigurationKey, ballot, StoreId{i + 1}, set, value});
+  }
+  void deliver(const Freshness::Sends& sends, const std::set<StoreId>& mute = {}) {
+    for (const auto& [member, message] : sends) {
+      const auto& confirm = std::get<Confirm>(message);
+      if (mute.contains(member.store)) continue;
+      const auto made = replicas[member.store.value - 1].onConfirm(confirm);
+      const auto& answer = std::get<ConfirmAnswer>(*made.answer);
+      for (const ConfirmedKey& held : answer.keys) {
+        bytes += held.value.body.size();
+        bodies += held.value.body.size() >= kLarge ? 1 : 0;
+      }
+      freshness.onAnswer(answer, now);
+    }
+  }
+  void round(const std::set<StoreId>& mute = {}) {
+    deliver(freshness.begin(now, false, false), mute);
+    for (int i = 0; i < 4; ++i) {
+      deliver(freshness.widen(now), mute);
+      now += 50ms;
+    }
+    now += 50ms;
+  }
+};
+}  // namespace
+
+TEST_CASE("freshness: a large configuration comes once, from one replica") {
+  Register fleet;
+  fleet.accept(fleet.valueOf(1, kLarge), 0, 5);
+  for (int i = 0; i < 8; ++i) fleet.round();
+  CHECK(fleet.freshness.configuration().value == fleet.valueOf(1, kLarge));
+  CHECK(fleet.freshness.confirmedAt());
+  CHECK(fleet.bodies == 1);
+  CHECK(fleet.bytes == kLarge);
+  fleet.accept(fleet.valueOf(2, kLarge), 0, 5);
+  for (int i = 0; i < 8; ++i) fleet.round();
+  CHECK(fleet.freshness.configuration().value.version == 2);
+  CHECK(fleet.bodies == 2);
+}
+
+TEST_CASE("freshness: a configuration that no majority accepted brings no body") {
+  Register fleet;
+  fleet.accept(fleet.valueOf(1, kLarge), 0, 5);
+  for (int i = 0; i < 4; ++i) fleet.round();
+  fleet.accept(fleet.valueOf(2, kLarge), 0, 2);
+  for (int i = 0; i < 20; ++i) fleet.round();
+  CHECK(fleet.freshness.configuration().value.version == 1);
+  CHECK(fleet.bodies == 1);
+  CHECK(fleet.freshness.wantsSettling(fleet.now, 500ms) == kConfigurationKey);
+}
+
+TEST_CASE("freshness: a body that does not come is asked of the others") {
+  Register fleet;
+  fleet.accept(fleet.valueOf(1, kLarge), 0, 5);
+  // Whoever is asked for the body says nothing for the first second.
+  std::set<StoreId> asked;
+  const Instant began = fleet.now;
+  while (fleet.now - began < 4s && fleet.freshness.configuration().value.version == 0) {
+    fleet.deliver(fleet.freshness.begin(fleet.now, false, false));
+    for (int i = 0; i < 4; ++i) {
+      Freshness::Sends sends = fleet.freshness.widen(fleet.now);
+      std::erase_if(sends, [&](const auto& send) {
+        const auto& confirm = std::get<Confirm>(send.second);
+        if (confirm.wantsBodies) asked.insert(confirm.store);
+        return confirm.wantsBodies && asked.size() < 2;
+      });
+      fleet.deliver(sends);
+      fleet.now += 50ms;
+    }
+  }
+  CHECK(asked.size() >= 2);
+  CHECK(fleet.freshness.configuration().value.version == 1);
+}
+
+TEST_CASE("freshness: the same configuration under a later ballot needs no body") {
+  Register fleet;
+  fleet.accept(fleet.valueOf(1, kLarge), 0, 5);
+  for (int i = 0; i < 4; ++i) fleet.round();
+  const Ballot later{fleet.set.epoch, 9, ProposerId{4}};
+  for (std::size_t i = 0; i < 5; ++i)
+    fleet.replicas[i].onAccept(
+        {{}, kConfigurationKey, later, StoreId{i + 1}, fleet.set, fleet.valueOf(1, kLarge)});
+  for (int i = 0; i < 4; ++i) fleet.round();
+  CHECK(fleet.bodies == 1);
+  CHECK(fleet.freshness.configuration().ballot == later);
+  CHECK(fleet.freshness.configuration().value.body.size() == kLarge);
+}
+
+TEST_CASE("freshness: a small configuration goes along with the answers") {
+  Register fleet;
+  fleet.accept(fleet.valueOf(1, 300), 0, 5);
+  fleet.deliver(fleet.freshness.begin(fleet.now, false, false));
+  CHECK(fleet.freshness.configuration().value.version == 1);
+}
