--- a/src/agent/agent.cpp
+++ b/src/agent/agent.cpp
@@ -4,6 +4,8 @@
 
 #include <random>
 
+#include "agent/core/event_sources.h"
+
 namespace quayrill {
 
 using namespace std::chrono_literals;
@@ -11,6 +13,7 @@
 namespace {
 constexpr Span kTick = 50ms;
 constexpr Span kFeedEvery = 100ms;
+constexpr Span kShareEvery = 400ms;
 constexpr Span kPollEvery = 400ms;
 constexpr Span kListDue = 800ms;
 constexpr Span kHealthySpan = 1500ms;
@@ -49,8 +52,10 @@
   core_.emplace(coreSettings(settings_), kept);
   link_ = std::make_unique<PeerLink>(io_, settings_.peer, settings_.peerVia, [this](Envelope e) {
     AgentEffects effects;
-    core_->onMessage(e, BootClock::now(), &effects);
+    const Instant now = BootClock::now();
+    core_->onMessage(e, now, &effects);
     apply(std::move(effects));
+    feedPlane(now);
   });
   if (auto status = link_->start(); !status.ok()) return status;
   HttpServerSettings serverSettings;
@@ -151,6 +156,34 @@
   fedConfiguration_ = configurationVersion_;
 }
 
+void Agent::feedPlane(Instant now) {
+  for (PlaneDigest& digest : core_->takePlaneDigests()) {
+    if (planeFeed_) planeFeed_(std::move(digest), now);
+  }
+}
+
+void Agent::takePlaneReport(PlaneReport report) {
+  asio::post(io_, [this, report = std::move(report)]() mutable {
+    core_->takePlaneReport(std::move(report));
+  });
+}
+
+// Which servers' events, and whether the store's, this daemon reads for the fleet.
+void Agent::shareEventSources(Instant now) {
+  if (now < nextEventSources_) return;
+  nextEventSources_ = now + kShareEvery;
+  std::vector<EventSource> sources;
+  for (const auto& [name, row] : servers_) {
+    if (row.state && !row.state->model.value.empty()) sources.push_back({name, row.listed.zone});
+  }
+  if (configuration_ && !configuration_->stores.empty()) {
+    const PartStore& store = configuration_->stores.begin()->second;
+    sources.push_back({ServerName{store.address.value}, store.zone});
+  }
+  const bool isShared = settings_.mechanisms.has(Mechanism::SharedEvents);
+  eventSources_ = isShared ? sourcesOf(settings_.peer, core_->live(now), sources) : allOf(sources);
+}
+
 awaitable<void> Agent::tickLoop() {
   asio::steady_timer timer(io_);
   for (;;) {
@@ -162,7 +195,9 @@
     apply(std::move(effects));
     takeList();
     tickOrders(now);
+    shareEventSources(now);
     feed(now);
+    feedPlane(now);
     timer.expires_after(kTick);
     ErrorCode code;
     co_await timer.async_wait(into(code));
@@ -273,6 +308,7 @@
   for (const auto& [name, row] : servers_) {
     if (row.state) snapshot.servers.push_back(toSnapshot(stateOf(row, now), now));
   }
+  snapshot.eventSources = eventSources_;
   snapshot.superseded = core_->weights().tell(now);
   return snapshot;
 }
--- a/src/agent/agent.h
+++ b/src/agent/agent.h
@@ -41,6 +41,11 @@
   // before start; it is called on the control thread.
   using Feed = std::function<void(Snapshot, Instant)>;
   void setFeed(Feed feed) { feed_ = std::move(feed); }
+  // The data plane in this process, told what those of the fleet observe. As setFeed.
+  using PlaneFeed = std::function<void(PlaneDigest, Instant)>;
+  void setPlaneFeed(PlaneFeed feed) { planeFeed_ = std::move(feed); }
+  // What the data plane in this process observed. May be called on any thread.
+  void takePlaneReport(PlaneReport report);
   std::size_t callsOpen() const { return callsOpen_; }
 
   // For calls of operators, on the control thread. A register that is not heard can't be changed.
@@ -62,6 +67,8 @@
   void apply(AgentEffects effects);
   void takeDisk(Disk::Rows rows);
   void feed(Instant now);
+  void shareEventSources(Instant now);
+  void feedPlane(Instant now);
   awaitable<void> tickLoop();
   awaitable<void> readList();
   void takeList();
@@ -105,6 +112,9 @@
   std::uint64_t pollLife_ = 0;
   std::optional<Instant> takenList_;  // the reading that servers_ stands for
   Feed feed_;
+  PlaneFeed planeFeed_;
+  std::vector<ServerName> eventSources_;
+  Instant nextEventSources_{};
   std::uint64_t fedConfiguration_ = 0;
   Instant nextFeed_{};
   std::optional<Configuration> configuration_;  // the configuration in force, parsed
--- a/src/agent/snapshot.h
+++ b/src/agent/snapshot.h
@@ -32,9 +32,11 @@
   std::vector<SnapshotServer> servers;
   // A version without a row was superseded any time ago.
   std::vector<SupersededWeights> superseded;
+  // Servers, and the store, whose cache events this daemon reads for the fleet.
+  std::vector<ServerName> eventSources;
   std::uint32_t proxies = 0;  // live daemons that take requests, as far as is known; this one too
   QUAYRILL_FIELDS(configurationVersion, configurationBody, confirmedAgoMicros, listedAgoMicros,
-                  servers, superseded, proxies)
+                  servers, superseded, eventSources, proxies)
 };
 
 SnapshotServer toSnapshot(const ServerState& state, Instant now);
--- a/src/agent/view.cpp
+++ b/src/agent/view.cpp
@@ -21,6 +21,7 @@
   next.listedAt = since(told.listedAgoMicros);
   next.servers.clear();
   for (const SnapshotServer& row : told.servers) next.servers.push_back(fromSnapshot(row, askedAt));
+  next.eventSources = {told.eventSources.begin(), told.eventSources.end()};
   next.weights = {};
   if (next.configuration) next.weights.onConfiguration(next.configuration->weights, std::nullopt);
   next.weights.take(told.superseded, askedAt);
--- a/src/agent/view.h
+++ b/src/agent/view.h
@@ -3,6 +3,7 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <set>
 
 #include "agent/core/weights_histories.h"
 #include "agent/snapshot.h"
@@ -18,6 +19,7 @@
       confirmedAt{};   // the latest instant for which the configuration is known to be the newest
   Instant listedAt{};  // the same for the server list
   std::vector<ServerState> servers;
+  std::set<ServerName> eventSources;  // whose cache events this daemon reads
   WeightsHistories weights;
 
   // Until when requests may begin on that server's weights: `bound` after the first newer ones
--- a/src/daemon/daemon.cpp
+++ b/src/daemon/daemon.cpp
@@ -72,6 +72,8 @@
     agent = std::make_unique<Agent>(settings, dialect);
     if (settings.role == "both" && dialect.relayNames) {
       relay = std::make_unique<Relay>(settings, dialect);
+      relay->setReporter(
+          [&agent](PlaneReport report) { agent->takePlaneReport(std::move(report)); });
       if (auto status = relay->start(); !status.ok()) {
         std::cerr << program << ": " << status.message() << "\n";
         return 1;
@@ -79,6 +81,9 @@
       agent->setFeed([&relay](Snapshot told, Instant askedAt) {
         relay->takeSnapshot(std::move(told), askedAt);
       });
+      agent->setPlaneFeed([&relay](PlaneDigest digest, Instant toldAt) {
+        relay->takeDigest(std::move(digest), toldAt);
+      });
     }
     if (auto status = agent->start(); !status.ok()) {
       std::cerr << program << ": " << status.message() << "\n";
@@ -94,6 +99,8 @@
     }
   }
   LOG(INFO) << program << " " QUAYRILL_VERSION " serves as " << settings.role;
+  if (const std::string off = settings.mechanisms.namesOff(); !off.empty())
+    LOG(WARNING) << "switched off: " << off;
   SettingsWatch watch(std::move(source), settings, [&agent](const Settings& changed) {
     if (agent) agent->takeSettings(changed);
   });
--- /dev/null
+++ b/src/placement/choice.cpp
@@ -0,0 +1,309 @@
+// The choice of a server for one request, and of the source of what that server lacks.
+#include <algorithm>
+#include <cmath>
+#include <tuple>
+
+#include "base/digest.h"
+#include "base/weights_version.h"
+#include "placement/placement.h"
+
+namespace quayrill {
+
+namespace {
+// Ours: a server over this much above the mean loses the pull of its match.
+constexpr double kSpreadMargin = 0.35;
+// Ours: loads from which on a server is over the spread rule's cap, whatever the mean.
+constexpr double kCapped = 1.5;
+// Ours: a fetch costs a fixed part and a part per token; prefill costs per token.
+constexpr double kFetchFixedMicros = 8000, kFetchTokenMicros = 4, kPrefillTokenMicros = 25;
+// The same, in tokens that could be read meanwhile.
+constexpr double kFetchFixedTokens = kFetchFixedMicros / kPrefillTokenMicros;
+constexpr double kFetchTokenShare = kFetchTokenMicros / kPrefillTokenMicros;
+// Ours: loads from which on a server is full; the first for tenants over their share.
+constexpr double kFullOverShare = 1.5, kFull = 2.0;
+// Ours: loads within one step tie, and so do expected reads.
+constexpr double kLoadStep = 0.25, kExpectedStep = 6000;
+// Ours: what is read for weights that are about to be replaced is read again soon.
+constexpr double kOldWeightsShare = 0.5;
+// Ours: of the shared tokens that nothing is known of, the part that is expected to be kept at
+// their home, and the part that a fetch from there is expected to bring: what is being read there
+// can't be fetched yet.
+constexpr double kHomeShare = 0.7, kHomeFetchShare = 0.4;
+// Ours: tokens that each slot's worth of requests beyond all slots counts for.
+constexpr double kWaitingTokens = 20000;
+
+// All daemons break a tie by the same name, so that one prefix gathers on one server fleet-wide.
+// The last part is a prompt's own.
+std::uint64_t tieNameOf(const PromptPrefix& prefix) {
+  std::uint64_t name = 1;
+  const std::size_t shared =
+      prefix.parts.size() > 1 ? prefix.parts.size() - 1 : prefix.parts.size();
+  for (std::size_t i = 0; i < shared; ++i) name = mixHash(name, stableHash(prefix.parts[i].id));
+  return name;
+}
+
+std::uint64_t tieOf(const ServerName& server, std::uint64_t tieName) {
+  return mixHash(stableHash(server.value), tieName);
+}
+
+// The last part is a prompt's own, or its session's.
+std::size_t sharedTokensOf(const PromptPrefix& prefix) {
+  std::size_t tokens = 0;
+  for (std::size_t i = 0; i + 1 < prefix.parts.size(); ++i) tokens += prefix.parts[i].tokens;
+  return tokens;
+}
+
+bool isWorthFetching(double tokens) {
+  return kFetchFixedTokens + kFetchTokenShare * tokens < tokens;
+}
+}  // namespace
+
+std::vector<Placement::Option> Placement::optionsFor(const PlacementAsked& asked,
+                                                     const std::vector<Token>& blocks) {
+  std::vector<Option> options;
+  std::map<Token, std::shared_ptr<const std::vector<Token>>> paths;
+  for (auto& [name, row] : rows_) {
+    const ServerState& state = row.state;
+    if (!state.healthy || state.leaving || state.switching || asked.avoid.contains(name)) continue;
+    if (asked.mayUse && !asked.mayUse(state)) continue;
+    if (!asked.service.value.empty() && state.service != asked.service) continue;
+    if (state.model != asked.model && !(asked.model.value.empty() && !asked.service.value.empty()))
+      continue;
+    const Token number = nameSpace(state, asked);
+    auto& path = paths[number];
+    if (!path) path = std::make_shared<const std::vector<Token>>(pathFor(number, blocks));
+    options.push_back({&row, path, {name}});
+  }
+  // The salts of this request are known by now.
+  placeParts(asked.prefix);
+  for (Option& option : options) {
+    const std::size_t runs = option.row->tree.peekPrefix(*option.path);
+    option.candidate.matchedTokens = runs > 1 ? (runs - 1) * settings_.blockTokens : 0;
+    option.candidate.load = loadOf(*option.row);
+  }
+  return options;
+}
+
+void Placement::noteNewest(std::vector<Option>& options) const {
+  std::map<ModelName, WeightsVersion> newest;
+  for (const Option& option : options) {
+    const ServerState& state = option.row->state;
+    const auto [entry, isFirst] = newest.try_emplace(state.model, state.weights);
+    if (!isFirst && entry->second != state.weights && isBehind(entry->second, state.weights))
+      entry->second = state.weights;
+  }
+  for (Option& option : options) {
+    const ServerState& state = option.row->state;
+    const WeightsVersion& best = newest.at(state.model);
+    option.candidate.isNewest =
+        state.weights == best || !numberOf(state.weights) || !isBehind(state.weights, best);
+  }
+}
+
+void Placement::noteCapped(std::vector<Option>& options) const {
+  double loadSum = 0;
+  for (const Option& option : options) loadSum += option.candidate.load;
+  const double mean = loadSum / static_cast<double>(options.size());
+  for (Option& option : options) {
+    const double slots = std::max(1U, option.row->state.slots);
+    const double bound = settings_.spreadRequests > 0
+                             ? mean * settings_.spreadFactor + settings_.spreadRequests / slots
+                             : mean + kSpreadMargin;
+    option.candidate.capped =
+        has(Mechanism::SpreadBound) && option.candidate.load >= std::min(kCapped, bound);
+  }
+}
+
+// By weights: the most of this prompt that is known to be kept, and the server where a prefix
+// gathers that nothing is known of.
+std::map<WeightsVersion, Placement::Sources> Placement::sourcesOf(
+    const std::vector<Option>& options, const PromptPrefix& prefix) const {
+  const std::uint64_t tieName = tieNameOf(prefix);
+  const bool hasHome = has(Mechanism::PrefixHome) && !prefix.parts.empty();
+  std::map<WeightsVersion, Sources> all;
+  std::map<WeightsVersion, std::uint64_t> highest;
+  for (const Option& option : options) {
+    Sources& sources = all[option.row->state.weights];
+    sources.mostHeld = std::max(sources.mostHeld, option.candidate.matchedTokens);
+    std::uint64_t& high = highest[option.row->state.weights];
+    const std::uint64_t tie = tieOf(option.candidate.server, tieName);
+    if (!hasHome || (sources.home && tie <= high)) continue;
+    high = tie;
+    sources.home = option.row;
+  }
+  return all;
+}
+
+// Tokens of the prompt that a server has to read, and what a fetch costs it, as far as can be
+// expected.
+double Placement::expectedOwn(const Option& option, const Sources& sources, double prompt,
+                              double shared) const {
+  const auto matched = static_cast<double>(option.candidate.matchedTokens);
+  const auto held = static_cast<double>(sources.mostHeld);
+  const auto fetched = [](double tokens) { return kFetchFixedTokens + kFetchTokenShare * tokens; };
+  double own = prompt - matched;
+  if (has(Mechanism::PeerFetch)) own = std::min(own, prompt - held + fetched(held - matched));
+  if (held >= shared || matched >= shared || !sources.home) return own;
+  if (sources.home == option.row)
+    own = std::min(own, prompt - std::max(matched, kHomeShare * shared));
+  else if (has(Mechanism::HomeFetch))
+    own = std::min(
+        own, prompt - matched + fetched(shared - matched) - kHomeFetchShare * (shared - matched));
+  return own;
+}
+
+// What is read before the first token of this request, on each server: what waits there, and what
+// of the prompt neither it keeps nor a peer can give.
+void Placement::noteExpected(std::vector<Option>& options, const PromptPrefix& prefix,
+                             std::size_t promptTokens, Instant now) const {
+  const auto sources = sourcesOf(options, prefix);
+  const auto shared = static_cast<double>(wholeBlocks(sharedTokensOf(prefix)));
+  for (Option& option : options) {
+    Candidate& candidate = option.candidate;
+    double own = expectedOwn(option, sources.at(option.row->state.weights),
+                             static_cast<double>(promptTokens), shared);
+    if (!candidate.isNewest && has(Mechanism::NewestFirst)) own *= 1 + kOldWeightsShare;
+    candidate.unreadTokens = option.row->load.unreadTokens(now);
+    candidate.expectedTokens =
+        candidate.unreadTokens + own + kWaitingTokens * std::max(0.0, candidate.load - 1);
+  }
+}
+
+std::vector<Placement::Option> Placement::usable(const std::vector<Option>& options, bool overShare,
+                                                 Instant now) const {
+  // A server with twice its slots waiting would only let the request age in its queue. The last
+  // places of that queue are for tenants that hold no more than their share.
+  std::vector<Option> left = options;
+  const double full = overShare ? kFullOverShare : kFull;
+  std::erase_if(left, [&](const Option& option) {
+    return std::max(option.candidate.load, fullnessOf(*option.row)) >= full;
+  });
+  const auto isAvoided = [&](const Option& option) { return now < option.row->avoidUntil; };
+  if (!std::all_of(left.begin(), left.end(), isAvoided)) std::erase_if(left, isAvoided);
+  return left;
+}
+
+const Placement::Option& Placement::chooseByExpected(const std::vector<Option>& usable,
+                                                     std::uint64_t tieName) const {
+  const auto rank = [&](const Candidate& candidate) {
+    return std::make_tuple(-std::floor(candidate.expectedTokens / kExpectedStep),
+                           candidate.matchedTokens, -std::floor(candidate.load / kLoadStep),
+                           tieOf(candidate.server, tieName));
+  };
+  return *std::max_element(usable.begin(), usable.end(),
+                           [&](const Option& left, const Option& right) {
+                             return rank(left.candidate) < rank(right.candidate);
+                           });
+}
+
+const Placement::Option& Placement::choose(const std::vector<Option>& usable,
+                                           const PromptPrefix& prefix, std::string* reason) {
+  if (settings_.rule == PlacementRule::RoundRobin) {
+    *reason = "next in turn";
+    return usable[nextTurn_++ % usable.size()];
+  }
+  const bool byMatch =
+      settings_.rule == PlacementRule::LongestPrefix && has(Mechanism::LongestMatch);
+  const bool hasHome = byMatch && has(Mechanism::PrefixHome) && !prefix.parts.empty();
+  const std::uint64_t tieName = hasHome ? tieNameOf(prefix) : ++nextTurn_;
+  if (byMatch && settings_.byExpectedRead) {
+    const Option& chosen = chooseByExpected(usable, tieName);
+    *reason = chosen.candidate.matchedTokens > 0 ? "least expected read, longest match"
+                                                 : "least expected read, tie by prefix";
+    return chosen;
+  }
+  const auto rank = [&](const Candidate& candidate) {
+    const std::size_t match = byMatch && !candidate.capped ? candidate.matchedTokens : 0;
+    const double load = byMatch ? std::floor(candidate.load / kLoadStep) : candidate.load;
+    // Bounded: those over the cap come last, the least loaded of them first.
+    const bool isBounded = settings_.spreadRequests > 0;
+    const bool isUnder = isBounded && !candidate.capped;
+    const double shown = !isBounded ? load : isUnder ? 0 : candidate.load;
+    // What must be read anew is best read for the weights that stay.
+    const bool isNewest = isBounded && candidate.isNewest && has(Mechanism::NewestFirst);
+    return std::make_tuple(isUnder, match, isNewest, -shown, tieOf(candidate.server, tieName));
+  };
+  const Option& chosen =
+      *std::max_element(usable.begin(), usable.end(), [&](const Option& left, const Option& right) {
+        return rank(left.candidate) < rank(right.candidate);
+      });
+  const bool isMatch = byMatch && chosen.candidate.matchedTokens > 0 && !chosen.candidate.capped;
+  *reason = isMatch ? "longest match" : byMatch ? "least load, tie by prefix" : "least load";
+  return chosen;
+}
+
+// A source must hold more, under the same weights; its salt is the request's by construction.
+void Placement::nameSource(Placed& placed, const Option& chosen, const std::vector<Option>& options,
+                           const PromptPrefix& prefix, Instant now) const {
+  for (const Option& option : options) {
+    if (!has(Mechanism::PeerFetch) || option.row == chosen.row) continue;
+    if (option.row->state.weights != chosen.row->state.weights) continue;
+    const std::size_t held = placed.source ? placed.source->matchedTokens : placed.matchedTokens;
+    const std::size_t holds = option.candidate.matchedTokens;
+    if (holds > held)
+      placed.source = FetchSource{option.candidate.server, option.row->state.identity, holds};
+  }
+  const bool isWorth =
+      placed.source &&
+      isWorthFetching(static_cast<double>(placed.source->matchedTokens - placed.matchedTokens));
+  if (!isWorth) placed.source.reset();
+  placed.worthFetching =
+      isWorthFetching(static_cast<double>(placed.promptTokens - placed.matchedTokens));
+  if (placed.source) {
+    placed.fetchFrom = Address{placed.source->server.value};
+    return;
+  }
+  const std::size_t shared = wholeBlocks(sharedTokensOf(prefix));
+  const bool isRead = placed.matchedTokens < shared;
+  // Where the other daemons placed this prefix, as far as nothing is known of it.
+  const Row* home = nullptr;
+  if (isRead && settings_.byExpectedRead && has(Mechanism::HomeFetch))
+    home = sourcesOf(options, prefix).at(chosen.row->state.weights).home;
+  if (home && (home == chosen.row || now < home->avoidUntil)) home = nullptr;
+  if (home) placed.fetchFrom = Address{home->state.name.value};
+  if (store_.value.empty() || !storeUp_) return;
+  // What the estimate takes for held may have been evicted: a source that has no more costs next
+  // to nothing, reading the part again costs much. Shared parts that are to be read are kept.
+  if (!home && has(Mechanism::StoreFetch)) placed.fetchFrom = store_;
+  const std::size_t kept = storeRow_.tree.peekPrefix(*chosen.path);
+  if (isRead && kept < shared / settings_.blockTokens + 1 && has(Mechanism::StoreKeep))
+    placed.keepAt = store_;
+}
+
+Ticket Placement::lockPath(const Option& chosen, std::uint64_t unreadTokens, Instant now) {
+  Row& row = *chosen.row;
+  const std::vector<Token>& path = *chosen.path;
+  const std::size_t before = row.tree.peekPrefix(path);
+  const PrefixInsert inserted =
+      row.tree.insert(path, std::vector<BlockValue>(path.begin(), path.end()));
+  if (has(Mechanism::Locks)) row.tree.lock(inserted.node);
+  row.load.onPlaced(unreadTokens, now);
+  tickets_[++lastTicket_] = {row.state.name, row.treeLife,         inserted.node,
+                             path,           before < path.size(), unreadTokens};
+  keepBudget(row);
+  return lastTicket_;
+}
+
+std::optional<Placed> Placement::place(const PlacementAsked& asked, Instant now) {
+  const std::vector<Token> blocks = prefixBlocks(asked.prefix, settings_.blockTokens);
+  noteChain(asked.prefix);
+  std::vector<Option> options = optionsFor(asked, blocks);
+  if (options.empty()) return std::nullopt;
+  Placed placed;
+  placed.promptTokens = blocks.size() * settings_.blockTokens;
+  noteNewest(options);
+  noteCapped(options);
+  noteExpected(options, asked.prefix, placed.promptTokens, now);
+  const std::vector<Option> left = usable(options, asked.overShare, now);
+  if (left.empty()) return std::nullopt;
+  const Option& chosen = choose(left, asked.prefix, &placed.reason);
+  placed.matchedTokens = chosen.candidate.matchedTokens;
+  placed.chosenServer = chosen.row->state;
+  for (const Option& option : options) placed.candidates.push_back(option.candidate);
+  nameSource(placed, chosen, options, asked.prefix, now);
+  const std::size_t given = placed.source ? placed.source->matchedTokens : placed.matchedTokens;
+  placed.ticket = lockPath(chosen, placed.promptTokens - given, now);
+  return placed;
+}
+
+}  // namespace quayrill
--- a/src/placement/part_events.cpp
+++ b/src/placement/part_events.cpp
@@ -7,7 +7,20 @@
 
 namespace {
 constexpr std::size_t kChains = 50000;
+
+// The name of the space of a salt as the data plane gave it: saltText.
+std::string nameSpaceName(const ModelName& model, const CacheSalt& salt) {
+  const auto dot = salt.value.find('.');
+  const std::string wall = dot == std::string::npos ? "" : salt.value.substr(dot + 1);
+  return model.value + '\0' + salt.value.substr(0, dot) + '\0' + wall;
+}
+
+// The position behind which nothing is missing.
+std::uint64_t firstKnown(const PartEvents& told) {
+  if (told.events.empty()) return told.next;
+  return told.events.front().position == 0 ? told.next : told.events.front().position - 1;
 }
+}  // namespace
 
 CacheSalt saltText(const WeightsVersion& weights, const CacheSalt& wall) {
   return CacheSalt{weights.value + (wall.value.empty() ? "" : "." + wall.value)};
@@ -36,17 +49,11 @@
   }
 }
 
-void Placement::takePart(Row& row, const PartEvent& event) {
+bool Placement::takePart(Row& row, const PartEvent& event) {
   const auto chain = chains_.find(event.part);
-  if (chain == chains_.end()) return;
-  const auto dot = event.salt.value.find('.');
-  ServerState named;
-  named.model = event.model;
-  named.weights = WeightsVersion{event.salt.value.substr(0, dot)};
-  const CacheSalt wall{dot == std::string::npos ? "" : event.salt.value.substr(dot + 1)};
-  const auto space =
-      nameSpaces_.find(named.model.value + '\0' + named.weights.value + '\0' + wall.value);
-  if (space == nameSpaces_.end()) return;
+  if (chain == chains_.end()) return false;
+  const auto space = nameSpaces_.find(nameSpaceName(event.model, event.salt));
+  if (space == nameSpaces_.end()) return false;
   PromptPrefix prefix{chain->second};
   std::size_t before = 0;
   for (std::size_t i = 0; i + 1 < prefix.parts.size(); ++i) before += prefix.parts[i].tokens;
@@ -56,13 +63,30 @@
   if (event.isAdded) {
     const std::size_t held = row.tree.peekPrefix(whole);
     const std::size_t to = std::min(whole.size(), kept + 1);
-    if (held >= to || (before > 0 && held < before / settings_.blockTokens + 1)) return;
+    if (held >= to || (before > 0 && held < before / settings_.blockTokens + 1)) return true;
     const std::vector<Token> path(whole.begin(), whole.begin() + static_cast<std::ptrdiff_t>(to));
     row.tree.insert(path, std::vector<BlockValue>(path.begin(), path.end()));
     keepBudget(row);
   } else if (kept + 1 < whole.size()) {
     row.tree.prune(std::span(whole).first(kept + 2));
   }
+  return true;
+}
+
+void Placement::placeParts(const PromptPrefix& prefix) {
+  const auto isKnown = [&](const UnplacedParts::Held& held) {
+    return nameSpaces_.contains(nameSpaceName(held.model, held.salt));
+  };
+  for (std::size_t i = 0; i + 1 < prefix.parts.size(); ++i) {
+    const std::string& part = prefix.parts[i].id;
+    for (const UnplacedParts::Held& held : unplaced_.take(part, isKnown)) {
+      const auto entry = rows_.find(held.holder);
+      if (entry == rows_.end() && held.holder.value != store_.value) continue;
+      Row& row = entry == rows_.end() ? storeRow_ : entry->second;
+      if (row.treeLife == held.treeLife)
+        takePart(row, {0, true, held.salt, part, held.tokens, held.model});
+    }
+  }
 }
 
 void Placement::takePartEvents(const ServerName& server, const PartEvents& told) {
@@ -70,13 +94,26 @@
   const bool isStore = server.value == store_.value;
   if (entry == rows_.end() && !isStore) return;
   Row& row = isStore ? storeRow_ : entry->second;
-  const bool isFirst = row.eventLife.empty();
-  if (!isFirst && (row.eventLife != told.life || told.hasGap)) {
-    dropTree(row);
+  if (row.eventLife != told.life) {
+    if (!row.eventLife.empty()) {
+      dropTree(row);
+      ++gaps_;
+    }
+    row.eventLife = told.life;
+    row.eventPosition = 0;
+  } else if (told.next < row.eventPosition) {
+    return;  // of another reader, told late
+  } else if (told.hasGap && row.eventPosition < firstKnown(told)) {
+    dropTree(row);  // what was dropped in between is not known
     ++gaps_;
+  } else if (row.eventPosition < told.first) {
+    ++gaps_;  // a batch was lost on its way; what it told of drops costs a read at most
+  }
+  for (const PartEvent& event : told.events) {
+    if (event.position != 0 && event.position <= row.eventPosition) continue;
+    if (!takePart(row, event))
+      unplaced_.put(event.part, {server, row.treeLife, event.salt, event.model, event.tokens});
   }
-  row.eventLife = told.life;
-  for (const PartEvent& event : told.events) takePart(row, event);
   row.eventPosition = told.next;
 }
 
--- a/src/placement/placement.h
+++ b/src/placement/placement.h
@@ -3,14 +3,18 @@
 #include <deque>
 #include <functional>
 #include <map>
+#include <memory>
 #include <optional>
 #include <set>
 #include <string>
 #include <vector>
 
 #include "base/clock.h"
+#include "base/mechanisms.h"
 #include "base/types.h"
 #include "placement/prefix.h"
+#include "placement/server_load.h"
+#include "placement/unplaced_parts.h"
 #include "radix/radix_tree.h"
 
 namespace quayrill {
@@ -40,6 +44,10 @@
   // the mean; its turn comes after all that are not. 0: by the share of its slots.
   double spreadRequests = 0;
   double spreadFactor = 1.5;
+  // Servers are compared by the tokens that are read before a request's first token: those that
+  // wait there, and its own that are not kept.
+  bool byExpectedRead = false;
+  Mechanisms mechanisms{};
 };
 
 struct PlacementAsked {
@@ -57,8 +65,10 @@
   ServerName server;
   std::size_t matchedTokens = 0;
   double load = 0;
-  bool capped = false;   // over the spread rule's cap: its match does not count
-  bool isNewest = true;  // no other candidate has newer weights of its model
+  double unreadTokens = 0;    // to be read there for requests that were placed before
+  double expectedTokens = 0;  // the same with this request's own, a fetch and its weights weighed
+  bool capped = false;        // over the spread rule's cap: its match does not count
+  bool isNewest = true;       // no other candidate has newer weights of its model
 };
 
 // Where missing cache could come from. `identity` and `weights` are what was believed when it was
@@ -69,6 +79,9 @@
   std::size_t matchedTokens = 0;
 };
 
+// Ours: parts of prompts that no request here has shown yet.
+inline constexpr std::size_t kMostUnplacedParts = 30000;
+
 using Ticket = std::uint64_t;  // one lock on one path; 0 is none
 
 struct Placed {
@@ -94,6 +107,7 @@
 
 // One part of prompts at a server or store: it keeps so many tokens of it now.
 struct PartEvent {
+  std::uint64_t position = 0;
   bool isAdded = false;
   CacheSalt salt;  // as the data plane gave it: saltText
   std::string part;
@@ -101,12 +115,19 @@
   ModelName model;
 };
 struct PartEvents {
-  std::string life;  // changes when the server starts anew
-  std::uint64_t next = 0;
-  bool hasGap = false;
+  std::string life;         // changes when the server starts anew
+  std::uint64_t first = 0;  // the position that was asked for
+  std::uint64_t next = 0;   // the position behind the last event
+  bool hasGap = false;      // the server forgot events behind `first`
   std::vector<PartEvent> events;
 };
 
+// Requests of one daemon, or of several together, at one server.
+struct ServerOutstanding {
+  ServerName server;
+  Outstanding outstanding;
+};
+
 // The name under which servers keep cache: no two versions and no two walls share one, so that no
 // match and no fetch leads across. `wall` is "" where cache is shared.
 CacheSalt saltText(const WeightsVersion& weights, const CacheSalt& wall);
@@ -127,6 +148,13 @@
   // Locks are released exactly once: a second release of a ticket does nothing. `ran` false takes
   // the path out again that this ticket put in.
   void release(Ticket ticket, bool ran, Instant now = {});
+  // The first token of a placed request is there: its prompt was read.
+  void noteRead(Ticket ticket, Instant now);
+  // This daemon's requests, by server; servers without any are left out.
+  std::vector<ServerOutstanding> ownOutstanding() const;
+  // What all daemons had there at `at`; servers that are not named have nothing. Where answers tell
+  // a server's load, those go before the number of requests told here.
+  void noteFleet(const std::vector<ServerOutstanding>& fleet, Instant at);
   void takeEvents(const ServerName& server, const ServerIdentity& identity, std::uint64_t first,
                   const std::vector<CacheEvent>& events, std::uint64_t next);
   std::uint64_t eventPosition(const ServerName& server) const;
@@ -156,10 +184,8 @@
     // Of this tree alone, also where a server's name comes back: tickets of others are void.
     std::uint64_t treeLife = 0;
     std::uint64_t firstLife = 0;  // of this row; tickets of lives before it are of a row that left
-    std::uint32_t inFlight = 0;   // placed here and not yet released
-    // inFlight as it was, by time, for as long as a poll may look back. Never empty of what stood
-    // at the newest poll, once there was one.
-    std::deque<std::pair<Instant, std::uint32_t>> past;
+    ServerLoad load;              // requests placed here and not yet released
+    Instant headerAt{};           // when an answer last told its load
     std::uint64_t eventPosition = 0;
     std::string eventLife;
     // Others go first until then. failures: in a row, without an answer between.
@@ -173,6 +199,7 @@
     NodeHandle node;
     std::vector<Token> path;
     bool inserted = false;
+    std::uint64_t unreadTokens = 0;  // 0 once its prompt was read
   };
   // One (model, weights, salt). Its number is given once and never again, so that a path left
   // behind by one that was let go is met by nobody. A tenant that asks for ever new salts lets its
@@ -188,13 +215,44 @@
   void dropTree(Row& row);
   double loadOf(const Row& row) const;
   double fullnessOf(const Row& row) const;
-  static std::uint32_t inFlightAtPoll(const Row& row);
-  static void moveInFlight(Row& row, int by, Instant now);
   void keepBudget(Row& row);
   void noteChain(const PromptPrefix& prefix);
-  void takePart(Row& row, const PartEvent& event);
-  const Row* choose(const std::vector<std::pair<const Row*, Candidate>>& open,
-                    std::uint64_t tieName, std::string* reason);
+  // False: the part's place in a prompt, or its salt, is not known here.
+  bool takePart(Row& row, const PartEvent& event);
+  // Lays what was told of the prompt's parts before over the trees.
+  void placeParts(const PromptPrefix& prefix);
+  bool has(Mechanism mechanism) const { return settings_.mechanisms.has(mechanism); }
+
+  // choice.cpp. A server that may take the request, and the request's path in its tree.
+  struct Option {
+    Row* row = nullptr;
+    std::shared_ptr<const std::vector<Token>> path;
+    Candidate candidate;
+  };
+  std::vector<Option> optionsFor(const PlacementAsked& asked, const std::vector<Token>& blocks);
+  void noteNewest(std::vector<Option>& options) const;
+  void noteCapped(std::vector<Option>& options) const;
+  struct Sources {
+    std::size_t mostHeld = 0;
+    const Row* home = nullptr;
+  };
+  std::map<WeightsVersion, Sources> sourcesOf(const std::vector<Option>& options,
+                                              const PromptPrefix& prefix) const;
+  double expectedOwn(const Option& option, const Sources& sources, double prompt,
+                     double shared) const;
+  void noteExpected(std::vector<Option>& options, const PromptPrefix& prefix,
+                    std::size_t promptTokens, Instant now) const;
+  std::size_t wholeBlocks(std::size_t tokens) const {
+    return tokens - tokens % settings_.blockTokens;
+  }
+  // Those that are neither full nor, where others are left, in trouble.
+  std::vector<Option> usable(const std::vector<Option>& options, bool overShare, Instant now) const;
+  const Option& choose(const std::vector<Option>& usable, const PromptPrefix& prefix,
+                       std::string* reason);
+  const Option& chooseByExpected(const std::vector<Option>& usable, std::uint64_t tieName) const;
+  void nameSource(Placed& placed, const Option& chosen, const std::vector<Option>& options,
+                  const PromptPrefix& prefix, Instant now) const;
+  Ticket lockPath(const Option& chosen, std::uint64_t unreadTokens, Instant now);
 
   PlacementSettings settings_;
   Address store_;
@@ -210,6 +268,7 @@
   std::uint64_t uses_ = 0;
   std::uint64_t lastTreeLife_ = 0;  // no two trees share a life
   Ticket lastTicket_ = 0;
+  UnplacedParts unplaced_{kMostUnplacedParts};
   std::uint64_t nextTurn_ = 0, gaps_ = 0;
 };
 
--- /dev/null
+++ b/src/placement/server_load.h
@@ -0,0 +1,47 @@
+#pragma once
+// What one model server has to do for the fleet, as far as this daemon can tell: its own requests
+// there, and what all daemons told of theirs a moment ago.
+#include <cstdint>
+#include <deque>
+#include <utility>
+
+#include "base/clock.h"
+
+namespace quayrill {
+
+// Requests at a server, and the prompt tokens that it has still to read for them.
+struct Outstanding {
+  std::uint32_t requests = 0;
+  std::uint64_t unreadTokens = 0;
+  bool operator==(const Outstanding&) const = default;
+};
+
+class ServerLoad {
+ public:
+  // A request was placed, whose prompt has so many tokens to be read.
+  void onPlaced(std::uint64_t unreadTokens, Instant now);
+  // Its prompt was read; once for each request.
+  void onRead(std::uint64_t unreadTokens, Instant now);
+  // It ended. `unreadTokens`: what onRead did not take off.
+  void onEnded(std::uint64_t unreadTokens, Instant now);
+  // What all daemons together, this one too, had there at `at`.
+  void onTold(const Outstanding& fleet, Instant at);
+
+  const Outstanding& own() const { return own_; }
+  // The own part as it stood at `at`; as now where that is longer ago than is kept.
+  Outstanding ownAt(Instant at) const;
+  // Tokens that the server has still to read: as the fleet told, while that is fresh, with what
+  // changed here since; the own part at least.
+  double unreadTokens(Instant now) const;
+
+ private:
+  void keep(Instant now);
+
+  Outstanding own_;
+  // own_ as it was until each instant, oldest first; no longer ago than kPast but for one entry.
+  std::deque<std::pair<Instant, Outstanding>> past_;
+  Outstanding told_;
+  Instant toldAt_{};
+};
+
+}  // namespace quayrill
--- a/src/proxy/proxy.cpp
+++ b/src/proxy/proxy.cpp
@@ -18,7 +18,9 @@
   PlacementRule rule = PlacementRule::LongestPrefix;
   if (settings.placement == "least-burden") rule = PlacementRule::LeastLoad;
   if (settings.placement == "round-robin") rule = PlacementRule::RoundRobin;
-  return {settings.blockTokens, rule};
+  PlacementSettings made{settings.blockTokens, rule};
+  made.mechanisms = settings.mechanisms;
+  return made;
 }
 }  // namespace
 
--- a/src/quayrilld.cpp
+++ b/src/quayrilld.cpp
@@ -11,7 +11,7 @@
 Usage:
   quayrilld [--settings=FILE] [--role=ROLE] [--cohort=ADDR] [--operators=ADDR] [--callers=ADDR]
             [--zone=ZONE] [--seeds=LIST] [--data-folder=DIR] [--platform=ADDR] [--store=ADDR]
-            [--cohort-via=ADDR] [--disk-drag=FILE] [--placement=RULE] [--fetch=ON]
+            [--cohort-via=ADDR] [--disk-drag=FILE] [--placement=RULE] [--fetch=ON] [--without=NAMES]
             [--copies-wanted=N] [--block-tokens=N] [--traffic-threads=N] [--fresh-limit-ms=MS] [--grace-ms=MS] [--check]
   quayrilld --help | --version
 
@@ -30,6 +30,7 @@
   --disk-drag=FILE     Let each sync last as many ms longer as FILE says (runs with slow disks).
   --placement=RULE     prefix, least-burden or round-robin (the last two for comparison).
   --fetch=ON           on or off: let servers pull missing prefixes.
+  --without=NAMES      Mechanisms to switch off, split by commas, to measure what each is worth.
   --copies-wanted=N    Register copies to keep.
   --block-tokens=N     Tokens of one cache block.
   --traffic-threads=N  Threads for traffic.
@@ -40,7 +41,9 @@
   -h --help            Show this text.
   --version            Show the version.
 
-Exit codes: 0 ended as asked, 1 a defect while running, 2 bad settings.
+Exit codes: 0 ended as asked, 1 a failure while running, 2 bad settings.
+
+Mechanisms that --without takes, and what is done without each:
 )";
 
 std::string settingName(const std::string& flag) {
@@ -56,7 +59,7 @@
   try {
     flags = docopt::docopt_parse(kUsage, {argv + 1, argv + argc}, true, true);
   } catch (const docopt::DocoptExitHelp&) {
-    std::cout << kUsage;
+    std::cout << kUsage << quayrill::mechanismsHelp();
     return 0;
   } catch (const docopt::DocoptExitVersion&) {
     std::cout << program << "\n";
--- a/src/relay/front.cpp
+++ b/src/relay/front.cpp
@@ -15,8 +15,19 @@
 constexpr std::size_t kEarlyBlock = 4096;      // ours: read at once of a next request
 constexpr std::size_t kEarlyLimit = 64 << 10;  // ours: kept of one; a close behind more is not seen
 constexpr std::size_t kCallerLimit = 3000;
+constexpr std::size_t kMostIdle = 32;  // ours: connections kept for each server
+constexpr Span kIdleSpan = 4s;         // ours: how long, where the server names no time
 // Ours: prompts wait for each other's reading, so a few requests over the mean are many.
 constexpr double kSpreadRequests = 4, kSpreadFactor = 1.5;
+
+PlacementSettings placementSettings(const Settings& settings) {
+  PlacementSettings made{settings.blockTokens};
+  made.spreadRequests = kSpreadRequests;
+  made.spreadFactor = kSpreadFactor;
+  made.byExpectedRead = settings.mechanisms.has(Mechanism::ExpectedRead);
+  made.mechanisms = settings.mechanisms;
+  return made;
+}
 }  // namespace
 
 Relay::Relay(Settings settings, Dialect dialect)
@@ -24,11 +35,10 @@
       dialect_(std::move(dialect)),
       names_(dialect_.relayNames.value()),
       callers_(io_),
-      placement_(
-          {settings_.blockTokens, PlacementRule::LongestPrefix, kSpreadRequests, kSpreadFactor}),
+      placement_(placementSettings(settings_)),
       budgets_(settings_.extraShare, settings_.extraWindow),
       slackShare_(settings_.extraWindow),
-      pool_(io_, 32, 4s) {}
+      pool_(io_, settings_.mechanisms.has(Mechanism::KeptConnections) ? kMostIdle : 0, kIdleSpan) {}
 
 Relay::~Relay() {
   stop();
@@ -47,7 +57,9 @@
     if (auto status = ready_->start(); !status.ok()) return status;
   }
   asio::co_spawn(io_, accept(callers_), asio::detached);
-  if (dialect_.partEvents) asio::co_spawn(io_, eventLoop(), asio::detached);
+  if (dialect_.partEvents && settings_.mechanisms.has(Mechanism::Events))
+    asio::co_spawn(io_, eventLoop(), asio::detached);
+  asio::co_spawn(io_, reportLoop(), asio::detached);
   thread_ = std::thread([this] { io_.run(); });
   return absl::OkStatus();
 }
--- a/src/relay/part_events.cpp
+++ b/src/relay/part_events.cpp
@@ -1,4 +1,8 @@
-// Asks servers and the store, one after the other, what changed among the parts that they keep.
+// Cache events: read from the sources that fall to this daemon, told to the fleet, and taken from
+// it. What this daemon's requests do at servers is told the same way.
+#include <glog/logging.h>
+
+#include "relay/part_event_batch.h"
 #include "relay/relay.h"
 
 namespace quayrill {
@@ -6,41 +10,95 @@
 using namespace std::chrono_literals;
 
 namespace {
-constexpr Span kRound = 2s;  // ours: each server is asked once in this time
+constexpr Span kRound = 1s;          // ours: each source is asked once in this time
+constexpr Span kStoreRound = 500ms;  // ours: requests wait at servers for a store that is down
 constexpr Span kEventsDue = 500ms;
+constexpr Span kLookEvery = 100ms;  // ours: for sources that are due
+constexpr Span kReportEvery = 100ms;
 }  // namespace
 
+void Relay::takeDigest(PlaneDigest digest, Instant toldAt) {
+  asio::post(io_, [this, digest = std::move(digest), toldAt] {
+    if (settings_.mechanisms.has(Mechanism::SharedLoad)) {
+      std::vector<ServerOutstanding> fleet;
+      for (const OutstandingRow& row : digest.outstanding)
+        fleet.push_back({row.server, {row.requests, row.unreadTokens}});
+      placement_.noteFleet(fleet, toldAt - std::chrono::microseconds(digest.agoMicros));
+    }
+    for (const PartEventBatch& batch : digest.batches) takeBatch(batch);
+  });
+}
+
+void Relay::takeBatch(const PartEventBatch& batch) {
+  if (isStore(batch.source)) placement_.noteStore(batch.isReachable);
+  if (!batch.isReachable) return;
+  const std::uint64_t before = placement_.gaps();
+  placement_.takePartEvents(batch.source, fromBatch(batch));
+  counters_.eventGaps += placement_.gaps() - before;
+}
+
+bool Relay::isStore(const ServerName& source) const {
+  const auto& configuration = view_->configuration;
+  return configuration && !configuration->stores.empty() &&
+         configuration->stores.begin()->second.address.value == source.value;
+}
+
+awaitable<void> Relay::reportLoop() {
+  for (;;) {
+    co_await pauseFor(kReportEvery);
+    if (!reporter_) continue;
+    PlaneReport report;
+    for (const ServerOutstanding& row : placement_.ownOutstanding())
+      report.outstanding.push_back(
+          {row.server, row.outstanding.requests, row.outstanding.unreadTokens});
+    report.batches = std::exchange(readBatches_, {});
+    reporter_(std::move(report));
+  }
+}
+
 awaitable<void> Relay::eventLoop() {
-  std::size_t turn = random_();
+  std::map<ServerName, Instant> dueAt;
   for (;;) {
     const auto seen = view_;
-    const bool hasStore = seen->configuration && !seen->configuration->stores.empty();
-    const std::size_t sources = seen->servers.size() + (hasStore ? 1 : 0);
-    if (sources == 0) {
-      co_await pauseFor(200ms);
-      continue;
+    const Instant now = BootClock::now();
+    std::erase_if(dueAt, [&](const auto& row) { return !seen->eventSources.contains(row.first); });
+    for (const ServerName& source : seen->eventSources) {
+      const Span round = isStore(source) ? kStoreRound : kRound;
+      // Spread from the start, so that sources are asked one after the other.
+      const auto [due, isNew] = dueAt.try_emplace(source, now + round * (random_() % 100) / 100);
+      if (isNew || now < due->second) continue;
+      due->second = now + round;
+      asio::co_spawn(io_, pullEvents(source), asio::detached);
     }
-    const std::size_t chosen = ++turn % sources;
-    const bool isStore = chosen == seen->servers.size();
-    if (isStore || (!seen->servers[chosen].switching && seen->servers[chosen].healthy)) {
-      ServerName name = isStore
-                            ? ServerName{seen->configuration->stores.begin()->second.address.value}
-                            : seen->servers[chosen].name;
-      asio::co_spawn(io_, pullEvents(std::move(name), isStore), asio::detached);
-    }
-    co_await pauseFor(kRound / static_cast<int>(sources));
+    co_await pauseFor(kLookEvery);
+  }
+}
+
+awaitable<void> Relay::pullEvents(ServerName source) {
+  const std::uint64_t since = placement_.eventPosition(source);
+  const auto body = co_await askEvents(source, since);
+  PartEventBatch batch;
+  batch.source = source;
+  batch.isReachable = body.ok();
+  if (body.ok() && !body->empty()) {
+    auto told = dialect_.partEvents->parse(*body);
+    if (!told.ok()) co_return;
+    told->first = since;
+    batch = toBatch(source, *told);
   }
+  takeBatch(batch);
+  const bool isTold = isStore(source) || (batch.isReachable && !batch.groups.empty());
+  const bool isShared = settings_.mechanisms.has(Mechanism::SharedEvents);
+  if (isTold && isShared && reporter_) readBatches_.push_back(std::move(batch));
 }
 
-awaitable<void> Relay::pullEvents(ServerName server, bool isStore) {
-  const std::uint64_t since = placement_.eventPosition(server);
-  auto connection = pool_.takeIdle(server, BootClock::now());
+// The body of a successful answer, "" where the source has none now; an error where it can't be
+// reached.
+awaitable<absl::StatusOr<std::string>> Relay::askEvents(ServerName source, std::uint64_t since) {
+  auto connection = pool_.takeIdle(source, BootClock::now());
   if (!connection) {
-    auto connected = co_await pool_.connect(server, kEventsDue);
-    if (!connected.ok()) {
-      if (isStore) placement_.noteStore(false);
-      co_return;
-    }
+    auto connected = co_await pool_.connect(source, kEventsDue);
+    if (!connected.ok()) co_return connected.status();
     connection = std::move(*connected);
   }
   auto open = std::make_shared<Tcp::socket*>(&connection->socket);
@@ -51,7 +109,7 @@
     if (!code && *open) (*open)->close(ignored);
   });
   const std::string text = "GET " + dialect_.partEvents->target(since) +
-                           " HTTP/1.1\r\nHost: " + server.value + "\r\n\r\n";
+                           " HTTP/1.1\r\nHost: " + source.value + "\r\n\r\n";
   ErrorCode code;
   co_await asio::async_write(connection->socket, asio::buffer(text), into(code));
   http::response_parser<http::string_body> parser;
@@ -59,18 +117,11 @@
   if (!code) co_await http::async_read(connection->socket, connection->buffer, parser, into(code));
   *open = nullptr;
   timer.cancel();
-  if (isStore) placement_.noteStore(!code);
-  if (code) co_return;
-  if (parser.get().result_int() == 200) {
-    const auto told = dialect_.partEvents->parse(parser.get().body());
-    if (told.ok()) {
-      const std::uint64_t before = placement_.gaps();
-      placement_.takePartEvents(server, *told);
-      counters_.eventGaps += placement_.gaps() - before;
-    }
-  }
+  if (code) co_return absl::UnavailableError("cache events: " + code.message());
+  std::string body = parser.get().result_int() == 200 ? parser.get().body() : std::string{};
   if (parser.get().keep_alive())
-    pool_.give(server, std::move(connection), std::nullopt, BootClock::now());
+    pool_.give(source, std::move(connection), std::nullopt, BootClock::now());
+  co_return body;
 }
 
 }  // namespace quayrill
--- a/src/relay/relay.h
+++ b/src/relay/relay.h
@@ -106,6 +106,12 @@
   absl::Status start();
   // Called by the agent's thread, each time that something may have changed.
   void takeSnapshot(Snapshot told, Instant askedAt);
+  // What the fleet's data planes observe. Called by the agent's thread.
+  void takeDigest(PlaneDigest digest, Instant toldAt);
+  // Who tells the fleet what this data plane observes. Set it before start; called on the traffic
+  // thread.
+  using Reporter = std::function<void(PlaneReport)>;
+  void setReporter(Reporter reporter) { reporter_ = std::move(reporter); }
   // Not ready from now on. Accepts, ends what it accepted, and has left before the grace is over.
   void beginLeaving();
   bool hasLeft() const { return hasLeft_; }
@@ -151,7 +157,11 @@
 
   // part_events.cpp: what servers and the store keep
   awaitable<void> eventLoop();
-  awaitable<void> pullEvents(ServerName server, bool isStore);
+  awaitable<void> reportLoop();
+  awaitable<void> pullEvents(ServerName source);
+  awaitable<absl::StatusOr<std::string>> askEvents(ServerName source, std::uint64_t since);
+  void takeBatch(const PartEventBatch& batch);
+  bool isStore(const ServerName& source) const;
   std::shared_ptr<Instant> signsOf(const ServerName& server);
 
   // attempt.cpp: one try at one server
@@ -188,6 +198,8 @@
   std::list<std::weak_ptr<Caller>> open_;
   // When each listed server last sent anything: one that answers others is slow, not silent.
   std::map<ServerName, std::shared_ptr<Instant>> signs_;
+  Reporter reporter_;
+  std::vector<PartEventBatch> readBatches_;  // since the last report
   Counters counters_;
   DecisionLog decisions_{5000};
   std::mt19937_64 random_{std::random_device{}()};
--- a/src/settings/settings.cpp
+++ b/src/settings/settings.cpp
@@ -28,6 +28,7 @@
     "disk_drag": {"type": "string"},
     "placement": {"type": "string", "enum": ["prefix", "least-burden", "round-robin"]},
     "fetch": {"type": "string", "enum": ["on", "off"]},
+    "without": {"type": "string"},
     "copies_wanted": {"type": "integer", "minimum": 1, "maximum": 9},
     "bear_machines": {"type": "integer", "minimum": 0, "maximum": 4},
     "bear_zones": {"type": "integer", "minimum": 0, "maximum": 4},
@@ -179,6 +180,9 @@
   settings.peerVia = Address{text("cohort_via")};
   settings.placement = fields.value("placement", settings.placement);
   settings.fetch = fields.value("fetch", "on") == "on";
+  const auto mechanisms = mechanismsWithout(text("without"));
+  if (!mechanisms.ok()) return bad("without", std::string(mechanisms.status().message()));
+  settings.mechanisms = *mechanisms;
   if (auto status = readLosses(fields, &settings); !status.ok()) return status;
   settings.catchUp =
       std::chrono::milliseconds(fields.value("catch_up_ms", settings.catchUp.count()));
--- a/src/settings/settings.h
+++ b/src/settings/settings.h
@@ -8,6 +8,7 @@
 
 #include "base/clock.h"
 #include "base/error.h"
+#include "base/mechanisms.h"
 #include "base/types.h"
 #include "register/replica_plan.h"
 
@@ -59,6 +60,7 @@
   double extraShare = 0.2;
   std::chrono::milliseconds extraWindow{10000};
   std::size_t extraSlack = 0;
+  Mechanisms mechanisms;  // what decides where requests go; all on but for measurements
 };
 
 struct SettingsAsked {
--- /dev/null
+++ b/tests/part_events_tests.cpp
@@ -0,0 +1,112 @@
+// Cache events of single parts, as one daemon reads them and others are told.
+#include <catch2/catch.hpp>
+
+#include "placement/placement.h"
+#include "relay/part_event_batch.h"
+
+using namespace quayrill;
+
+namespace {
+const ServerName kServer{"s"};
+const ModelName kModel{"m"};
+
+ServerState serverState(const std::string& name) {
+  ServerState state;
+  state.name = ServerName{name};
+  state.identity = ServerIdentity{name + "#1"};
+  state.model = kModel;
+  state.weights = WeightsVersion{"1"};
+  state.healthy = true;
+  state.slots = 8;
+  state.cacheTokens = 16000;
+  return state;
+}
+
+PartEvent stored(std::uint64_t position, const std::string& part, std::uint32_t tokens) {
+  return {position, true, saltText(WeightsVersion{"1"}, {}), part, tokens, kModel};
+}
+PartEvent dropped(std::uint64_t position, const std::string& part) {
+  return {position, false, saltText(WeightsVersion{"1"}, {}), part, 0, kModel};
+}
+
+// A daemon whose requests named the part "rules", and what it believes the one server keeps of it.
+struct Index {
+  Placement placement{PlacementSettings{16}};
+  Index() {
+    placement.setServers({serverState("s")});
+    placement.release(place()->ticket, false);
+  }
+  std::optional<Placed> place() {
+    return placement.place(
+        {kModel, TenantName{"t"}, CacheSalt{}, *parsePrefix("rules:320,own:32"), {}});
+  }
+  std::size_t matched() {
+    const auto placed = place();
+    placement.release(placed->ticket, false);
+    return placed->matchedTokens;
+  }
+  void take(const PartEvents& told) { placement.takePartEvents(kServer, told); }
+};
+}  // namespace
+
+TEST_CASE("part events: a batch goes through the wire's form and comes back the same") {
+  PartEvents told{
+      "7", 3, 6, true, {stored(4, "rules", 320), dropped(5, "notice"), stored(6, "rules", 336)}};
+  told.events[1].salt = CacheSalt{"1.hill"};
+  const PartEvents back = fromBatch(toBatch(kServer, told));
+  CHECK(back.life == told.life);
+  CHECK(back.first == told.first);
+  CHECK(back.next == told.next);
+  CHECK(back.hasGap == told.hasGap);
+  REQUIRE(back.events.size() == 3);
+  for (std::size_t i = 0; i < 3; ++i) {
+    CHECK(back.events[i].position == told.events[i].position);
+    CHECK(back.events[i].part == told.events[i].part);
+    CHECK(back.events[i].salt == told.events[i].salt);
+    CHECK(back.events[i].isAdded == told.events[i].isAdded);
+    CHECK(back.events[i].tokens == told.events[i].tokens);
+  }
+}
+
+TEST_CASE("part events: what another reader tells late changes nothing") {
+  Index index;
+  index.take({"1", 0, 2, false, {stored(1, "rules", 320), dropped(2, "rules")}});
+  CHECK(index.matched() == 0);
+  index.take({"1", 0, 1, false, {stored(1, "rules", 320)}});
+  CHECK(index.matched() == 0);
+  // One that overlaps adds what is new alone.
+  index.take({"1", 0, 3, false, {stored(1, "rules", 320), stored(3, "rules", 320)}});
+  CHECK(index.matched() == 320);
+  CHECK(index.placement.eventPosition(kServer) == 3);
+  CHECK(index.placement.gaps() == 0);
+}
+
+TEST_CASE("part events: a lost batch is counted and the estimate stays") {
+  Index index;
+  index.take({"1", 0, 1, false, {stored(1, "rules", 320)}});
+  index.take({"1", 8, 9, false, {stored(9, "notice", 16)}});
+  CHECK(index.placement.gaps() == 1);
+  CHECK(index.matched() == 320);
+}
+
+TEST_CASE("part events: what the server itself forgot drops the estimate, once") {
+  Index index;
+  index.take({"1", 0, 1, false, {stored(1, "rules", 320)}});
+  index.take({"1", 1, 9, true, {stored(9, "notice", 16)}});
+  CHECK(index.placement.gaps() == 1);
+  CHECK(index.matched() == 0);
+  index.take({"1", 9, 10, false, {stored(10, "rules", 320)}});
+  CHECK(index.matched() == 320);
+  // A reader that began anew was told of the gap; this daemon is past it.
+  index.take({"1", 0, 11, true, {stored(9, "notice", 16), stored(11, "notice", 32)}});
+  CHECK(index.matched() == 320);
+  CHECK(index.placement.gaps() == 1);
+}
+
+TEST_CASE("part events: a server that started anew keeps nothing of before") {
+  Index index;
+  index.take({"1", 0, 40, false, {stored(40, "rules", 320)}});
+  index.take({"2", 0, 1, false, {stored(1, "notice", 16)}});
+  CHECK(index.matched() == 0);
+  CHECK(index.placement.eventPosition(kServer) == 1);
+}
--- /dev/null
+++ b/tests/server_load_tests.cpp
@@ -0,0 +1,61 @@
+// What servers have to do, by this daemon's requests and by what the fleet told, on a fake clock.
+#include <catch2/catch.hpp>
+
+#include "placement/server_load.h"
+
+using namespace quayrill;
+using namespace std::chrono_literals;
+
+TEST_CASE("server load: own requests count from placing to their end, their prompts until read") {
+  ServerLoad load;
+  Instant now{10s};
+  load.onPlaced(5000, now);
+  load.onPlaced(200, now);
+  CHECK(load.own() == Outstanding{2, 5200});
+  load.onRead(5000, now);
+  CHECK(load.own() == Outstanding{2, 200});
+  load.onEnded(0, now);
+  load.onEnded(200, now);
+  CHECK(load.own() == Outstanding{});
+  load.onEnded(200, now);  // more than there was
+  CHECK(load.own() == Outstanding{});
+}
+
+TEST_CASE("server load: what the fleet told is moved by what changed here since") {
+  ServerLoad load;
+  Instant now{10s};
+  load.onPlaced(1000, now);
+  now += 500ms;
+  // All daemons' as of 300 ms ago, this one's 1000 among them.
+  load.onTold({9, 30000}, now - 300ms);
+  CHECK(load.unreadTokens(now) == 30000);
+  load.onPlaced(4000, now);
+  CHECK(load.unreadTokens(now) == 34000);
+  load.onRead(1000, now);
+  CHECK(load.unreadTokens(now) == 33000);
+  // The own part is certain.
+  load.onTold({0, 0}, now);
+  CHECK(load.unreadTokens(now) == 4000);
+}
+
+TEST_CASE("server load: what was told long ago counts no more") {
+  ServerLoad load;
+  const Instant now{10s};
+  load.onPlaced(700, now);
+  load.onTold({50, 90000}, now);
+  CHECK(load.unreadTokens(now + 1900ms) == 90000);
+  CHECK(load.unreadTokens(now + 2100ms) == 700);
+}
+
+TEST_CASE("server load: what stood at an instant is kept for seconds, and boundedly") {
+  ServerLoad load;
+  Instant now{10s};
+  for (int i = 0; i < 100; ++i) {
+    load.onPlaced(10, now);
+    now += 100ms;
+  }
+  CHECK(load.ownAt(now - 1s).requests == 91);
+  CHECK(load.ownAt(now).requests == 100);
+  // Longer ago than is kept: the oldest that is.
+  CHECK(load.ownAt(now - 9s).requests >= 68);
+}
