Choice: what waits counts by what passes it; copies cost their room; one home whatever the weights

But servers let short reads in first, so a kept prompt passes what waits; and a copy takes the room of another prompt. Change: what waits counts by own/(own + 30,000) of the prompt's own tokens, a copy costs 6,000 tokens beside its fetch, an unknown prefix is taken to be kept at its home, which is one server whatever its weights. Explain names what was expected and the least of any server; counters for the exchange.

--- a/src/agent/orders.cpp
+++ b/src/agent/orders.cpp
@@ -6,7 +6,10 @@
 using namespace std::chrono_literals;
 
 namespace {
-constexpr Span kOrderDue = 1500ms;
+constexpr Span kOrderDue = 1500ms;  // from the decision on
+// Ours: all daemons are told that a server is to switch before it is ordered. Prompts that wait there
+// begin meanwhile; those that had not begun by the order would be turned away.
+constexpr Span kNoticeSpan = 400ms;
 constexpr Span kOrderMargin = 300ms;  // by which a lease outlasts an order
 constexpr Span kReportDue = 700ms;
 
@@ -83,6 +86,7 @@
   // GCC 12 destroys an aggregate temporary of a co_await twice: what is handed over has a name.
   const Address address{order.server.value};
   const std::string owner = orderOwner();
+  co_await pauseFor(kNoticeSpan);
   // What stood still since it was decided has that much less time, or is not sent at all.
   const Span due = kOrderDue - (BootClock::now() - decidedAt);
   OrderAnswer answer = OrderAnswer::Unclear;
--- a/src/base/counters.h
+++ b/src/base/counters.h
@@ -22,6 +22,8 @@
   X(promptTokens, "tokens of whole blocks in placed prompts")                            \
   X(matchedTokens, "of these, tokens believed held where the prompt was placed")         \
   X(eventGaps, "gaps met in cache events")                                               \
+  X(eventBatches, "readings of cache events, own and told")                              \
+  X(fleetDigests, "words of what all data planes have at servers")                       \
   X(configurationChanges, "configuration versions taken in force")                       \
   X(listCalls, "calls to the platform for its list of servers")                          \
   X(weightOrders, "weight orders sent to servers")                                       \
--- a/src/placement/choice.cpp
+++ b/src/placement/choice.cpp
@@ -22,13 +22,14 @@
 // Ours: loads from which on a server is full; the first for tenants over their share.
 constexpr double kFullOverShare = 1.5, kFull = 2.0;
 // Ours: loads within one step tie, and so do expected reads.
-constexpr double kLoadStep = 0.25, kExpectedStep = 6000;
+constexpr double kLoadStep = 0.25, kExpectedStep = 9000;
 // Ours: what is read for weights that are about to be replaced is read again soon.
 constexpr double kOldWeightsShare = 0.5;
-// Ours: of the shared tokens that nothing is known of, the part that is expected to be kept at
-// their home, and the part that a fetch from there is expected to bring: what is being read there
-// can't be fetched yet.
-constexpr double kHomeShare = 0.7, kHomeFetchShare = 0.4;
+// Ours: what a copy at a second server costs, in tokens, beside the time of its fetch: it takes the
+// room of another prompt's, which is then read again.
+constexpr double kCopyTokens = 6000;
+// Ours: a request with as much to read waits for half of what waits.
+constexpr double kPassedTokens = 30000;
 // Ours: tokens that each slot's worth of requests beyond all slots counts for.
 constexpr double kWaitingTokens = 20000;
 
@@ -114,41 +115,38 @@
   }
 }
 
-// By weights: the most of this prompt that is known to be kept, and the server where a prefix
-// gathers that nothing is known of.
-std::map<WeightsVersion, Placement::Sources> Placement::sourcesOf(
-    const std::vector<Option>& options, const PromptPrefix& prefix) const {
+// The most of this prompt that is known to be kept, by weights, and the server where a prefix
+// gathers that nothing is known of: the same whichever weights it has, so that while weights
+// change, load moves to the newest as servers do.
+Placement::Sources Placement::sourcesOf(const std::vector<Option>& options,
+                                        const PromptPrefix& prefix) const {
   const std::uint64_t tieName = tieNameOf(prefix);
   const bool hasHome = has(Mechanism::PrefixHome) && !prefix.parts.empty();
-  std::map<WeightsVersion, Sources> all;
-  std::map<WeightsVersion, std::uint64_t> highest;
+  Sources sources;
+  std::uint64_t highest = 0;
   for (const Option& option : options) {
-    Sources& sources = all[option.row->state.weights];
-    sources.mostHeld = std::max(sources.mostHeld, option.candidate.matchedTokens);
-    std::uint64_t& high = highest[option.row->state.weights];
+    std::size_t& most = sources.mostHeld[option.row->state.weights];
+    most = std::max(most, option.candidate.matchedTokens);
     const std::uint64_t tie = tieOf(option.candidate.server, tieName);
-    if (!hasHome || (sources.home && tie <= high)) continue;
-    high = tie;
+    if (!hasHome || (sources.home && tie <= highest)) continue;
+    highest = tie;
     sources.home = option.row;
   }
-  return all;
+  return sources;
 }
 
 // Tokens of the prompt that a server has to read, and what a fetch costs it, as far as can be
-// expected.
+// expected. Where nothing is known of a prefix, its home is taken to keep it: others placed it
+// there.
 double Placement::expectedOwn(const Option& option, const Sources& sources, double prompt,
                               double shared) const {
   const auto matched = static_cast<double>(option.candidate.matchedTokens);
-  const auto held = static_cast<double>(sources.mostHeld);
-  const auto fetched = [](double tokens) { return kFetchFixedTokens + kFetchTokenShare * tokens; };
+  const auto held = static_cast<double>(sources.mostHeld.at(option.row->state.weights));
   double own = prompt - matched;
-  if (has(Mechanism::PeerFetch)) own = std::min(own, prompt - held + fetched(held - matched));
-  if (held >= shared || matched >= shared || !sources.home) return own;
-  if (sources.home == option.row)
-    own = std::min(own, prompt - std::max(matched, kHomeShare * shared));
-  else if (has(Mechanism::HomeFetch))
-    own = std::min(
-        own, prompt - matched + fetched(shared - matched) - kHomeFetchShare * (shared - matched));
+  if (has(Mechanism::PeerFetch))
+    own = std::min(own, prompt - held + kCopyTokens + kFetchTokenShare * (held - matched));
+  const bool isUnknown = held < shared && matched < shared;
+  if (isUnknown && sources.home == option.row) own = std::min(own, prompt - shared);
   return own;
 }
 
@@ -156,16 +154,18 @@
 // of the prompt neither it keeps nor a peer can give.
 void Placement::noteExpected(std::vector<Option>& options, const PromptPrefix& prefix,
                              std::size_t promptTokens, Instant now) const {
-  const auto sources = sourcesOf(options, prefix);
+  const Sources sources = sourcesOf(options, prefix);
   const auto shared = static_cast<double>(wholeBlocks(sharedTokensOf(prefix)));
   for (Option& option : options) {
     Candidate& candidate = option.candidate;
-    double own = expectedOwn(option, sources.at(option.row->state.weights),
-                             static_cast<double>(promptTokens), shared);
+    double own = expectedOwn(option, sources, static_cast<double>(promptTokens), shared);
     if (!candidate.isNewest && has(Mechanism::NewestFirst)) own *= 1 + kOldWeightsShare;
     candidate.unreadTokens = option.row->load.unreadTokens(now);
-    candidate.expectedTokens =
-        candidate.unreadTokens + own + kWaitingTokens * std::max(0.0, candidate.load - 1);
+    // The less there is to read, the more urgent the request: it passes most of what waits.
+    const double waited = has(Mechanism::Urgency)
+                              ? candidate.unreadTokens * own / (own + kPassedTokens)
+                              : candidate.unreadTokens;
+    candidate.expectedTokens = waited + own + kWaitingTokens * std::max(0.0, candidate.load - 1);
   }
 }
 
@@ -258,8 +258,10 @@
   // Where the other daemons placed this prefix, as far as nothing is known of it.
   const Row* home = nullptr;
   if (isRead && settings_.byExpectedRead && has(Mechanism::HomeFetch))
-    home = sourcesOf(options, prefix).at(chosen.row->state.weights).home;
-  if (home && (home == chosen.row || now < home->avoidUntil)) home = nullptr;
+    home = sourcesOf(options, prefix).home;
+  if (home && (home == chosen.row || home->state.weights != chosen.row->state.weights ||
+               now < home->avoidUntil))
+    home = nullptr;
   if (home) placed.fetchFrom = Address{home->state.name.value};
   if (store_.value.empty() || !storeUp_) return;
   // What the estimate takes for held may have been evicted: a source that has no more costs next
@@ -299,7 +301,12 @@
   const Option& chosen = choose(left, asked.prefix, &placed.reason);
   placed.matchedTokens = chosen.candidate.matchedTokens;
   placed.chosenServer = chosen.row->state;
-  for (const Option& option : options) placed.candidates.push_back(option.candidate);
+  placed.chosen = chosen.candidate;
+  placed.leastExpected = chosen.candidate.expectedTokens;
+  for (const Option& option : options) {
+    placed.candidates.push_back(option.candidate);
+    placed.leastExpected = std::min(placed.leastExpected, option.candidate.expectedTokens);
+  }
   nameSource(placed, chosen, options, asked.prefix, now);
   const std::size_t given = placed.source ? placed.source->matchedTokens : placed.matchedTokens;
   placed.ticket = lockPath(chosen, placed.promptTokens - given, now);
--- a/src/placement/part_events.cpp
+++ b/src/placement/part_events.cpp
@@ -94,7 +94,8 @@
   const bool isStore = server.value == store_.value;
   if (entry == rows_.end() && !isStore) return;
   Row& row = isStore ? storeRow_ : entry->second;
-  if (row.eventLife != told.life) {
+  // A source that is behind what was asked of it never told that position.
+  if (row.eventLife != told.life || told.first > told.next) {
     if (!row.eventLife.empty()) {
       dropTree(row);
       ++gaps_;
--- a/src/placement/placement.h
+++ b/src/placement/placement.h
@@ -94,6 +94,8 @@
   // For servers that fetch and keep parts themselves, as a request comes: where from, where to.
   Address fetchFrom{}, keepAt{};
   std::string reason;
+  Candidate chosen;          // what was expected at the chosen server
+  double leastExpected = 0;  // the least that was expected at any
   std::vector<Candidate> candidates;
 };
 
@@ -233,11 +235,10 @@
   void noteNewest(std::vector<Option>& options) const;
   void noteCapped(std::vector<Option>& options) const;
   struct Sources {
-    std::size_t mostHeld = 0;
+    std::map<WeightsVersion, std::size_t> mostHeld;
     const Row* home = nullptr;
   };
-  std::map<WeightsVersion, Sources> sourcesOf(const std::vector<Option>& options,
-                                              const PromptPrefix& prefix) const;
+  Sources sourcesOf(const std::vector<Option>& options, const PromptPrefix& prefix) const;
   double expectedOwn(const Option& option, const Sources& sources, double prompt,
                      double shared) const;
   void noteExpected(std::vector<Option>& options, const PromptPrefix& prefix,
--- a/src/relay/part_events.cpp
+++ b/src/relay/part_events.cpp
@@ -19,6 +19,7 @@
 
 void Relay::takeDigest(PlaneDigest digest, Instant toldAt) {
   asio::post(io_, [this, digest = std::move(digest), toldAt] {
+    ++counters_.fleetDigests;
     if (settings_.mechanisms.has(Mechanism::SharedLoad)) {
       std::vector<ServerOutstanding> fleet;
       for (const OutstandingRow& row : digest.outstanding)
@@ -32,6 +33,7 @@
 void Relay::takeBatch(const PartEventBatch& batch) {
   if (isStore(batch.source)) placement_.noteStore(batch.isReachable);
   if (!batch.isReachable) return;
+  ++counters_.eventBatches;
   const std::uint64_t before = placement_.gaps();
   placement_.takePartEvents(batch.source, fromBatch(batch));
   counters_.eventGaps += placement_.gaps() - before;
--- a/src/relay/relay.cpp
+++ b/src/relay/relay.cpp
@@ -3,6 +3,7 @@
 
 #include <glog/logging.h>
 
+#include <cmath>
 #include <nlohmann/json.hpp>
 
 #include "base/at_end.h"
@@ -21,6 +22,21 @@
 constexpr Span kSilentSlack = 400ms;  // ours: beyond the route's target for a first event
 }  // namespace
 
+// One try for operators: how it ended, and what was expected where it was placed.
+std::string describeTry(const Placed& placed, const TryResult& result) {
+  const Candidate& chosen = placed.chosen;
+  const auto first = std::chrono::duration_cast<std::chrono::milliseconds>(result.firstAfter);
+  std::string text = placed.chosenServer.name.value + " " + tryEndName(result.end) + " " +
+                     result.detail + ", " + placed.reason;
+  text += ", matched " + std::to_string(placed.matchedTokens) + "/" +
+          std::to_string(placed.promptTokens);
+  text += ", waiting " + std::to_string(std::llround(chosen.unreadTokens)) + ", expected " +
+          std::to_string(std::llround(chosen.expectedTokens)) + " of at least " +
+          std::to_string(std::llround(placed.leastExpected)) + " tokens";
+  if (!placed.fetchFrom.value.empty()) text += ", from " + placed.fetchFrom.value;
+  return text + ", first " + std::to_string(first.count()) + " ms";
+}
+
 const char* tryEndName(TryEnd end) {
   static constexpr const char* kNames[] = {"never sent", "not run", "unknown",    "silent",
                                            "done",       "cut",     "caller gone"};
@@ -173,12 +189,9 @@
     lastDetail = result.detail;
     ran = result.end != TryEnd::NeverSent && result.end != TryEnd::NotRun;
     noteOutcome(server, result);
-    trail += (trail.empty() ? "" : "; ") + server.name.value + " " + tryEndName(result.end) + " " +
-             result.detail + " matched " + std::to_string(placed->matchedTokens) + "/" +
-             std::to_string(placed->promptTokens) + " first " +
-             std::to_string(
-                 std::chrono::duration_cast<std::chrono::milliseconds>(result.firstAfter).count()) +
-             " ms";
+    counters_.promptTokens += placed->promptTokens;
+    counters_.matchedTokens += placed->matchedTokens;
+    trail += (trail.empty() ? "" : "; ") + describeTry(*placed, result);
     if (result.end == TryEnd::Done || result.end == TryEnd::CallerGone) break;
     if (result.isOverBudget) break;
     if (result.end == TryEnd::NeverSent) {
--- a/src/relay/relay.h
+++ b/src/relay/relay.h
@@ -81,6 +81,8 @@
   CallerGone,
 };
 const char* tryEndName(TryEnd end);
+struct TryResult;
+std::string describeTry(const Placed& placed, const TryResult& result);
 
 struct TryResult {
   TryEnd end{};
--- /dev/null
+++ b/tests/choice_tests.cpp
@@ -0,0 +1,138 @@
+// Which server a request goes to where servers are compared by the tokens read before its first.
+#include <catch2/catch.hpp>
+
+#include "placement/placement.h"
+
+using namespace quayrill;
+using namespace std::chrono_literals;
+
+namespace {
+const ModelName kModel{"m"};
+const Instant kNow{100s};
+
+PlacementSettings relaySettings() {
+  PlacementSettings settings{16};
+  settings.spreadRequests = 4;
+  settings.byExpectedRead = true;
+  return settings;
+}
+
+struct Fleet {
+  std::vector<ServerState> servers;
+  Placement placement;
+  explicit Fleet(std::size_t count, PlacementSettings settings = relaySettings())
+      : placement(settings) {
+    for (std::size_t i = 0; i < count; ++i) {
+      ServerState state;
+      state.name = ServerName{"s" + std::to_string(i)};
+      state.identity = ServerIdentity{"i"};
+      state.model = kModel;
+      state.weights = WeightsVersion{"1"};
+      state.healthy = true;
+      state.slots = 64;
+      state.cacheTokens = 200000;
+      servers.push_back(state);
+    }
+    placement.setServers(servers);
+  }
+  std::optional<Placed> place(const std::string& prefix) {
+    PlacementAsked asked{kModel, TenantName{"t"}, CacheSalt{}, *parsePrefix(prefix), {}};
+    return placement.place(asked, kNow);
+  }
+  // Where the prefix goes; what is placed there leaves no load, and stays in the index.
+  Placed served(const std::string& prefix) {
+    auto placed = place(prefix);
+    REQUIRE(placed);
+    placement.release(placed->ticket, true, kNow);
+    return *placed;
+  }
+  // All daemons have so many tokens to be read at that server.
+  void tell(const ServerName& server, std::uint64_t unreadTokens, std::uint32_t requests = 1) {
+    placement.noteFleet({{server, {requests, unreadTokens}}}, kNow);
+  }
+};
+}  // namespace
+
+TEST_CASE("choice: a prompt that is kept stays at its server behind larger ones") {
+  Fleet fleet(5);
+  const ServerName home = fleet.served("rules:13312,a:64").chosenServer.name;
+  fleet.tell(home, 60000);
+  const Placed next = fleet.served("rules:13312,b:512");
+  CHECK(next.chosenServer.name == home);
+  CHECK(next.matchedTokens == 13312);
+}
+
+TEST_CASE("choice: a match yields where far more waits than a copy costs, and names its holder") {
+  Fleet fleet(5);
+  const ServerName home = fleet.served("rules:13312,a:64").chosenServer.name;
+  fleet.tell(home, 900000);
+  const Placed next = fleet.served("rules:13312,b:4096");
+  CHECK(next.chosenServer.name != home);
+  CHECK(next.fetchFrom.value == home.value);
+  // What a fetch brings is not read.
+  const auto again = fleet.place("rules:13312,c:4096");
+  REQUIRE(again);
+  std::uint64_t unread = 0;
+  for (const ServerOutstanding& row : fleet.placement.ownOutstanding())
+    unread += row.outstanding.unreadTokens;
+  CHECK(unread == 4096);
+}
+
+TEST_CASE("choice: an unknown prefix goes to its home, and elsewhere with the home as source") {
+  Fleet known(5), other(5);
+  const ServerName home = known.served("rules:13312,a:64").chosenServer.name;
+  // Another daemon, which knows nothing of the first one's requests.
+  CHECK(other.served("rules:13312,b:64").chosenServer.name == home);
+  Fleet third(5);
+  third.tell(home, 900000);
+  const Placed away = third.served("rules:13312,c:4096");
+  CHECK(away.chosenServer.name != home);
+  CHECK(away.fetchFrom.value == home.value);
+  PlacementSettings without = relaySettings();
+  without.mechanisms.switchOff(Mechanism::HomeFetch);
+  Fleet fourth(5, without);
+  fourth.tell(home, 900000);
+  CHECK(fourth.served("rules:13312,d:4096").fetchFrom.value.empty());
+}
+
+TEST_CASE("choice: while weights change, load moves with the servers that have the newest") {
+  Fleet before(6), during(6);
+  during.servers[2].weights = WeightsVersion{"2"};
+  during.placement.setServers(during.servers);
+  std::map<ServerName, int> placed;
+  for (int i = 0; i < 120; ++i) {
+    const std::string prefix = "p" + std::to_string(i) + ":32000,a:64";
+    const ServerName home = before.served(prefix).chosenServer.name;
+    const Placed now = during.served(prefix);
+    CHECK(now.chosenServer.name == home);
+    ++placed[home];
+  }
+  for (const auto& [name, count] : placed) CHECK(count <= 40);  // of 120 at six servers
+}
+
+TEST_CASE("choice: requests without a prompt go by load, and not all to one server") {
+  Fleet fleet(5);
+  std::map<ServerName, int> placed;
+  for (int i = 0; i < 40; ++i) ++placed[fleet.served("").chosenServer.name];
+  CHECK(placed.size() == 5);
+  fleet.tell(ServerName{"s1"}, 0, 60);
+  for (int i = 0; i < 20; ++i) CHECK(fleet.served("").chosenServer.name != ServerName{"s1"});
+}
+
+TEST_CASE("choice: parts told before a prompt showed their place are matched") {
+  Fleet fleet(5);
+  const CacheSalt salt = saltText(WeightsVersion{"1"}, {});
+  fleet.placement.takePartEvents(ServerName{"s3"}, {"1",
+                                                    0,
+                                                    2,
+                                                    false,
+                                                    {{1, true, salt, "rules", 1600, kModel},
+                                                     {2, true, salt, "notice", 800, kModel}}});
+  const Placed placed = fleet.served("rules:1600,notice:800,own:64");
+  CHECK(placed.chosenServer.name == ServerName{"s3"});
+  CHECK(placed.matchedTokens == 2400);
+  // Under another wall nothing of it is found.
+  PlacementAsked walled{
+      kModel, TenantName{"t"}, CacheSalt{"t"}, *parsePrefix("rules:1600,notice:800,own:64"), {}};
+  CHECK(fleet.placement.place(walled, kNow)->matchedTokens == 0);
+}
--- a/tests/part_events_tests.cpp
+++ b/tests/part_events_tests.cpp
@@ -110,3 +110,14 @@
   CHECK(index.matched() == 0);
   CHECK(index.placement.eventPosition(kServer) == 1);
 }
+
+TEST_CASE("part events: a position that the server never told is given up") {
+  Index index;
+  index.take({"1", 0, 1, false, {stored(1, "rules", 320)}});
+  index.take({"1", 1, 1000000000, false, {stored(1000000000, "notice", 16)}});
+  // The next reading asks from there, and the server answers with what it has.
+  index.take({"1", 1000000000, 2, false, {}});
+  CHECK(index.placement.eventPosition(kServer) == 2);
+  index.take({"1", 2, 3, false, {stored(3, "rules", 320)}});
+  CHECK(index.matched() == 320);
+}
