--- a/src/agent/orders.cpp
+++ b/src/agent/orders.cpp
@@ -7,8 +7,8 @@
 
 namespace {
 constexpr Span kOrderDue = 1500ms;  // from the decision on
-// Ours: all daemons are told that a server is to switch before it is ordered. Prompts that wait there
-// begin meanwhile; those that had not begun by the order would be turned away.
+// Ours: all daemons are told that a server is to switch before it is ordered. Prompts that wait
+// there begin meanwhile; those that had not begun by the order would be turned away.
 constexpr Span kNoticeSpan = 400ms;
 constexpr Span kOrderMargin = 300ms;  // by which a lease outlasts an order
 constexpr Span kReportDue = 700ms;
