Cache events after a restart: nothing is read before the others are known, few old ones are told on

Each daemon that starts knows nobody, so it took every server for its own to read: 89 readers of 145 servers, thousands of events each, all of it told on through the aggregators. Change: a daemon reads nothing for its first 3 s; of a long reading the newest 256 events are told on; an answer without events is no new life of its source. Tests: part events, of a long reading.

--- a/src/agent/agent.cpp
+++ b/src/agent/agent.cpp
@@ -67,6 +67,7 @@
   AgentEffects effects;
   effects.replicaWork = core_->start();
   apply(std::move(effects));
+  startedAt_ = BootClock::now();
   asio::co_spawn(io_, tickLoop(), asio::detached);
   return absl::OkStatus();
 }
@@ -181,6 +182,7 @@
     sources.push_back({ServerName{store.address.value}, store.zone});
   }
   const bool isShared = settings_.mechanisms.has(Mechanism::SharedEvents);
+  if (isShared && now - startedAt_ < kHearOfReaders) sources.clear();
   eventSources_ = isShared ? sourcesOf(settings_.peer, core_->live(now), sources) : allOf(sources);
 }
 
--- a/src/agent/core/plane_exchange.cpp
+++ b/src/agent/core/plane_exchange.cpp
@@ -11,11 +11,11 @@
 using namespace std::chrono_literals;
 
 namespace {
-constexpr Span kEvery = 100ms;        // ours: from round to round
-constexpr Span kReportSpan = 1500ms;  // ours: a daemon that reported longer ago counts no more
-constexpr Span kZoneSpan = 2s;        // ours: the same for a zone
-constexpr std::size_t kMostBatches = 1024;  // ours: kept until the next round
-constexpr std::size_t kMostDigests = 8;     // ours: kept for a data plane that does not take them
+constexpr Span kEvery = 100ms;             // ours: from round to round
+constexpr Span kReportSpan = 1500ms;       // ours: a daemon that reported longer ago counts no more
+constexpr Span kZoneSpan = 2s;             // ours: the same for a zone
+constexpr std::size_t kMostBatches = 512;  // ours: kept until the next round
+constexpr std::size_t kMostDigests = 8;    // ours: kept for a data plane that does not take them
 
 using Sums = std::map<ServerName, OutstandingRow>;
 
--- a/src/relay/part_event_batch.cpp
+++ b/src/relay/part_event_batch.cpp
@@ -5,6 +5,15 @@
 
 namespace quayrill {
 
+void keepNewest(PartEvents* told) {
+  auto& events = told->events;
+  if (events.size() <= kMostEventsTold) return;
+  const auto surplus = static_cast<std::ptrdiff_t>(events.size() - kMostEventsTold);
+  told->first = events[events.size() - kMostEventsTold - 1].position;
+  told->hasGap = false;
+  events.erase(events.begin(), events.begin() + surplus);
+}
+
 PartEventBatch toBatch(const ServerName& source, const PartEvents& told) {
   PartEventBatch batch{source, true, told.life, told.first, told.next, told.hasGap, {}};
   std::map<std::tuple<CacheSalt, ModelName>, PartEventGroup> groups;
--- a/src/relay/part_events.cpp
+++ b/src/relay/part_events.cpp
@@ -32,10 +32,14 @@
 
 void Relay::takeBatch(const PartEventBatch& batch) {
   if (isStore(batch.source)) placement_.noteStore(batch.isReachable);
-  if (!batch.isReachable) return;
+  // Without a life nothing was told but that the source is there.
+  if (batch.isReachable && !batch.life.empty()) takeEvents(batch.source, fromBatch(batch));
+}
+
+void Relay::takeEvents(const ServerName& source, const PartEvents& told) {
   ++counters_.eventBatches;
   const std::uint64_t before = placement_.gaps();
-  placement_.takePartEvents(batch.source, fromBatch(batch));
+  placement_.takePartEvents(source, told);
   counters_.eventGaps += placement_.gaps() - before;
 }
 
@@ -86,9 +90,11 @@
     auto told = dialect_.partEvents->parse(*body);
     if (!told.ok()) co_return;
     told->first = since;
+    takeEvents(source, *told);
+    keepNewest(&*told);
     batch = toBatch(source, *told);
   }
-  takeBatch(batch);
+  if (isStore(source)) placement_.noteStore(batch.isReachable);
   const bool isTold = isStore(source) || (batch.isReachable && !batch.groups.empty());
   const bool isShared = settings_.mechanisms.has(Mechanism::SharedEvents);
   if (isTold && isShared && reporter_) readBatches_.push_back(std::move(batch));
--- a/tests/part_events_tests.cpp
+++ b/tests/part_events_tests.cpp
@@ -121,3 +121,22 @@
   index.take({"1", 2, 3, false, {stored(3, "rules", 320)}});
   CHECK(index.matched() == 320);
 }
+
+TEST_CASE("part events: of a long reading the newest are told on, and nobody drops what it knows") {
+  PartEvents told{"1", 0, 5000, true, {}};
+  for (std::uint64_t position = 1001; position <= 5000; ++position)
+    told.events.push_back(stored(position, "part" + std::to_string(position), 16));
+  keepNewest(&told);
+  CHECK(told.events.size() == kMostEventsTold);
+  CHECK(told.events.front().position == 5000 - kMostEventsTold + 1);
+  CHECK(told.first == 5000 - kMostEventsTold);
+  Index index;
+  index.take({"1", 0, 1, false, {stored(1, "rules", 320)}});
+  index.take(told);
+  CHECK(index.matched() == 320);
+  CHECK(index.placement.gaps() == 1);
+  CHECK(index.placement.eventPosition(kServer) == 5000);
+  PartEvents few{"1", 0, 2, false, {stored(1, "rules", 320), dropped(2, "rules")}};
+  keepNewest(&few);
+  CHECK(few.events.size() == 2);
+}
--- a/tests/plane_exchange_tests.cpp
+++ b/tests/plane_exchange_tests.cpp
@@ -172,7 +172,7 @@
   exchange.onTick({daemonAt("n1", "north", true)}, now, &sends);
   const auto digests = exchange.takeDigests();
   REQUIRE(digests.size() == 1);
-  CHECK(digests.front().batches.size() <= 1024);
+  CHECK(digests.front().batches.size() <= 512);
 }
 
 TEST_CASE("event sources: each is read by one daemon, in its own zone where one is") {
