--- a/src/agent/core/freshness.cpp
+++ b/src/agent/core/freshness.cpp
@@ -114,10 +114,12 @@
     if (!held || held->acceptedAt <= chosen->ballot) continue;
     lacking[held->acceptedAt].push_back(store);
     if (++counts[held->acceptedAt] < majorityOf(replicas_)) continue;
-    if (const auto value = wholeValue(key, answer, *held, *chosen))
+    if (const auto value = wholeValue(key, answer, *held, *chosen)) {
       learnChosen(key, {held->acceptedAt, *value});
-    else
+    } else if (held->acceptedAt >= bodyBallot_) {
       bodyHolders_ = lacking[held->acceptedAt];
+      bodyBallot_ = held->acceptedAt;
+    }
   }
   for (const auto& [store, answer] : round.answers) {
     const ConfirmedKey* held = find(answer, key);
@@ -151,8 +153,11 @@
 
 // One replica at a time: the body is the same at each of those that accepted it.
 void Freshness::askBody(Instant now, Sends* sends) {
-  if (bodyHolders_.empty() || now < nextBody_) return;
+  if (bodyHolders_.empty()) return;
+  // A later change does not wait for the pause after the one before it.
+  if (now < nextBody_ && bodyAskedFor_ == bodyBallot_) return;
   nextBody_ = now + kBodyEvery;
+  bodyAskedFor_ = bodyBallot_;
   const StoreId chosen = bodyHolders_[(sequence_ + bodiesAsked_++) % bodyHolders_.size()];
   bodyHolders_.clear();
   for (const ReplicaMember& member : replicas_.members) {
--- a/src/agent/core/freshness.h
+++ b/src/agent/core/freshness.h
@@ -74,6 +74,7 @@
   ChosenValue body_;
   // Replicas that hold a configuration which a majority accepted and whose body is lacking here.
   std::vector<StoreId> bodyHolders_;
+  Ballot bodyBallot_, bodyAskedFor_;  // at which they hold it; for which one was asked last
   std::uint64_t bodiesAsked_ = 0;
   Instant nextBody_{};
   std::vector<RegisterKey> knownKeys_;
--- a/tests/freshness_tests.cpp
+++ b/tests/freshness_tests.cpp
@@ -128,3 +128,13 @@
   fleet.deliver(fleet.freshness.begin(fleet.now, false, false));
   CHECK(fleet.freshness.configuration().value.version == 1);
 }
+
+TEST_CASE("freshness: changes in quick succession are each in force without a pause") {
+  Register fleet;
+  for (std::uint64_t version = 1; version <= 6; ++version) {
+    fleet.accept(fleet.valueOf(version, kLarge), 0, 5);
+    fleet.round();
+    CHECK(fleet.freshness.configuration().value.version == version);
+  }
+  CHECK(fleet.bodies == 6);
+}
