Read again: work done twice a placement and a round, one name of a name space, one pause after a start

- A prefix's home and the most that is kept were looked for twice a placement, and both rules of comparing were worked out where one is used.
Each stream chunk noted its prompt as read; the first alone does.
- The aggregator summed its own zone twice a round.
- The key of a name space was put together in two files; the pause until others are known stood in the agent's shell beside the core's own.
Both have one place.
Behaviour is the same.

--- a/src/agent/agent.cpp
+++ b/src/agent/agent.cpp
@@ -4,8 +4,6 @@
 
 #include <random>
 
-#include "agent/core/event_sources.h"
-
 namespace quayrill {
 
 using namespace std::chrono_literals;
@@ -67,7 +65,6 @@
   AgentEffects effects;
   effects.replicaWork = core_->start();
   apply(std::move(effects));
-  startedAt_ = BootClock::now();
   asio::co_spawn(io_, tickLoop(), asio::detached);
   return absl::OkStatus();
 }
@@ -182,8 +179,7 @@
     sources.push_back({ServerName{store.address.value}, store.zone});
   }
   const bool isShared = settings_.mechanisms.has(Mechanism::SharedEvents);
-  if (isShared && now - startedAt_ < kHearOfReaders) sources.clear();
-  eventSources_ = isShared ? sourcesOf(settings_.peer, core_->live(now), sources) : allOf(sources);
+  eventSources_ = isShared ? core_->eventSources(sources, now) : allOf(sources);
 }
 
 awaitable<void> Agent::tickLoop() {
--- a/src/agent/agent.h
+++ b/src/agent/agent.h
@@ -114,7 +114,7 @@
   Feed feed_;
   PlaneFeed planeFeed_;
   std::vector<ServerName> eventSources_;
-  Instant nextEventSources_{}, startedAt_{};
+  Instant nextEventSources_{};
   std::uint64_t fedConfiguration_ = 0;
   Instant nextFeed_{};
   std::optional<Configuration> configuration_;  // the configuration in force, parsed
--- a/src/agent/core/agent_core.cpp
+++ b/src/agent/core/agent_core.cpp
@@ -196,9 +196,19 @@
   }
 }
 
+bool AgentCore::hasHeardOfOthers(Instant now) const {
+  return startedAt_ != Instant{} && now - startedAt_ >= kHearSpan;
+}
+
+std::vector<ServerName> AgentCore::eventSources(const std::vector<EventSource>& sources,
+                                                Instant now) const {
+  if (!hasHeardOfOthers(now)) return {};
+  return sourcesOf(settings_.self, news_.live(now), sources);
+}
+
 std::vector<Address> AgentCore::staying(Instant now) const {
   std::vector<Address> live;
-  if (startedAt_ == Instant{} || now - startedAt_ < kHearSpan) return live;
+  if (!hasHeardOfOthers(now)) return live;
   for (const NewsItem& item : news_.live(now)) {
     if (!item.leaving && item.store.value != 0) live.push_back(item.source);
   }
--- a/src/agent/core/agent_core.h
+++ b/src/agent/core/agent_core.h
@@ -5,6 +5,7 @@
 #include <random>
 #include <set>
 
+#include "agent/core/event_sources.h"
 #include "agent/core/freshness.h"
 #include "agent/core/leases.h"
 #include "agent/core/membership.h"
@@ -122,6 +123,10 @@
   void takePlaneReport(PlaneReport report) { exchange_.takeOwn(std::move(report)); }
   // What the fleet's data planes observed, for the data plane of this daemon.
   std::vector<PlaneDigest> takePlaneDigests() { return exchange_.takeDigests(); }
+  // Those whose cache events this daemon reads for the fleet. None until it has had time to hear of
+  // the others: it would take every source for its own, and after a restart of all daemons each
+  // would read everything.
+  std::vector<ServerName> eventSources(const std::vector<EventSource>& sources, Instant now) const;
   const Freshness& freshness() const { return freshness_; }
   std::vector<NewsItem> live(Instant now) const { return news_.live(now); }
   const AgentSettings& settings() const { return settings_; }
@@ -188,6 +193,7 @@
   // Those that a leader role may fall to. Empty until this daemon has had time to hear of the
   // others: what it would take for its own would have to be watched out by the true owner.
   std::vector<Address> staying(Instant now) const;
+  bool hasHeardOfOthers(Instant now) const;
   void tickList(Instant now, AgentEffects* effects);
   void tickNews(Instant now, AgentEffects* effects);
   // Who judges the replica set hears at once of what bears on it.
--- a/src/agent/core/event_sources.h
+++ b/src/agent/core/event_sources.h
@@ -1,7 +1,6 @@
 #pragma once
 // Which daemon reads whose cache events: each server's, and the store's, by one daemon of the
 // fleet, which tells the others.
-#include <chrono>
 #include <string>
 #include <vector>
 
@@ -20,9 +19,6 @@
 // ones may both read a source, or neither, until they agree.
 std::vector<ServerName> sourcesOf(const Address& self, const std::vector<NewsItem>& live,
                                   const std::vector<EventSource>& sources);
-// How long a daemon that just started reads nothing: until it has heard of the others it would take
-// every source for its own, and after a restart of all each would read everything.
-inline constexpr std::chrono::seconds kHearOfReaders{3};
 std::vector<ServerName> allOf(const std::vector<EventSource>& sources);
 
 }  // namespace quayrill
--- a/src/agent/core/plane_exchange.cpp
+++ b/src/agent/core/plane_exchange.cpp
@@ -79,7 +79,7 @@
 
 std::vector<PlaneDigest> PlaneExchange::takeDigests() { return std::exchange(digests_, {}); }
 
-PlaneDigest PlaneExchange::ownZone(Instant now) {
+PlaneDigest PlaneExchange::ownZone(Instant now) const {
   PlaneDigest digest;
   digest.zone = zone_;
   Sums sums;
@@ -95,8 +95,7 @@
   return digest;
 }
 
-PlaneDigest PlaneExchange::fleet(Instant now) {
-  PlaneDigest digest = ownZone(now);
+PlaneDigest PlaneExchange::fleet(PlaneDigest digest, Instant now) const {
   digest.zone.clear();
   Sums sums;
   add(&sums, digest.outstanding);
@@ -116,12 +115,12 @@
                               std::vector<Envelope>* sends) {
   std::erase_if(reports_, [&](const auto& row) { return now - row.second.at > kReportSpan; });
   std::erase_if(zones_, [&](const auto& row) { return now - row.second.at > kZoneSpan; });
+  if (reports_.empty() && zones_.empty()) return;
+  PlaneDigest mine = ownZone(now);
   if (!reports_.empty()) {
-    const PlaneDigest mine = ownZone(now);
     for (const auto& [zone, aggregator] : others) sends->push_back({self_, aggregator, mine});
   }
-  if (reports_.empty() && zones_.empty()) return;
-  const PlaneDigest told = fleet(now);
+  const PlaneDigest told = fleet(std::move(mine), now);
   nearBatches_.clear();
   farBatches_.clear();
   for (const NewsItem& item : live) {
--- a/src/agent/core/plane_exchange.h
+++ b/src/agent/core/plane_exchange.h
@@ -42,8 +42,9 @@
   };
   void aggregate(const std::vector<NewsItem>& live, const std::map<std::string, Address>& others,
                  Instant now, std::vector<Envelope>* sends);
-  PlaneDigest ownZone(Instant now);
-  PlaneDigest fleet(Instant now);
+  PlaneDigest ownZone(Instant now) const;
+  // The own zone's digest with those of the others added.
+  PlaneDigest fleet(PlaneDigest digest, Instant now) const;
 
   Address self_;
   std::string zone_;
--- a/src/base/mechanisms.cpp
+++ b/src/base/mechanisms.cpp
@@ -4,8 +4,8 @@
 #include <absl/strings/str_split.h>
 
 #include <algorithm>
-#include <array>
 #include <string_view>
+#include <vector>
 
 namespace quayrill {
 
--- a/src/placement/choice.cpp
+++ b/src/placement/choice.cpp
@@ -152,9 +152,9 @@
 
 // What is read before the first token of this request, on each server: what waits there, and what
 // of the prompt neither it keeps nor a peer can give.
-void Placement::noteExpected(std::vector<Option>& options, const PromptPrefix& prefix,
-                             std::size_t promptTokens, Instant now) const {
-  const Sources sources = sourcesOf(options, prefix);
+void Placement::noteExpected(std::vector<Option>& options, const Sources& sources,
+                             const PromptPrefix& prefix, std::size_t promptTokens,
+                             Instant now) const {
   const auto shared = static_cast<double>(wholeBlocks(sharedTokensOf(prefix)));
   for (Option& option : options) {
     Candidate& candidate = option.candidate;
@@ -202,11 +202,10 @@
     *reason = "next in turn";
     return usable[nextTurn_++ % usable.size()];
   }
-  const bool byMatch =
-      settings_.rule == PlacementRule::LongestPrefix && has(Mechanism::LongestMatch);
+  const bool byMatch = comparesMatches();
   const bool hasHome = byMatch && has(Mechanism::PrefixHome) && !prefix.parts.empty();
   const std::uint64_t tieName = hasHome ? tieNameOf(prefix) : ++nextTurn_;
-  if (byMatch && settings_.byExpectedRead) {
+  if (comparesExpected()) {
     const Option& chosen = chooseByExpected(usable, tieName);
     *reason = chosen.candidate.matchedTokens > 0 ? "least expected read, longest match"
                                                  : "least expected read, tie by prefix";
@@ -234,7 +233,7 @@
 
 // A source must hold more, under the same weights; its salt is the request's by construction.
 void Placement::nameSource(Placed& placed, const Option& chosen, const std::vector<Option>& options,
-                           const PromptPrefix& prefix, Instant now) const {
+                           const Row* home, const PromptPrefix& prefix, Instant now) const {
   for (const Option& option : options) {
     if (!has(Mechanism::PeerFetch) || option.row == chosen.row) continue;
     if (option.row->state.weights != chosen.row->state.weights) continue;
@@ -256,17 +255,13 @@
   const std::size_t shared = wholeBlocks(sharedTokensOf(prefix));
   const bool isRead = placed.matchedTokens < shared;
   // Where the other daemons placed this prefix, as far as nothing is known of it.
-  const Row* home = nullptr;
-  if (isRead && settings_.byExpectedRead && has(Mechanism::HomeFetch))
-    home = sourcesOf(options, prefix).home;
-  if (home && (home == chosen.row || home->state.weights != chosen.row->state.weights ||
-               now < home->avoidUntil))
-    home = nullptr;
-  if (home) placed.fetchFrom = Address{home->state.name.value};
+  const bool isSource = home && isRead && has(Mechanism::HomeFetch) && home != chosen.row &&
+                        home->state.weights == chosen.row->state.weights && now >= home->avoidUntil;
+  if (isSource) placed.fetchFrom = Address{home->state.name.value};
   if (store_.value.empty() || !storeUp_) return;
   // What the estimate takes for held may have been evicted: a source that has no more costs next
   // to nothing, reading the part again costs much. Shared parts that are to be read are kept.
-  if (!home && has(Mechanism::StoreFetch)) placed.fetchFrom = store_;
+  if (!isSource && has(Mechanism::StoreFetch)) placed.fetchFrom = store_;
   const std::size_t kept = storeRow_.tree.peekPrefix(*chosen.path);
   if (isRead && kept < shared / settings_.blockTokens + 1 && has(Mechanism::StoreKeep))
     placed.keepAt = store_;
@@ -294,8 +289,12 @@
   Placed placed;
   placed.promptTokens = blocks.size() * settings_.blockTokens;
   noteNewest(options);
-  noteCapped(options);
-  noteExpected(options, asked.prefix, placed.promptTokens, now);
+  Sources sources;
+  if (settings_.byExpectedRead) {
+    sources = sourcesOf(options, asked.prefix);
+    noteExpected(options, sources, asked.prefix, placed.promptTokens, now);
+  }
+  if (!comparesExpected()) noteCapped(options);
   const std::vector<Option> left = usable(options, asked.overShare, now);
   if (left.empty()) return std::nullopt;
   const Option& chosen = choose(left, asked.prefix, &placed.reason);
@@ -307,7 +306,7 @@
     placed.candidates.push_back(option.candidate);
     placed.leastExpected = std::min(placed.leastExpected, option.candidate.expectedTokens);
   }
-  nameSource(placed, chosen, options, asked.prefix, now);
+  nameSource(placed, chosen, options, sources.home, asked.prefix, now);
   const std::size_t given = placed.source ? placed.source->matchedTokens : placed.matchedTokens;
   placed.ticket = lockPath(chosen, placed.promptTokens - given, now);
   return placed;
--- a/src/placement/part_events.cpp
+++ b/src/placement/part_events.cpp
@@ -8,13 +8,6 @@
 namespace {
 constexpr std::size_t kChains = 50000;
 
-// The name of the space of a salt as the data plane gave it: saltText.
-std::string nameSpaceName(const ModelName& model, const CacheSalt& salt) {
-  const auto dot = salt.value.find('.');
-  const std::string wall = dot == std::string::npos ? "" : salt.value.substr(dot + 1);
-  return model.value + '\0' + salt.value.substr(0, dot) + '\0' + wall;
-}
-
 // The position behind which nothing is missing.
 std::uint64_t firstKnown(const PartEvents& told) {
   if (told.events.empty()) return told.next;
@@ -26,6 +19,12 @@
   return CacheSalt{weights.value + (wall.value.empty() ? "" : "." + wall.value)};
 }
 
+std::string Placement::nameSpaceName(const ModelName& model, const CacheSalt& salt) {
+  const auto dot = salt.value.find('.');
+  const std::string wall = dot == std::string::npos ? "" : salt.value.substr(dot + 1);
+  return nameSpaceName(model, WeightsVersion{salt.value.substr(0, dot)}, CacheSalt{wall});
+}
+
 void Placement::setStore(const Address& store, std::uint64_t cacheTokens) {
   if (store != store_) {
     dropTree(storeRow_);
--- a/src/placement/placement.cpp
+++ b/src/placement/placement.cpp
@@ -16,13 +16,15 @@
 constexpr Span kAvoidSpan = std::chrono::milliseconds(800);
 constexpr Span kRefusalSpan = std::chrono::milliseconds(250);
 
-std::string nameSpaceName(const ServerState& state, const CacheSalt& salt) {
-  return state.model.value + '\0' + state.weights.value + '\0' + salt.value;
-}
 }  // namespace
 
+std::string Placement::nameSpaceName(const ModelName& model, const WeightsVersion& weights,
+                                     const CacheSalt& wall) {
+  return model.value + '\0' + weights.value + '\0' + wall.value;
+}
+
 Token Placement::nameSpace(const ServerState& state, const PlacementAsked& asked) {
-  const std::string name = nameSpaceName(state, asked.salt);
+  const std::string name = nameSpaceName(state.model, state.weights, asked.salt);
   if (const auto known = nameSpaces_.find(name); known != nameSpaces_.end()) {
     known->second.lastUse = ++uses_;
     return known->second.number;
@@ -227,7 +229,8 @@
   }
   for (const CacheEvent& event : events) {
     if (event.position < row.eventPosition || event.kind != CacheEventKind::Dropped) continue;
-    const auto known = nameSpaces_.find(nameSpaceName(row.state, event.salt));
+    const auto known =
+        nameSpaces_.find(nameSpaceName(row.state.model, row.state.weights, event.salt));
     if (known == nameSpaces_.end()) continue;
     row.tree.prune(
         pathFor(known->second.number, prefixBlocks(event.prefix, settings_.blockTokens)));
--- a/src/placement/placement.h
+++ b/src/placement/placement.h
@@ -211,6 +211,11 @@
     TenantName tenant;  // who first asked for it
     std::uint64_t lastUse = 0;
   };
+  // The exact name of one (model, weights, wall); no two share it.
+  static std::string nameSpaceName(const ModelName& model, const WeightsVersion& weights,
+                                   const CacheSalt& wall);
+  // The same by a salt as the data plane gave it: saltText.
+  static std::string nameSpaceName(const ModelName& model, const CacheSalt& salt);
   Token nameSpace(const ServerState& state, const PlacementAsked& asked);
   void letGo(const std::string& name);
   std::vector<Token> pathFor(Token number, const std::vector<Token>& blocks) const;
@@ -224,6 +229,10 @@
   // Lays what was told of the prompt's parts before over the trees.
   void placeParts(const PromptPrefix& prefix);
   bool has(Mechanism mechanism) const { return settings_.mechanisms.has(mechanism); }
+  bool comparesMatches() const {
+    return settings_.rule == PlacementRule::LongestPrefix && has(Mechanism::LongestMatch);
+  }
+  bool comparesExpected() const { return comparesMatches() && settings_.byExpectedRead; }
 
   // choice.cpp. A server that may take the request, and the request's path in its tree.
   struct Option {
@@ -241,8 +250,8 @@
   Sources sourcesOf(const std::vector<Option>& options, const PromptPrefix& prefix) const;
   double expectedOwn(const Option& option, const Sources& sources, double prompt,
                      double shared) const;
-  void noteExpected(std::vector<Option>& options, const PromptPrefix& prefix,
-                    std::size_t promptTokens, Instant now) const;
+  void noteExpected(std::vector<Option>& options, const Sources& sources,
+                    const PromptPrefix& prefix, std::size_t promptTokens, Instant now) const;
   std::size_t wholeBlocks(std::size_t tokens) const {
     return tokens - tokens % settings_.blockTokens;
   }
@@ -251,8 +260,9 @@
   const Option& choose(const std::vector<Option>& usable, const PromptPrefix& prefix,
                        std::string* reason);
   const Option& chooseByExpected(const std::vector<Option>& usable, std::uint64_t tieName) const;
+  // `home`: the prefix's; nullptr where there is none.
   void nameSource(Placed& placed, const Option& chosen, const std::vector<Option>& options,
-                  const PromptPrefix& prefix, Instant now) const;
+                  const Row* home, const PromptPrefix& prefix, Instant now) const;
   Ticket lockPath(const Option& chosen, std::uint64_t unreadTokens, Instant now);
 
   PlacementSettings settings_;
--- a/src/relay/answer.cpp
+++ b/src/relay/answer.cpp
@@ -170,7 +170,7 @@
     if (!events.empty()) bytes += chunkOf(events);
     if (isEnd) bytes += "0\r\n\r\n";
     soFar.headSent = true;
-    placement_.noteRead(attempt.placed.ticket, BootClock::now());
+    if (!attempt.watch->hasBegun) placement_.noteRead(attempt.placed.ticket, BootClock::now());
     // From here on only the route's own deadline ends the answer.
     attempt.watch->hasBegun = true;
     attempt.watch->deadline = streamEnd(attempt.job);
--- a/src/relay/part_events.cpp
+++ b/src/relay/part_events.cpp
@@ -1,7 +1,5 @@
 // Cache events: read from the sources that fall to this daemon, told to the fleet, and taken from
 // it. What this daemon's requests do at servers is told the same way.
-#include <glog/logging.h>
-
 #include "relay/part_event_batch.h"
 #include "relay/relay.h"
 
