Give each set of isolated tenants a shared cache scope of its own

Cause: the salt of a tenant that is not isolated was the weights version alone, so it stayed the same when one of those who shared under it became isolated. Besides, the wall was read once at admission: a request that crossed the change was sent under the salt of before.

Change: salts carry a cache scope that every daemon derives from the configuration: the tenant's name if it is isolated, otherwise a digest of the set of isolated tenants. In a shared scope every part was made by, and every request is of, a tenant outside that set. The scope is read for each attempt and checked again right before the first byte, in both data planes. Salts that start with "shared:" are reserved now, as "tenant:" is.

The check that the shared salt is empty beside an isolated tenant said what is no longer so: it now compares with the derived scope and asks besides that nobody can request it.

--- a/src/configuration/configuration.cpp
+++ b/src/configuration/configuration.cpp
@@ -4,10 +4,24 @@
 #include <nlohmann/json.hpp>
 #include <set>
 
+#include "base/digest.h"
+
 namespace quayrill {
 
 using Json = nlohmann::json;
 
+namespace {
+// Callers can't request salts with these prefixes: scopes are only made here.
+constexpr std::string_view kIsolatedScopePrefix = "tenant:";
+constexpr std::string_view kSharedScopePrefix = "shared:";
+constexpr std::size_t kScopeDigestDigits = 16;
+
+bool isReserved(const std::string& requestedSalt) {
+  return requestedSalt.starts_with(kIsolatedScopePrefix) ||
+         requestedSalt.starts_with(kSharedScopePrefix);
+}
+}  // namespace
+
 std::optional<RouteError> firstRouteError(const Configuration& configuration) {
   std::map<std::pair<std::string, std::string>, std::size_t> seen;
   for (std::size_t i = 0; i < configuration.routes.size(); ++i) {
@@ -65,17 +79,32 @@
   return nullptr;
 }
 
+void deriveSharedScope(Configuration* configuration) {
+  std::string isolated;
+  for (const auto& [name, tenant] : configuration->tenants) {
+    // The length keeps names apart that contain each other's separators.
+    if (tenant.isolated) isolated += std::to_string(name.value.size()) + ":" + name.value;
+  }
+  configuration->sharedScope = {};
+  if (isolated.empty()) return;
+  const std::string digest = keyDigest(isolated);
+  configuration->sharedScope.value =
+      std::string(kSharedScopePrefix) + digest.substr(digest.find(':') + 1, kScopeDigestDigits);
+}
+
+CacheSalt cacheScope(const Configuration& configuration, const TenantName& tenant) {
+  const auto row = configuration.tenants.find(tenant);
+  if (row == configuration.tenants.end() || !row->second.isolated) return configuration.sharedScope;
+  return CacheSalt{std::string(kIsolatedScopePrefix) + tenant.value};
+}
+
 bool resolveCacheSalt(const Configuration& configuration, const TenantName& tenant,
                       const std::string& requested, CacheSalt* salt) {
-  const auto row = configuration.tenants.find(tenant);
-  if (row == configuration.tenants.end()) return false;
-  if (row->second.isolated) {
-    // The prefix "tenant:" is reserved for the salts of isolated tenants, which are only made here.
-    *salt = CacheSalt{"tenant:" + tenant.value + (requested.empty() ? "" : ":" + requested)};
-    return requested.rfind("tenant:", 0) != 0;
-  }
-  *salt = CacheSalt{requested};
-  return requested.rfind("tenant:", 0) != 0;
+  if (!configuration.tenants.contains(tenant) || isReserved(requested)) return false;
+  *salt = cacheScope(configuration, tenant);
+  if (!salt->value.empty() && !requested.empty()) salt->value += ':';
+  salt->value += requested;
+  return true;
 }
 
 }  // namespace quayrill
--- a/src/configuration/configuration.h
+++ b/src/configuration/configuration.h
@@ -15,8 +15,7 @@
 
 namespace quayrill {
 
-// A customer of the fleet. An isolated tenant has cache salts of its own, which no other tenant can
-// use.
+// A customer of the fleet. An isolated tenant has a cache scope of its own, see cacheScope().
 struct Tenant {
   bool isolated = false;
   std::optional<unsigned> priority{};  // overrides the policy's; 0 is the most urgent
@@ -101,6 +100,8 @@
   std::map<ServiceName, Service> services;
   std::map<ServiceName, PartStore> stores;
   CallerLimits callerLimits;
+  // The cache scope of the tenants that are not isolated; derived from tenants.
+  CacheSalt sharedScope;
 };
 
 // The first violation among the routes, in their order. The parser of the document, which knows the
@@ -134,8 +135,16 @@
 // Applies an RFC 7386 merge patch to a configuration document. The result is not validated.
 absl::StatusOr<std::string> patchConfiguration(const std::string& body, const std::string& patch);
 
-// The salt under which a tenant's cache is kept: derived from its name if it is isolated, otherwise
-// the requested one. False: the tenant may not use the requested salt, or does not exist.
+// Derives the shared cache scope from the tenants. Call it after the last one was added.
+void deriveSharedScope(Configuration* configuration);
+// The scope of a tenant's cache, which is part of every salt of its requests: what is cached in one
+// scope is never used in another. An isolated tenant has a scope of its own. All others share one,
+// and each set of isolated tenants gives another shared scope: what a tenant cached before it
+// became isolated stays behind in a scope that is in use only while it is not isolated.
+CacheSalt cacheScope(const Configuration& configuration, const TenantName& tenant);
+
+// The salt under which a tenant's cache is kept: its scope and the requested salt. False: the
+// tenant may not use the requested salt, or does not exist.
 bool resolveCacheSalt(const Configuration& configuration, const TenantName& tenant,
                       const std::string& requested, CacheSalt* salt);
 
--- a/src/configuration/parse.cpp
+++ b/src/configuration/parse.cpp
@@ -258,6 +258,7 @@
   callerLimits.headerTimeout = millisOf(limits, "header_due_ms", callerLimits.headerTimeout);
   callerLimits.idleTimeout = millisOf(limits, "idle_due_ms", callerLimits.idleTimeout);
   sortRoutes(&configuration);
+  deriveSharedScope(&configuration);
   return configuration;
 }
 
--- a/src/placement/choice.cpp
+++ b/src/placement/choice.cpp
@@ -316,6 +316,7 @@
   const Option& chosen = choose(usable, request.prefix, &placed.reason);
   placed.matchedTokens = chosen.candidate.matchedTokens;
   placed.chosenServer = chosen.row->state;
+  placed.salt = request.salt;
   placed.chosen = chosen.candidate;
   placed.minExpectedTokens = chosen.candidate.expectedTokens;
   for (const Option& option : options) {
--- a/src/placement/part_events.cpp
+++ b/src/placement/part_events.cpp
@@ -16,14 +16,14 @@
 }
 }  // namespace
 
-CacheSalt scopedCacheSalt(const WeightsVersion& weights, const CacheSalt& isolationSalt) {
-  return CacheSalt{weights.value + (isolationSalt.value.empty() ? "" : "." + isolationSalt.value)};
+CacheSalt scopedCacheSalt(const WeightsVersion& weights, const CacheSalt& scope) {
+  return CacheSalt{weights.value + (scope.value.empty() ? "" : "." + scope.value)};
 }
 
 std::string Placement::namespaceKey(const ModelName& model, const CacheSalt& salt) {
   const auto dot = salt.value.find('.');
-  const std::string isolationSalt = dot == std::string::npos ? "" : salt.value.substr(dot + 1);
-  return namespaceKey(model, WeightsVersion{salt.value.substr(0, dot)}, CacheSalt{isolationSalt});
+  const std::string scope = dot == std::string::npos ? "" : salt.value.substr(dot + 1);
+  return namespaceKey(model, WeightsVersion{salt.value.substr(0, dot)}, CacheSalt{scope});
 }
 
 void Placement::setStore(const Address& store, std::uint64_t cacheTokens) {
--- a/src/placement/placement.cpp
+++ b/src/placement/placement.cpp
@@ -20,8 +20,8 @@
 }  // namespace
 
 std::string Placement::namespaceKey(const ModelName& model, const WeightsVersion& weights,
-                                    const CacheSalt& isolationSalt) {
-  return model.value + '\0' + weights.value + '\0' + isolationSalt.value;
+                                    const CacheSalt& scope) {
+  return model.value + '\0' + weights.value + '\0' + scope.value;
 }
 
 Token Placement::namespaceFor(const ServerState& state, const PlacementRequest& request) {
--- a/src/placement/placement.h
+++ b/src/placement/placement.h
@@ -98,6 +98,7 @@
 // The chosen server, the cache to fetch or store, and what the choice was based on.
 struct PlacementResult {
   ServerState chosenServer;
+  CacheSalt salt;  // of the request
   std::size_t matchedTokens = 0;
   std::size_t promptTokens = 0;
   Ticket ticket = 0;
@@ -146,9 +147,8 @@
 };
 
 // The salt under which servers store a request's cache. It differs between weights versions and
-// between isolated tenants, so a match or a fetch never crosses either boundary. `isolationSalt` is
-// "" where the cache is shared.
-CacheSalt scopedCacheSalt(const WeightsVersion& weights, const CacheSalt& isolationSalt);
+// between cache scopes (see cacheScope()), so a match or a fetch never crosses either boundary.
+CacheSalt scopedCacheSalt(const WeightsVersion& weights, const CacheSalt& scope);
 
 // The placement state of one daemon: servers, their load, and the index of their caches.
 class Placement {
@@ -242,9 +242,9 @@
     TenantName tenant;  // the tenant whose request created it
     std::uint64_t lastUse = 0;
   };
-  // An exact, unique key for (model, weights, isolationSalt).
+  // An exact, unique key for (model, weights, scope).
   static std::string namespaceKey(const ModelName& model, const WeightsVersion& weights,
-                                  const CacheSalt& isolationSalt);
+                                  const CacheSalt& scope);
   // The same for a salt in the form that scopedCacheSalt returns.
   static std::string namespaceKey(const ModelName& model, const CacheSalt& salt);
   // The number of the request's namespace on that server; creates it if necessary.
--- a/src/proxy/parse_request.cpp
+++ b/src/proxy/parse_request.cpp
@@ -39,12 +39,15 @@
   job->policy = currentView.configuration->policies.at(route->second);
   if (request.body().size() > job->policy.bodyLimit)
     return Error{ErrorKind::BodyTooLarge, "the body is over the policy's limit"};
-  const std::string salt = headerOf(request, wire::kSalt);
-  if (salt.size() > 64 || !std::all_of(salt.begin(), salt.end(), isSaltLetter))
+  job->requestedSalt = headerOf(request, wire::kSalt);
+  const std::string& requested = job->requestedSalt;
+  if (requested.size() > 64 || !std::all_of(requested.begin(), requested.end(), isSaltLetter))
     return Error{ErrorKind::MalformedRequest,
                  "Quayrill-Cache-Salt: at most 64 of A-Z a-z 0-9 . _ - :"};
-  if (!resolveCacheSalt(*currentView.configuration, job->tenant, salt, &job->salt))
-    return Error{ErrorKind::ForbiddenSalt, "the salt belongs to isolated tenants"};
+  CacheSalt salt;
+  if (!resolveCacheSalt(*currentView.configuration, job->tenant, requested, &salt))
+    return Error{ErrorKind::ForbiddenSalt,
+                 "the salts that begin with tenant: or shared: are reserved, choose another"};
   auto prefix = parsePrefix(headerOf(request, wire::kPrefix));
   if (!prefix.ok())
     return Error{ErrorKind::MalformedRequest, std::string(prefix.status().message())};
--- a/src/proxy/proxy.cpp
+++ b/src/proxy/proxy.cpp
@@ -73,10 +73,15 @@
 
 // Called right before a request's first byte is sent: the conditions that admitted it must still
 // hold.
-bool Proxy::mayRun(const Job& job, const ServerState& server) const {
+bool Proxy::mayRun(const Job& job, const PlacementResult& placed) const {
+  const ServerState& server = placed.chosenServer;
   const auto currentView = view();
   if (!isFresh(*currentView, BootClock::now())) return false;
   if (!currentView->configuration->tenantByKeyDigest.contains(job.digest)) return false;
+  CacheSalt salt;
+  if (!resolveCacheSalt(*currentView->configuration, job.tenant, job.requestedSalt, &salt) ||
+      salt != placed.salt)
+    return false;
   for (const ServerState& row : currentView->servers) {
     if (row.name == server.name)
       return !row.leaving &&
--- a/src/proxy/proxy.h
+++ b/src/proxy/proxy.h
@@ -42,7 +42,7 @@
     TenantName tenant;
     PolicyName policyName;
     RoutePolicy policy;
-    CacheSalt salt;
+    std::string requestedSalt;  // that the caller wants within its tenant's cache scope
     PromptPrefix prefix;
     std::string body;
     std::string digest;  // of the caller's key
@@ -58,7 +58,7 @@
   std::shared_ptr<const ProxyView> view() const;
   // True if the configuration and the server list were confirmed recently enough to serve requests.
   bool isFresh(const ProxyView& currentView, Instant now) const;
-  bool mayRun(const Job& job, const ServerState& server) const;
+  bool mayRun(const Job& job, const PlacementResult& placed) const;
 
   // Requests snapshots from the agent.
   awaitable<void> snapshotLoop();
--- a/src/proxy/run.cpp
+++ b/src/proxy/run.cpp
@@ -89,9 +89,12 @@
       isLate = true;
       break;
     }
-    PlacementRequest placementRequest{job.policy.model, job.tenant, job.salt,
-                                      job.prefix,       tried,      job.entered.isOverShare};
     const auto currentView = view();
+    // The tenant may have become isolated since the request was admitted.
+    CacheSalt salt;
+    if (!resolveCacheSalt(*currentView->configuration, job.tenant, job.requestedSalt, &salt)) break;
+    PlacementRequest placementRequest{job.policy.model, job.tenant, salt,
+                                      job.prefix,       tried,      job.entered.isOverShare};
     // A request sent now may queue at the server before it starts.
     placementRequest.isAllowed =
         [currentView, bound = Duration(settings_.rolloutTimeLimit)](const ServerState& server) {
@@ -129,10 +132,10 @@
     const Instant firstPieceDeadline =
         std::min(firstPieceDeadlineOf(job.policy, job.entered, attempt, job.deadline),
                  view()->usableUntil(placed.chosenServer, settings_.rolloutTimeLimit));
-    Delivery delivery{job.id,   placed.chosenServer, job.salt,          formatPrefix(job.prefix),
+    Delivery delivery{job.id,   placed.chosenServer, placed.salt,       formatPrefix(job.prefix),
                       job.body, job.deadline,        firstPieceDeadline};
     const std::function<bool()> mayStart = [this, &job, &placed, wasSent] {
-      if (!mayRun(job, placed.chosenServer)) return false;
+      if (!mayRun(job, placed)) return false;
       if (!wasSent)
         admission_.mustPost([model = job.policy.model](Admission& admission) {
           admission.countRequest(model, BootClock::now());
@@ -228,15 +231,15 @@
       co_return isUnchanged ? placed.source->matchedTokens : 0;
     }
     const auto storedTokens =
-        co_await readStoredPrefixTokens(source, settings_.callerAddress, job.policy.model, job.salt,
-                                        server.weights, job.prefix, kFetchTimeout);
+        co_await readStoredPrefixTokens(source, settings_.callerAddress, job.policy.model,
+                                        placed.salt, server.weights, job.prefix, kFetchTimeout);
     co_return storedTokens.ok() ? *storedTokens : 0;
   };
   const std::size_t before = co_await heldBySource();
   if (before < placed.matchedTokens + kMinFetchGainTokens)
     co_return FetchResult{from + ": not there under these weights", true};
   ++counters_.fetches;
-  const auto pulled = co_await pullPrefix(chosenAddress, source, job.policy.model, job.salt,
+  const auto pulled = co_await pullPrefix(chosenAddress, source, job.policy.model, placed.salt,
                                           server.weights, job.prefix, before, kFetchTimeout);
   const std::size_t after = co_await heldBySource();
   const auto target = co_await readServer(chosenAddress, kFetchTimeout);
@@ -245,7 +248,7 @@
   if (pulled.ok() && after >= before && isTargetUnchanged)
     co_return FetchResult{from + ": fetched", true};
   ++counters_.fetchErrors;
-  const auto dropped = co_await dropPrefix(chosenAddress, job.salt, job.prefix, kFetchTimeout);
+  const auto dropped = co_await dropPrefix(chosenAddress, placed.salt, job.prefix, kFetchTimeout);
   // A pull that failed from this side may still complete on the server until its deadline.
   const bool safe = pulled.ok() && dropped.ok();
   co_return FetchResult{from + (safe ? ": dropped, a check failed" : ": failed"), safe};
--- a/src/relay/attempt.cpp
+++ b/src/relay/attempt.cpp
@@ -51,10 +51,10 @@
 
 // Called right before bytes of the request are sent. Returns "" if they may be sent.
 std::string Relay::reasonNotToSend(const Caller& caller, const RelayRequest& job,
-                                   const ServerState& server, Instant now) const {
+                                   const PlacementResult& placed, Instant now) const {
   if (now >= job.deadline) return "the deadline passed";
   if (caller.isDisconnected) return "the caller left";
-  if (!isStillAllowed(job, server)) return "no longer allowed at the point of use";
+  if (!isStillAllowed(job, placed)) return "no longer allowed at the point of use";
   return "";
 }
 
@@ -87,7 +87,7 @@
   }
   // There must be no suspension point from here until the first bytes are sent.
   const Instant now = BootClock::now();
-  const std::string blocker = reasonNotToSend(*caller, job, server, now);
+  const std::string blocker = reasonNotToSend(*caller, job, placed, now);
   if (caller->isDisconnected)
     co_return AttemptResult{AttemptOutcome::CallerGone, "before it was sent"};
   if (!blocker.empty()) co_return AttemptResult{AttemptOutcome::NeverSent, blocker};
@@ -118,14 +118,14 @@
                          // The head contains the time that was left at `now`, which would be wrong
                          // after a stall.
                          if (isFirst && sendingAt - now >= kStallThreshold) return false;
-                         return reasonNotToSend(*caller, job, server, sendingAt).empty();
+                         return reasonNotToSend(*caller, job, placed, sendingAt).empty();
                        });
   sender.begin();
   AttemptResult result;
   if (sender.hasSentNothing() && sender.hasStopped())
     result = {AttemptOutcome::NeverSent, "send: " + sender.code().message()};
   else if (BootClock::now() - attempt.sentAt >= kStallThreshold &&
-           !reasonNotToSend(*caller, job, server, BootClock::now()).empty())
+           !reasonNotToSend(*caller, job, placed, BootClock::now()).empty())
     result = {AttemptOutcome::Unknown, "stood still while it was sent"};
   else
     result = co_await readResponse(attempt);
--- a/src/relay/intake.cpp
+++ b/src/relay/intake.cpp
@@ -96,9 +96,7 @@
     if (owner == configuration.tenantByKeyDigest.end())
       return deny(ErrorKind::UnknownKey, "the key is of no tenant");
     job->tenant = owner->second;
-    const Tenant& tenant = configuration.tenants.at(job->tenant);
-    tenantPriority = tenant.priority;
-    if (tenant.isolated) job->isolationSalt = CacheSalt{job->tenant.value};
+    tenantPriority = configuration.tenants.at(job->tenant).priority;
   }
   job->policy = configuration.policies.at(route->policy);
   job->split = route->split;
--- a/src/relay/relay.cpp
+++ b/src/relay/relay.cpp
@@ -82,7 +82,8 @@
 
 // Called right before the first byte of a request is sent: everything that admitted the request
 // must still hold.
-bool Relay::isStillAllowed(const RelayRequest& job, const ServerState& server) const {
+bool Relay::isStillAllowed(const RelayRequest& job, const PlacementResult& placed) const {
+  const ServerState& server = placed.chosenServer;
   const auto& currentView = *view_;
   if (isAborting_) return false;
   if (!currentView.configuration ||
@@ -93,6 +94,7 @@
     if (owner == currentView.configuration->tenantByKeyDigest.end() || owner->second != job.tenant)
       return false;
   }
+  if (cacheScope(*currentView.configuration, job.tenant) != placed.salt) return false;
   const auto row = serverRows_.find(server.name);
   if (row == serverRows_.end()) return false;
   const ServerState& current = currentView.servers[row->second];
@@ -111,7 +113,9 @@
 
 std::optional<PlacementResult> Relay::place(const RelayRequest& job,
                                             const std::set<ServerName>& tried) {
-  PlacementRequest request{job.model, job.tenant, job.isolationSalt, job.prefix, tried};
+  // The tenant may have become isolated since the request was admitted.
+  PlacementRequest request{job.model, job.tenant, cacheScope(*view_->configuration, job.tenant),
+                           job.prefix, tried};
   std::vector<SplitShare> shares = job.split;
   const Instant now = BootClock::now();
   // A request sent now may have to wait at the server before its response starts.
--- a/src/relay/relay.h
+++ b/src/relay/relay.h
@@ -30,7 +30,6 @@
   bool needsKey = true;
   std::string keyDigest;
   TenantName tenant;
-  CacheSalt isolationSalt;  // "" where the cache is shared between tenants
   ModelName model;
   PromptPrefix prefix;
   std::uint64_t resumeAfter = 0;    // the last event id that the caller has, if it resumes a stream
@@ -173,7 +172,7 @@
                                              const RelayRequest& job, bool keepAlive);
   void updateRetryBudgets(std::size_t daemons, Instant now);
   std::optional<PlacementResult> place(const RelayRequest& job, const std::set<ServerName>& tried);
-  bool isStillAllowed(const RelayRequest& job, const ServerState& server) const;
+  bool isStillAllowed(const RelayRequest& job, const PlacementResult& placed) const;
   Instant startDeadline(const ServerState& server) const;
   void applyOutcome(const ServerState& server, const AttemptResult& result);
   void recordDecision(const RelayRequest& job, const std::string& tries, const char* outcome);
@@ -194,7 +193,7 @@
                                    const PlacementResult& placed, ResponseProgress* progress,
                                    const AttemptOptions& options);
   std::string reasonNotToSend(const Caller& caller, const RelayRequest& job,
-                              const ServerState& server, Instant now) const;
+                              const PlacementResult& placed, Instant now) const;
   void returnConnection(Attempt& attempt, const AttemptResult& result);
 
   // request_head.cpp
--- a/src/relay/request_head.cpp
+++ b/src/relay/request_head.cpp
@@ -46,9 +46,9 @@
   if (!server.weights.value.empty())
     addHeader(&head, headerNames_.weightsWanted, server.weights.value);
   if (job.needsKey) addHeader(&head, headerNames_.tenant, job.tenant.value);
-  // Salts differ between weights versions and between isolated tenants, so no match or fetch
-  // crosses either boundary. Servers and stores check neither themselves.
-  addHeader(&head, headerNames_.salt, scopedCacheSalt(server.weights, job.isolationSalt).value);
+  // Salts differ between weights versions and between cache scopes, so no match or fetch crosses
+  // either boundary. Servers and stores check neither themselves.
+  addHeader(&head, headerNames_.salt, scopedCacheSalt(server.weights, placed.salt).value);
   if (settings_.mechanisms.isEnabled(Mechanism::Urgency))
     addHeader(&head, headerNames_.urgency, std::to_string(urgencyOf(job, placed)));
   if (!placed.fetchFrom.value.empty())
--- a/tests/configuration_tests.cpp
+++ b/tests/configuration_tests.cpp
@@ -58,13 +58,32 @@
   const auto configuration =
       parseConfiguration(configurationWith(R"({"iso":{"isolated":true},"open":{}})", "{}", "{}"));
   REQUIRE(configuration.ok());
-  CacheSalt isolated, shared;
+  CacheSalt isolated, shared, requested;
   REQUIRE(resolveCacheSalt(*configuration, TenantName{"iso"}, "", &isolated));
   CHECK(isolated.value == "tenant:iso");
   CHECK_FALSE(resolveCacheSalt(*configuration, TenantName{"open"}, isolated.value, &shared));
   CHECK_FALSE(resolveCacheSalt(*configuration, TenantName{"iso"}, "tenant:other", &isolated));
   REQUIRE(resolveCacheSalt(*configuration, TenantName{"open"}, "", &shared));
-  CHECK(shared.value.empty());
+  CHECK(shared == configuration->sharedScope);
+  CHECK_FALSE(resolveCacheSalt(*configuration, TenantName{"open"}, shared.value, &requested));
+  CHECK_FALSE(resolveCacheSalt(*configuration, TenantName{"none"}, "", &requested));
+}
+
+TEST_CASE("spec: each set of isolated tenants has a shared cache scope of its own") {
+  const auto scopeWith = [](const std::string& tenants) {
+    const auto configuration = parseConfiguration(configurationWith(tenants, "{}", "{}"));
+    REQUIRE(configuration.ok());
+    return configuration->sharedScope.value;
+  };
+  CHECK(scopeWith(R"({"a":{},"b":{}})").empty());
+  const std::set<std::string> scopes{scopeWith(R"({"a":{},"b":{}})"),
+                                     scopeWith(R"({"a":{"isolated":true},"b":{}})"),
+                                     scopeWith(R"({"a":{},"b":{"isolated":true}})"),
+                                     scopeWith(R"({"a":{"isolated":true},"b":{"isolated":true}})"),
+                                     scopeWith(R"({"a1:b":{"isolated":true}})")};
+  CHECK(scopes.size() == 5);
+  CHECK(scopeWith(R"({"a":{"isolated":true},"c":{"priority":2}})") ==
+        scopeWith(R"({"a":{"isolated":true},"b":{}})"));
 }
 
 TEST_CASE("boot: each bad setting is named with its remedy") {
--- a/tests/platform_config_tests.cpp
+++ b/tests/platform_config_tests.cpp
@@ -412,3 +412,17 @@
   measure("read a whole configuration", [&] { (void)platform::configReplacement(text, 0); });
   measure("make a patch of one field", [&] { bodyAfter(platform::configPatch(patch, 7), body); });
 }
+
+TEST_CASE("platform: who is isolated decides the shared cache scope") {
+  Document changed = sample();
+  const auto scopeOf = [](const Document& document) {
+    const auto config = platform::parseConfig(document);
+    REQUIRE(config.ok());
+    return config->configuration.sharedScope.value;
+  };
+  const std::string before = scopeOf(changed);
+  changed["tenants"][1]["prio"] = 3;
+  CHECK(scopeOf(changed) == before);
+  changed["tenants"][1]["isolated"] = true;
+  CHECK(scopeOf(changed) != before);
+}
--- a/tests/proxy_stage.h
+++ b/tests/proxy_stage.h
@@ -31,6 +31,8 @@
   std::atomic<ServerBehavior> behavior{ServerBehavior::Answer};
   std::atomic<int> arrivals{0};
   std::unique_ptr<HttpServer> server;
+  std::mutex saltMutex;
+  std::string salt;  // of the last request
 
   FakeModelServer(asio::io_context& io, Address at) : address(std::move(at)) {
     HttpServerSettings settings;
@@ -39,9 +41,17 @@
         io, settings, [this](Connection&, HttpRequest& request) { return respond(request); });
     REQUIRE(server->start().ok());
   }
+  std::string lastSalt() {
+    std::lock_guard lock(saltMutex);
+    return salt;
+  }
   awaitable<std::optional<HttpResponse>> respond(HttpRequest& request) {
     if (pathOf(request) != wire::kGenerate) co_return textResponse(404, "");
     ++arrivals;
+    {
+      std::lock_guard lock(saltMutex);
+      salt = std::string(request[wire::kSalt]);
+    }
     const ServerBehavior current = behavior.load();
     if (current == ServerBehavior::Vanish) co_return std::nullopt;
     if (current == ServerBehavior::Hang) {  // until the behavior is changed
--- a/tests/relay_stage.h
+++ b/tests/relay_stage.h
@@ -53,6 +53,7 @@
     configuration.tenants[TenantName{"hill"}].isolated = true;
     configuration.tenantByKeyDigest[keyDigest("key")] = TenantName{"north"};
     configuration.tenantByKeyDigest[keyDigest("hill-key")] = TenantName{"hill"};
+    deriveSharedScope(&configuration);
     addRoute("/once/", false, 1);
     addRoute("/twice/", false, 2);
     addRoute("/again/", true, 2);
