Bound what recurses over documents from outside

Cause: the schema validator matches "pattern" with std::regex, which recurses once for each character. Some 26,000 of them use up a thread's stack. Documents that nest deep use it up in the same way where a JSON value is copied, printed, patched or validated.

Change: formats of text fields are checked by plain functions where the field is read; no schema has a pattern any more. JSON text from operators, servers and the platform is refused beyond 200 levels, by an error that says so. No limit is put on the length of a field.

Evidence: with the pattern of the platform's prefix put back "documents: a text field of any length..." ends by SIGSEGV; without the bound of depth "documents: one that nests too deep..." fails. Both pass now.

--- a/src/agent/operator_api.cpp
+++ b/src/agent/operator_api.cpp
@@ -2,6 +2,7 @@
 #include <glog/logging.h>
 
 #include "agent/agent.h"
+#include "base/json_text.h"
 #include "base/scope_exit.h"
 
 namespace quayrill {
@@ -106,8 +107,7 @@
     co_return errorResponse(
         {ErrorKind::MalformedRequest,
          "?confirm=FLEET is not the fleet that is to be given up: it is " + fleet});
-  const Json saved =
-      request.body().empty() ? Json::object() : Json::parse(request.body(), nullptr, false);
+  const Json saved = request.body().empty() ? Json::object() : parseJson(request.body());
   const Json version = saved.is_object() ? saved.value("version", Json(0U)) : Json();
   if (!version.is_number_unsigned())
     co_return errorResponse(
--- a/src/configuration/configuration.cpp
+++ b/src/configuration/configuration.cpp
@@ -5,6 +5,7 @@
 #include <set>
 
 #include "base/digest.h"
+#include "base/json_text.h"
 
 namespace quayrill {
 
@@ -50,8 +51,9 @@
 }
 
 absl::StatusOr<std::string> patchConfiguration(const std::string& body, const std::string& patch) {
-  Json document = body.empty() ? Json::object() : Json::parse(body, nullptr, false);
-  const Json change = Json::parse(patch, nullptr, false);
+  if (nestsTooDeep(patch)) return absl::InvalidArgumentError("/: " + std::string(kNestsTooDeep));
+  Json document = body.empty() ? Json::object() : parseJson(body);
+  const Json change = parseJson(patch);
   if (document.is_discarded() || !change.is_object())
     return absl::InvalidArgumentError("/: the patch is no JSON object: send a merge patch");
   document.merge_patch(change);
--- a/src/configuration/parse.cpp
+++ b/src/configuration/parse.cpp
@@ -3,8 +3,10 @@
 #include <nlohmann/json.hpp>
 #include <set>
 
+#include "base/json_text.h"
 #include "configuration/configuration.h"
 #include "configuration/schema.h"
+#include "configuration/text_fields.h"
 
 namespace quayrill {
 
@@ -21,7 +23,7 @@
         "priority": {"type": "integer", "minimum": 0, "maximum": 1000},
         "concurrency": {"type": "integer", "minimum": 1, "maximum": 100000},
         "keys": {"type": "array", "maxItems": 64,
-                 "items": {"type": "string", "pattern": "^sha256:[0-9a-f]{64}$"}}}}},
+                 "items": {"type": "string"}}}}},
     "contracts": {"type": "object", "additionalProperties": {
       "type": "object", "additionalProperties": false, "required": ["repeatable"],
       "properties": {
@@ -45,8 +47,8 @@
       "type": "object", "additionalProperties": false,
       "required": ["host", "prefix", "contract", "split"],
       "properties": {
-        "host": {"type": "string", "pattern": "^[0-9a-z._-]+$"},
-        "prefix": {"type": "string", "pattern": "^/(.*/)?$"},
+        "host": {"type": "string"},
+        "prefix": {"type": "string"},
         "contract": {"type": "string", "minLength": 1},
         "public": {"type": "boolean"},
         "split": {"type": "array", "minItems": 1, "maxItems": 64, "items": {
@@ -56,7 +58,7 @@
             "weight": {"type": "integer", "minimum": 0, "maximum": 1000000}}}}}}},
     "services": {"type": "object", "additionalProperties": {
       "type": "object", "additionalProperties": false, "properties": {
-        "health_path": {"type": "string", "pattern": "^/"},
+        "health_path": {"type": "string"},
         "max_connections": {"type": "integer", "minimum": 0, "maximum": 1000000},
         "slots": {"type": "integer", "minimum": 1, "maximum": 100000},
         "cache_tokens": {"type": "integer", "minimum": 0, "maximum": 1000000000000},
@@ -66,7 +68,7 @@
         "models": {"type": "array", "items": {"type": "string", "minLength": 1}}}}},
     "stores": {"type": "object", "additionalProperties": {
       "type": "object", "additionalProperties": false, "required": ["address"], "properties": {
-        "address": {"type": "string", "pattern": "^[0-9.]+:[0-9]+$"},
+        "address": {"type": "string"},
         "zone": {"type": "string"},
         "cache_tokens": {"type": "integer", "minimum": 0, "maximum": 1000000000000},
         "link_mbps": {"type": "number", "minimum": 0},
@@ -96,9 +98,13 @@
     tenant.isolated = row.value("isolated", false);
     tenant.concurrency = row.value("concurrency", tenant.concurrency);
     if (row.contains("priority")) tenant.priority = row["priority"].get<unsigned>();
-    for (const auto& digest : row.value("keys", Json::array())) {
-      if (const auto owner =
-              addKeyDigest(configuration, TenantName{name}, digest.get<std::string>()))
+    const Json keys = row.value("keys", Json::array());
+    for (std::size_t i = 0; i < keys.size(); ++i) {
+      const auto digest = keys[i].get<std::string>();
+      if (!isKeyDigest(digest))
+        return fieldError("/tenants/" + name + "/keys/" + std::to_string(i),
+                          "no digest of a key: write sha256: and its 64 hex digits");
+      if (const auto owner = addKeyDigest(configuration, TenantName{name}, digest))
         return fieldError("/tenants/" + name + "/keys",
                           "a key of '" + owner->value + "': give each tenant its own keys");
     }
@@ -137,6 +143,8 @@
   for (const auto& [name, row] : rows.items()) {
     Service service;
     service.healthPath = row.value("health_path", "");
+    if (row.contains("health_path") && !service.healthPath.starts_with('/'))
+      return fieldError("/services/" + name + "/health_path", "must begin with a slash");
     service.maxConnections = row.value("max_connections", service.maxConnections);
     service.slots = row.value("slots", service.slots);
     service.cacheTokens = row.value("cache_tokens", service.cacheTokens);
@@ -155,16 +163,19 @@
   return absl::OkStatus();
 }
 
-void readStores(const Json& rows, Configuration* configuration) {
+absl::Status readStores(const Json& rows, Configuration* configuration) {
   for (const auto& [name, row] : rows.items()) {
     PartStore store;
     store.address = Address{row["address"].get<std::string>()};
+    if (!isNumericAddress(store.address.value))
+      return fieldError("/stores/" + name + "/address", "write an IP address, a colon and a port");
     store.zone = row.value("zone", "");
     store.cacheTokens = row.value("cache_tokens", store.cacheTokens);
     store.linkMbps = row.value("link_mbps", store.linkMbps);
     store.eventReaders = row.value("event_readers", store.eventReaders);
     configuration->stores[ServiceName{name}] = store;
   }
+  return absl::OkStatus();
 }
 
 // The error for a violation among the routes, with the path of the field.
@@ -196,6 +207,12 @@
     route.name = name;
     route.host = row["host"].get<std::string>();
     route.prefix = row["prefix"].get<std::string>();
+    if (!isHostName(route.host))
+      return fieldError(
+          "/routes/" + name + "/host",
+          "write the host in lower case: letters, digits, dots, hyphens, underscores");
+    if (!isPathPrefix(route.prefix))
+      return fieldError("/routes/" + name + "/prefix", "must begin and end with a slash");
     route.policy = PolicyName{row["contract"].get<std::string>()};
     route.isPublic = row.value("public", false);
     for (const auto& share : row["split"])
@@ -236,7 +253,8 @@
 }  // namespace
 
 absl::StatusOr<Configuration> parseConfiguration(const std::string& body) {
-  const Json json = Json::parse(body, nullptr, false);
+  if (nestsTooDeep(body)) return fieldError("/", kNestsTooDeep);
+  const Json json = parseJson(body);
   if (json.is_discarded()) return fieldError("/", "not JSON: send one JSON object");
   if (const auto error = schemaError(kConfigurationSchema, json))
     return fieldError(error->path, error->what);
@@ -247,7 +265,7 @@
   if (auto status = readTenants(json["tenants"], &configuration); !status.ok()) return status;
   if (auto status = readPolicies(json["contracts"], &configuration); !status.ok()) return status;
   if (auto status = readServices(rowsOf("services"), &configuration); !status.ok()) return status;
-  readStores(rowsOf("stores"), &configuration);
+  if (auto status = readStores(rowsOf("stores"), &configuration); !status.ok()) return status;
   if (auto status = readRoutes(rowsOf("routes"), &configuration); !status.ok()) return status;
   if (auto status = readPathPolicies(json["ways"], &configuration); !status.ok()) return status;
   if (auto status = checkModels(configuration); !status.ok()) return status;
--- a/src/net/model_server.cpp
+++ b/src/net/model_server.cpp
@@ -1,5 +1,7 @@
 #include "net/model_server.h"
 
+#include "base/json_text.h"
+
 namespace quayrill {
 
 namespace {
@@ -9,7 +11,7 @@
   if (!response.ok()) return response.status();
   if (response->result_int() != 200)
     return absl::UnavailableError("answered " + std::to_string(response->result_int()));
-  Json json = Json::parse(response->body(), nullptr, false);
+  Json json = parseJson(response->body());
   if (!json.is_object()) return absl::DataLossError("answered no JSON object");
   return json;
 }
@@ -119,7 +121,7 @@
 
 bool isEndMark(const std::string& line, std::uint64_t* pieces) {
   if (line.find("\"end\"") == std::string::npos) return false;
-  const Json json = Json::parse(line, nullptr, false);
+  const Json json = parseJson(line);
   if (!json.is_object() || !json.contains("end") || json["end"] != true) return false;
   *pieces = json.value("pieces", std::uint64_t{0});
   return true;
