Keep a caller's last event id 0 apart from none

Cause: the caller's last event id was kept as a number with 0 for "none", and the relay replaces the caller's header by that number. An id that is no number, or too large, was lost in the same way.

Change: the id is optional. One that is no number reaches the server as the caller sent it.

Evidence: with 0 for "none" put back, "resume: a caller's last event may have the id 0" and "resume: a stream cut behind event 0..." fail, and without passing other ids on "resume: a last event id that is no number..."; all pass now.

--- a/src/relay/intake.cpp
+++ b/src/relay/intake.cpp
@@ -105,7 +105,7 @@
   job->model = ModelName{headerOf(request, headerNames_.model)};
   if (auto prefix = parsePrefix(headerOf(request, headerNames_.prefix)); prefix.ok())
     job->prefix = std::move(*prefix);
-  job->resumeAfter = numberOf(headerOf(request, headerNames_.lastEventId)).value_or(0);
+  job->resumeAfter = numberOf(headerOf(request, headerNames_.lastEventId));
   return std::nullopt;
 }
 
--- a/src/relay/relay.cpp
+++ b/src/relay/relay.cpp
@@ -166,7 +166,7 @@
                                                   const RelayRequest& job, bool keepAlive) {
   std::set<ServerName> tried, sentTo;
   ResponseProgress progress;
-  if (job.resumeAfter > 0) progress.lastEventId = job.resumeAfter;
+  progress.lastEventId = job.resumeAfter;
   // sentAttempts counts attempts that may have reached a server, uncountedAttempts those that do
   // not count against the route's limit of servers. mayHaveRun never returns to false: as long as
   // it is false, the request can be rejected as not run.
--- a/src/relay/relay.h
+++ b/src/relay/relay.h
@@ -32,7 +32,8 @@
   TenantName tenant;
   ModelName model;
   PromptPrefix prefix;
-  std::uint64_t resumeAfter = 0;    // the last event id that the caller has, if it resumes a stream
+  // The last event id that the caller has, if it resumes a stream and the id is a number.
+  std::optional<std::uint64_t> resumeAfter;
   unsigned priority = 1;            // 0 is the most urgent
   Instant startedAt{}, deadline{};  // startedAt is when its first byte was read
   HttpRequest original;
--- a/src/relay/request_head.cpp
+++ b/src/relay/request_head.cpp
@@ -54,8 +54,11 @@
   if (!placed.fetchFrom.value.empty())
     addHeader(&head, headerNames_.fetchSource, placed.fetchFrom.value);
   if (!placed.storeTo.value.empty()) addHeader(&head, headerNames_.keepAt, placed.storeTo.value);
+  const std::string_view callersLastEventId = view(original[headerNames_.lastEventId]);
   if (progress.lastEventId)
     addHeader(&head, headerNames_.lastEventId, std::to_string(*progress.lastEventId));
+  else if (!callersLastEventId.empty())  // no number: only the server can tell what it means
+    addHeader(&head, headerNames_.lastEventId, callersLastEventId);
   const bool hasBody = !original.body().empty() || original.method() == http::verb::post ||
                        original.method() == http::verb::put ||
                        original.method() == http::verb::patch;
