Bound the use of an old configuration while the register answers

Brought about with 5 core and 89 edge processes, 2,500 routes and 32 busy threads on 8 cores: 5 probes on 4 edges over 2.5 s late, no fault injected.

Cause: the limit for an unconfirmed configuration is made for a daemon cut off from the register (an hour where hardRevoke is false), and held as well for one that the register answers and that had not got the newer configuration yet. So nothing but luck kept applyMs. Besides, each daemon parsed a configuration twice, once on the traffic thread.

Change: the long limit holds only while rounds remain without enough answers and the agent runs. The agent hands the parsed configuration to the relay.

--- a/src/agent/agent.cpp
+++ b/src/agent/agent.cpp
@@ -150,7 +150,7 @@
   }
   core_->onWeightsConfigured(parsed->weights,
                              configurationVersion_ > 0 ? configurationConfirmedAt_ : std::nullopt);
-  configuration_ = std::move(*parsed);
+  configuration_ = std::make_shared<const Configuration>(std::move(*parsed));
   configurationVersion_ = value.version;
   ++counters_.configurationChanges;
   LOG(INFO) << "configuration " << configurationVersion_ << " is in force";
@@ -161,7 +161,8 @@
       (now < nextSnapshotAt_ && publishedConfigurationVersion_ == configurationVersion_))
     return;
   nextSnapshotAt_ = now + kSnapshotInterval;
-  snapshotListener_(snapshot(publishedConfigurationVersion_, now), now);
+  // The listener gets the parsed configuration, so the snapshot needs no body.
+  snapshotListener_(snapshot(configurationVersion_, now), now, configuration_);
   publishedConfigurationVersion_ = configurationVersion_;
 }
 
@@ -319,6 +320,7 @@
   for (const auto& [name, row] : servers_) {
     if (row.state) snapshot.servers.push_back(toSnapshot(stateOf(row, now), now));
   }
+  snapshot.registerSilent = core_->freshness().isRegisterSilent(now);
   snapshot.eventSources = eventSources_;
   snapshot.superseded = core_->weights().report(now);
   return snapshot;
--- a/src/agent/agent.h
+++ b/src/agent/agent.h
@@ -47,7 +47,8 @@
   // Receives snapshots for the data plane in this process, with the time at which each was taken:
   // on each configuration change, and every 100 ms. Must be set before start(); called on the
   // control thread.
-  using SnapshotListener = std::function<void(Snapshot, Instant)>;
+  using SnapshotListener =
+      std::function<void(Snapshot, Instant, std::shared_ptr<const Configuration>)>;
   void setSnapshotListener(SnapshotListener listener) { snapshotListener_ = std::move(listener); }
   // Receives what the fleet's other data planes observe, under the same rules as the snapshot
   // listener.
@@ -142,7 +143,7 @@
   Instant nextEventSourcesAt_{};
   std::uint64_t publishedConfigurationVersion_ = 0;
   Instant nextSnapshotAt_{};
-  std::optional<Configuration> configuration_;  // the configuration in force, parsed
+  std::shared_ptr<const Configuration> configuration_;  // the one in force, parsed; null: none
   std::uint64_t configurationVersion_ = 0;
   // When configuration_ was last known to be the newest one.
   std::optional<Instant> configurationConfirmedAt_;
--- a/src/agent/core/agent_core.cpp
+++ b/src/agent/core/agent_core.cpp
@@ -17,6 +17,8 @@
 constexpr Duration kConfirmInterval = 250ms;
 constexpr Duration kConfirmIntervalUnsettled = 100ms;
 constexpr std::uint64_t kListKeysEveryRounds = 8;
+// Ticks this far apart mean that the process did not run in between.
+constexpr Duration kStallThreshold = 500ms;
 // How much longer each further candidate for a leader role waits before it takes over.
 constexpr Duration kTakeOverDelayPerRank = 2s;
 }  // namespace
@@ -360,6 +362,8 @@
 
 void AgentCore::onTick(Instant now, AgentEffects* effects) {
   if (startedAt_ == Instant{}) startedAt_ = now;
+  if (now - lastTickAt_ >= kStallThreshold) freshness_.forgetSilence();
+  lastTickAt_ = now;
   tickGossip(now, effects);
   membership_.onTick(now, &effects->sends);
   if (now >= nextGossipPull_) {
--- a/src/agent/core/agent_core.h
+++ b/src/agent/core/agent_core.h
@@ -249,6 +249,7 @@
   std::size_t replicaBacklog_ = 0;
   bool leaving_ = false;
   Instant startedAt_{};  // the first tick
+  Instant lastTickAt_{};
   // The parts of this daemon's state that are announced without waiting for the next heartbeat.
   struct Announcement {
     bool leaving = false;
--- a/src/agent/core/freshness.cpp
+++ b/src/agent/core/freshness.cpp
@@ -12,6 +12,7 @@
 constexpr Duration kAnswerOverdueAfter = 150ms;
 constexpr Duration kUnconfirmedLimit = 500ms;
 constexpr Duration kMaxAnswerTime = 2s;
+constexpr Duration kSilentAfter = 1s;
 constexpr Duration kBodyRequestInterval =
     1s;  // allows for the transfer of a large body on a slow link
 
@@ -66,6 +67,7 @@
 Freshness::Sends Freshness::beginRound(Instant now, bool askAll, bool wantsKeys) {
   Round& round = rounds_[++sequence_];
   round.sentAt = now;
+  if (!firstUnansweredAt_) firstUnansweredAt_ = now;
   round.wantsKeys = wantsKeys || !replicas_.settled;
   while (rounds_.size() > kMaxRounds) rounds_.erase(rounds_.begin());
   std::vector<ReplicaMember> order = replicas_.members;
@@ -197,10 +199,8 @@
     if (std::find(knownKeys_.begin(), knownKeys_.end(), key) == knownKeys_.end())
       knownKeys_.push_back(key);
   }
-  // Until the epoch is settled, a value may be chosen by a majority of the previous set only. A
-  // majority of the current set intersects those majorities too.
-  const std::size_t neededAnswers =
-      replicas_.settled ? readQuorumOf(replicas_) : majorityOf(replicas_);
+  const std::size_t needed = neededAnswers();
+  if (round.answers.size() >= needed) firstUnansweredAt_.reset();
   bool current = true;
   const Epoch epochBefore = replicas_.epoch;
   for (const RegisterKey& key : {kReplicaSetKey, kConfigurationKey}) {
@@ -208,17 +208,27 @@
         Verdict::Unsettled) {
       current = false;
       unsettledSince_.try_emplace(key, now);
-    } else if (round.answers.size() >= neededAnswers) {
+    } else if (round.answers.size() >= needed) {
       unsettledSince_.erase(key);
     }
   }
   if (replicas_.epoch != epochBefore) return;  // the new set must be queried first
   entry->second.unsettled = !current;
-  if (!current || round.answers.size() < neededAnswers) return;
+  if (!current || round.answers.size() < needed) return;
   entry->second.confirmed = true;
   if (!confirmedAt_ || *confirmedAt_ < sentAt) confirmedAt_ = sentAt;
 }
 
+// Until the epoch is settled, a value may be chosen by a majority of the previous set only. A
+// majority of the current set intersects those majorities too.
+std::size_t Freshness::neededAnswers() const {
+  return replicas_.settled ? readQuorumOf(replicas_) : majorityOf(replicas_);
+}
+
+bool Freshness::isRegisterSilent(Instant now) const {
+  return firstUnansweredAt_ && now - *firstUnansweredAt_ >= kSilentAfter;
+}
+
 std::optional<std::vector<RegisterKey>> Freshness::majorityKeys() const {
   for (const auto& [sequence, round] : rounds_) {
     std::vector<RegisterKey> keys;
--- a/src/agent/core/freshness.h
+++ b/src/agent/core/freshness.h
@@ -28,6 +28,12 @@
   const ReplicaSet& replicas() const { return replicas_; }
   const ChosenValue& configuration() const { return configuration_; }
   std::optional<Instant> confirmedAt() const { return confirmedAt_; }
+  // True if rounds have remained without enough answers for a while, so that a newer configuration
+  // could not have shown. False while enough replicas answer, whatever they show.
+  bool isRegisterSilent(Instant now) const;
+  // Starts to wait for answers anew. Call it after the process did not run for a while: answers may
+  // have arrived meanwhile that were not read.
+  void forgetSilence() { firstUnansweredAt_.reset(); }
   const std::vector<RegisterKey>& knownKeys() const { return knownKeys_; }
   std::uint64_t replicaSetVersion() const { return replicaSetValue_.value.version; }
   // Every key that any replica of a majority holds, once a majority answered from within the
@@ -66,12 +72,15 @@
   void requestBody(Instant now, Sends* sends);
   enum class Verdict { Current, Unsettled };
   Verdict evaluate(const Round& round, const RegisterKey& key, ChosenValue* chosen);
+  std::size_t neededAnswers() const;
 
   ReplicaSet replicas_;
   // Chosen values only; their versions never decrease.
   ChosenValue configuration_, replicaSetValue_;
   // The start of the newest round that confirmed the known values.
   std::optional<Instant> confirmedAt_;
+  // The start of the first round since the newest one that got enough answers.
+  std::optional<Instant> firstUnansweredAt_;
   std::map<std::uint64_t, Round> rounds_;  // at most kMaxRounds, newest last
   std::uint64_t sequence_;
   std::map<StoreId, Duration> answerTime_;  // smoothed; used only to select replicas to query
--- a/src/agent/snapshot.h
+++ b/src/agent/snapshot.h
@@ -38,8 +38,10 @@
   // Servers, and possibly the store, whose cache events this daemon reads for the fleet.
   std::vector<ServerName> eventSources;
   std::uint32_t proxies = 0;  // live daemons known to accept requests, including this one
+  // The agent asks for confirmation, and too few replicas answer to show anything newer.
+  bool registerSilent = false;
   QUAYRILL_FIELDS(configurationVersion, configurationBody, confirmedAgoMicros, listedAgoMicros,
-                  servers, superseded, eventSources, proxies)
+                  servers, superseded, eventSources, proxies, registerSilent)
 };
 
 // Converts a server's state for a snapshot taken at `now`.
--- a/src/agent/view.cpp
+++ b/src/agent/view.cpp
@@ -1,25 +1,49 @@
 #include "agent/view.h"
 
+#include <algorithm>
+
 namespace quayrill {
 
-ProxyView nextView(
-    const ProxyView& before, const Snapshot& snapshot, Instant requestedAt,
-    const std::function<absl::StatusOr<Configuration>(const std::string&)>& readConfiguration) {
+using namespace std::chrono_literals;
+
+namespace {
+// Without a snapshot for this long, the agent may have learned of something newer since.
+constexpr Duration kSnapshotMaxAge = 1s;
+}  // namespace
+
+bool ProxyView::isUsable(Instant now, const StalenessLimits& limits) const {
+  if (!configuration) return false;
+  const bool isOutOfTouch = registerSilent && now - updatedAt < kSnapshotMaxAge;
+  const Duration limit =
+      isOutOfTouch ? limits.outOfTouch : std::min(limits.inTouch, limits.outOfTouch);
+  return now - confirmedAt < limit;
+}
+
+std::shared_ptr<const Configuration> readConfigurationOf(
+    const Snapshot& snapshot, const ProxyView& before,
+    const std::function<absl::StatusOr<Configuration>(const std::string&)>& read) {
+  if (snapshot.configurationVersion == before.configurationVersion ||
+      snapshot.configurationBody.empty())
+    return nullptr;
+  auto parsed = read(snapshot.configurationBody);
+  return parsed.ok() ? std::make_shared<const Configuration>(std::move(*parsed)) : nullptr;
+}
+
+ProxyView nextView(const ProxyView& before, const Snapshot& snapshot, Instant requestedAt,
+                   std::shared_ptr<const Configuration> configuration) {
   ProxyView next = before;
   const auto since = [&](std::int64_t ageMicros) {
     return ageMicros < 0 ? Instant{} : requestedAt - std::chrono::microseconds(ageMicros);
   };
-  if (snapshot.configurationVersion != before.configurationVersion &&
-      !snapshot.configurationBody.empty()) {
-    auto parsed = readConfiguration(snapshot.configurationBody);
-    if (parsed.ok()) {
-      next.configuration = std::make_shared<const Configuration>(std::move(*parsed));
-      next.configurationVersion = snapshot.configurationVersion;
-    }
+  if (configuration) {
+    next.configuration = std::move(configuration);
+    next.configurationVersion = snapshot.configurationVersion;
   }
   if (next.configurationVersion == snapshot.configurationVersion)
     next.confirmedAt = since(snapshot.confirmedAgoMicros);
   next.listedAt = since(snapshot.listedAgoMicros);
+  next.updatedAt = requestedAt;
+  next.registerSilent = snapshot.registerSilent;
   next.servers.clear();
   for (const SnapshotServer& row : snapshot.servers)
     next.servers.push_back(fromSnapshot(row, requestedAt));
--- a/src/agent/view.h
+++ b/src/agent/view.h
@@ -12,16 +12,27 @@
 
 namespace quayrill {
 
+// How old the last confirmation of a configuration may be for requests to be served by it.
+struct StalenessLimits {
+  Duration inTouch{};
+  Duration outOfTouch{};
+};
+
 // Immutable once published; each snapshot from the agent replaces it as a whole.
 struct ProxyView {
   std::shared_ptr<const Configuration> configuration;  // null until one was read
   std::uint64_t configurationVersion = 0;
-  Instant confirmedAt{};  // latest time at which the configuration was known to be the newest
-  Instant listedAt{};     // when the server list was read
+  Instant confirmedAt{};        // latest time at which the configuration was known to be the newest
+  Instant listedAt{};           // when the server list was read
+  Instant updatedAt{};          // when the snapshot was requested
+  bool registerSilent = false;  // see Snapshot
   std::vector<ServerState> servers;
   std::set<ServerName> eventSources;  // servers whose cache events this daemon reads
   WeightsHistories weights;
 
+  // Whether requests may be served by this configuration. `limits.inTouch` holds as long as a newer
+  // one could have been learned, `limits.outOfTouch` while the register does not answer.
+  bool isUsable(Instant now, const StalenessLimits& limits) const;
   // The time until which requests may start on the server's weights: `bound` after the first newer
   // version was named in the configuration.
   Instant usableUntil(const ServerState& server, Duration bound) const {
@@ -29,10 +40,16 @@
   }
 };
 
-// Returns the view that follows `before` after a snapshot requested at `requestedAt`. If the
-// configuration can't be parsed, the previous one stays, unconfirmed.
-ProxyView nextView(
-    const ProxyView& before, const Snapshot& snapshot, Instant requestedAt,
-    const std::function<absl::StatusOr<Configuration>(const std::string&)>& readConfiguration);
+// Parses the configuration in the snapshot. Null if the snapshot has no newer one than `before`, or
+// one that can't be parsed.
+std::shared_ptr<const Configuration> readConfigurationOf(
+    const Snapshot& snapshot, const ProxyView& before,
+    const std::function<absl::StatusOr<Configuration>(const std::string&)>& read);
+
+// Returns the view that follows `before` after a snapshot requested at `requestedAt`.
+// `configuration` is that of the snapshot; if it is null, the previous one stays, unconfirmed
+// unless it has the snapshot's version.
+ProxyView nextView(const ProxyView& before, const Snapshot& snapshot, Instant requestedAt,
+                   std::shared_ptr<const Configuration> configuration);
 
 }  // namespace quayrill
--- a/src/daemon/daemon.cpp
+++ b/src/daemon/daemon.cpp
@@ -81,8 +81,9 @@
         std::cerr << program << ": " << status.message() << "\n";
         return 1;
       }
-      agent->setSnapshotListener([&relay](Snapshot snapshot, Instant requestedAt) {
-        relay->applySnapshot(std::move(snapshot), requestedAt);
+      agent->setSnapshotListener([&relay](Snapshot snapshot, Instant requestedAt,
+                                          std::shared_ptr<const Configuration> configuration) {
+        relay->applySnapshot(std::move(snapshot), requestedAt, std::move(configuration));
       });
       agent->setPlaneDigestListener([&relay](DataPlaneDigest digest, Instant receivedAt) {
         relay->applyDigest(std::move(digest), receivedAt);
--- a/src/daemon/settings_watch.cpp
+++ b/src/daemon/settings_watch.cpp
@@ -47,6 +47,7 @@
     StartSetting{"block_tokens", same<&Settings::blockTokens>},
     StartSetting{"traffic_threads", same<&Settings::trafficThreads>},
     StartSetting{"fresh_limit_ms", same<&Settings::stalenessLimit>},
+    StartSetting{"apply bound", same<&Settings::applyLimit>},
     StartSetting{"drain bound", same<&Settings::drainTimeout>},
     StartSetting{"lease bound", same<&Settings::leaseSpan>},
     StartSetting{"rollout bound", same<&Settings::rolloutTimeLimit>},
--- a/src/proxy/proxy.cpp
+++ b/src/proxy/proxy.cpp
@@ -103,7 +103,8 @@
     if (response.ok() && response->result_int() == 200 &&
         decodeValue(response->body(), &snapshot)) {
       auto next = std::make_shared<ProxyView>(
-          nextView(*before, snapshot, requestedAt, dialect_.readConfiguration));
+          nextView(*before, snapshot, requestedAt,
+                   readConfigurationOf(snapshot, *before, dialect_.readConfiguration)));
       if (next->configurationVersion != before->configurationVersion)
         ++counters_.configurationChanges;
       {
--- a/src/relay/caller_connections.cpp
+++ b/src/relay/caller_connections.cpp
@@ -74,8 +74,7 @@
 // True if the configuration was confirmed recently, there are servers to use, and this daemon is
 // not shutting down.
 bool Relay::isReady(Instant now) const {
-  return !leaving_ && view_->configuration && !view_->servers.empty() &&
-         now - view_->confirmedAt < settings_.stalenessLimit;
+  return !leaving_ && !view_->servers.empty() && isConfigurationUsable(now);
 }
 
 // Handles health checks, metrics and queries about past decisions.
--- a/src/relay/intake.cpp
+++ b/src/relay/intake.cpp
@@ -73,8 +73,9 @@
   job->id = RequestId{id};
   if (isRejecting_) return reject(ErrorKind::Rejected, "this daemon is leaving", id);
   const auto& currentView = *view_;
-  const Duration confirmedAgo = BootClock::now() - currentView.confirmedAt;
-  if (!currentView.configuration || confirmedAgo >= settings_.stalenessLimit) {
+  const Instant now = BootClock::now();
+  const Duration confirmedAgo = now - currentView.confirmedAt;
+  if (!isConfigurationUsable(now)) {
     ++counters_.unconfirmed;
     return reject(ErrorKind::Rejected, "this daemon can't confirm the configuration now", id);
   }
--- a/src/relay/relay.cpp
+++ b/src/relay/relay.cpp
@@ -42,10 +42,14 @@
   return kNames[static_cast<std::size_t>(outcome)];
 }
 
-void Relay::applySnapshot(Snapshot snapshot, Instant requestedAt) {
-  asio::post(io_, [this, snapshot = std::move(snapshot), requestedAt] {
+void Relay::applySnapshot(Snapshot snapshot, Instant requestedAt,
+                          std::shared_ptr<const Configuration> configuration) {
+  asio::post(io_, [this, snapshot = std::move(snapshot), requestedAt,
+                   configuration = std::move(configuration)]() mutable {
+    if (!configuration)
+      configuration = readConfigurationOf(snapshot, *view_, dialect_.readConfiguration);
     auto next = std::make_shared<ProxyView>(
-        nextView(*view_, snapshot, requestedAt, dialect_.readConfiguration));
+        nextView(*view_, snapshot, requestedAt, std::move(configuration)));
     if (next->configurationVersion != view_->configurationVersion) {
       ++counters_.configurationChanges;
       const auto& stores = next->configuration->stores;
@@ -80,15 +84,17 @@
   return lastActivity;
 }
 
+bool Relay::isConfigurationUsable(Instant now) const {
+  return view_->isUsable(now, {settings_.applyLimit, settings_.stalenessLimit});
+}
+
 // Called right before the first byte of a request is sent: everything that admitted the request
 // must still hold.
 bool Relay::isStillAllowed(const RelayRequest& job, const PlacementResult& placed) const {
   const ServerState& server = placed.chosenServer;
   const auto& currentView = *view_;
   if (isAborting_) return false;
-  if (!currentView.configuration ||
-      BootClock::now() - currentView.confirmedAt >= settings_.stalenessLimit)
-    return false;
+  if (!isConfigurationUsable(BootClock::now())) return false;
   if (job.needsKey) {
     const auto owner = currentView.configuration->tenantByKeyDigest.find(job.keyDigest);
     if (owner == currentView.configuration->tenantByKeyDigest.end() || owner->second != job.tenant)
--- a/src/relay/relay.h
+++ b/src/relay/relay.h
@@ -122,8 +122,10 @@
   // Opens the listening sockets and starts the traffic thread.
   absl::Status start();
   // Applies a new snapshot from the agent. Called on the agent's thread whenever something may have
-  // changed.
-  void applySnapshot(Snapshot snapshot, Instant requestedAt);
+  // changed. `configuration` is the snapshot's, parsed; if it is null, the snapshot's body is
+  // parsed.
+  void applySnapshot(Snapshot snapshot, Instant requestedAt,
+                     std::shared_ptr<const Configuration> configuration = nullptr);
   // Applies what the data planes of the fleet have observed. Called on the agent's thread.
   void applyDigest(DataPlaneDigest digest, Instant receivedAt);
   // The function that shares this data plane's observations with the fleet. Set it before start().
@@ -154,6 +156,8 @@
   bool keepsOpen(const std::shared_ptr<Caller>& caller, bool keepAlive) const;
   awaitable<void> drain(const std::shared_ptr<Caller>& caller);
   bool isReady(Instant now) const;
+  // Whether requests may be served by the current configuration.
+  bool isConfigurationUsable(Instant now) const;
   awaitable<std::optional<HttpResponse>> handleAdminRequest(HttpRequest& request);
 
   // leaving.cpp
--- a/src/settings/settings.h
+++ b/src/settings/settings.h
@@ -40,6 +40,8 @@
   std::size_t trafficThreads = 2;
   // The proxy rejects requests when the configuration has not been confirmed for this long.
   std::chrono::milliseconds stalenessLimit{2000};
+  // The same while enough of the register answers: a change has to be in force by then.
+  std::chrono::milliseconds applyLimit{2000};
   std::chrono::milliseconds shutdownGrace{10000};  // for open streams to finish after SIGTERM
   Address readinessAddress;  // where the platform checks readiness, if at an address of its own
   std::string nodeName;      // this machine's name in logs and orders; "": the peer address is used
--- a/tests/freshness_tests.cpp
+++ b/tests/freshness_tests.cpp
@@ -139,3 +139,33 @@
   }
   CHECK(fleet.bodies == 6);
 }
+
+// Guards against: a daemon behind on the configuration takes the register for unreachable and
+// serves on by the old one.
+TEST_CASE("freshness: the register is silent only while too few replicas answer") {
+  Register fleet;
+  fleet.accept(fleet.valueOf(1, 10), 0, 5);
+  for (int i = 0; i < 4; ++i) fleet.round();
+  REQUIRE(fleet.freshness.confirmedAt());
+  // Two of five hold a newer value: nothing can be confirmed, and the register is not silent.
+  fleet.accept(fleet.valueOf(2, 10), 0, 2);
+  const Instant confirmedAt = *fleet.freshness.confirmedAt();
+  for (int i = 0; i < 20; ++i) fleet.round();
+  CHECK(*fleet.freshness.confirmedAt() == confirmedAt);
+  CHECK_FALSE(fleet.freshness.isRegisterSilent(fleet.now));
+  const std::set<StoreId> all{StoreId{1}, StoreId{2}, StoreId{3}, StoreId{4}, StoreId{5}};
+  const std::set<StoreId> most{StoreId{1}, StoreId{2}, StoreId{3}};
+  for (const auto& mute : {all, most}) {
+    for (int i = 0; i < 3; ++i) fleet.round(mute);
+    CHECK_FALSE(fleet.freshness.isRegisterSilent(fleet.now));
+    for (int i = 0; i < 3; ++i) fleet.round(mute);
+    CHECK(fleet.freshness.isRegisterSilent(fleet.now));
+    // After a stall of the process it has to be silent anew.
+    fleet.freshness.forgetSilence();
+    CHECK_FALSE(fleet.freshness.isRegisterSilent(fleet.now));
+    for (int i = 0; i < 6; ++i) fleet.round(mute);
+    CHECK(fleet.freshness.isRegisterSilent(fleet.now));
+    fleet.round();
+    CHECK_FALSE(fleet.freshness.isRegisterSilent(fleet.now));
+  }
+}
--- a/tests/relay_stage.h
+++ b/tests/relay_stage.h
@@ -47,7 +47,7 @@
   // `hasSnapshot` false: the relay has received nothing from its agent. `retryShare`: the share of
   // requests that may be retried. The default allows the retries of every test.
   explicit RelayStage(int count, std::chrono::milliseconds grace = 60s, bool hasSnapshot = true,
-                      double retryShare = 20) {
+                      double retryShare = 20, std::chrono::milliseconds stalenessLimit = 2s) {
     configuration.weights[ModelName{"m"}] = WeightsVersion{"1"};
     configuration.tenants[TenantName{"north"}] = {};
     configuration.tenants[TenantName{"hill"}].isolated = true;
@@ -84,6 +84,7 @@
     settings.trafficThreads = 1;
     settings.retryShare = retryShare;
     settings.shutdownGrace = grace;
+    settings.stalenessLimit = stalenessLimit;
     Dialect dialect = nativeDialect();
     dialect.relayHeaderNames = relayTestNames();
     dialect.readConfiguration = [this](const std::string&) -> absl::StatusOr<Configuration> {
--- a/tests/relay_tests.cpp
+++ b/tests/relay_tests.cpp
@@ -167,6 +167,23 @@
   CHECK(stage.arrivals() == 1);
 }
 
+// Guards against: a daemon that hears of a newer configuration and can't get it serves on by the
+// old one for as long as it may serve without the register.
+TEST_CASE("relay: a daemon in touch with the register serves by no old configuration") {
+  RelayStage stage(1, 60s, true, 20, 1h);
+  stage.snapshot.confirmedAgoMicros = 3000000;
+  stage.snapshot.registerSilent = true;
+  stage.publishSnapshot();
+  CHECK(statusOf(stage.post("/once/", "r1")) == 200);
+  stage.snapshot.registerSilent = false;
+  stage.relay->applySnapshot(stage.snapshot, BootClock::now());
+  stage.waitReady(503);
+  const std::string behind = stage.post("/once/", "r2");
+  CHECK(statusOf(behind) == 503);
+  CHECK_FALSE(headerIn(behind, "Retry-After").empty());
+  CHECK(stage.arrivals() == 1);
+}
+
 TEST_CASE("relay: a leaving server and one with another identity get nothing") {
   RelayStage stage(1);
   stage.snapshot.servers[0].leaving = true;
