End a stream whose server ends it with its head

Cause: head, events and last chunk were written inside the loop that reads the body, which such an answer never enters.

Change: an answer that its head ends is completed on its own: the last chunk for a begun stream, else the answer as it is.

Evidence: "resume: a stream ends at its caller in whatever way its server ends the body" walks every way in which HTTP/1.1 ends a body; with the new case left out it fails at a length of 0. It passes now.

--- a/src/relay/relay.h
+++ b/src/relay/relay.h
@@ -209,6 +209,7 @@
   awaitable<absl::StatusOr<std::string>> readBody(Attempt& attempt);
   AttemptResult handleNotRun(const Attempt& attempt, const http::response_header<>& head);
   awaitable<AttemptResult> readResponse(Attempt& attempt);
+  awaitable<AttemptResult> forwardEmptyStream(Attempt& attempt);
   awaitable<AttemptResult> forwardEvents(Attempt& attempt);
   void applyResponseHeaders(const ServerState& server, const http::response_header<>& head);
 
--- a/src/relay/response.cpp
+++ b/src/relay/response.cpp
@@ -15,6 +15,7 @@
 constexpr std::size_t kMaxEventBytes = 1 << 20;
 // More responses to other requests than this mean that the server is out of sync.
 constexpr int kMaxStrayResponses = 16;
+constexpr char kLastChunk[] = "0\r\n\r\n";
 
 // Encodes a chunk of the chunked transfer coding.
 std::string encodeChunk(std::string_view bytes) {
@@ -24,6 +25,16 @@
   std::string chunk(size, end);
   return chunk.append("\r\n").append(bytes).append("\r\n");
 }
+
+// A response with the status and the end-to-end headers of a server's response, without its body.
+HttpResponse responseWithHeadOf(const http::response_header<>& head) {
+  HttpResponse response;
+  response.result(head.result_int());
+  for (const auto& field : head) {
+    if (!isHopByHop(view(field.name_string()))) response.insert(field.name_string(), field.value());
+  }
+  return response;
+}
 }  // namespace
 
 // Updates load and weights of the server from a response.
@@ -114,12 +125,7 @@
       if (!parser.keep_alive()) break;
       continue;
     }
-    HttpResponse response;
-    response.result(status);
-    for (const auto& field : head) {
-      if (!isHopByHop(view(field.name_string())))
-        response.insert(field.name_string(), field.value());
-    }
+    HttpResponse response = responseWithHeadOf(head);
     response.body() = std::move(*body);
     if (isSuccess) {
       const bool written =
@@ -135,8 +141,28 @@
   co_return AttemptResult{AttemptOutcome::Unknown, "answers of others only"};
 }
 
+// Completes the response to the caller after a successful response that ends with its head: status
+// 204, or a length of 0. The caller gets it as it is, or the end of the stream that it has begun.
+awaitable<AttemptResult> Relay::forwardEmptyStream(Attempt& attempt) {
+  bool isWritten = false;
+  if (attempt.progress->headSent) {
+    setDeadline(attempt.caller, streamDeadline(attempt.job));
+    ErrorCode code;
+    co_await asio::async_write(attempt.caller->socket, asio::buffer(std::string_view(kLastChunk)),
+                               into(code));
+    attempt.caller->deadline = Instant::max();
+    isWritten = !code;
+  } else {
+    HttpResponse response = responseWithHeadOf(attempt.parser->get());
+    isWritten = co_await sendResponse(attempt.caller, std::move(response), attempt.keepAlive);
+  }
+  co_return AttemptResult{isWritten ? AttemptOutcome::Done : AttemptOutcome::CallerGone,
+                          "no more events"};
+}
+
 // Forwards the events of a successful response to the caller, each as soon as it is complete.
 awaitable<AttemptResult> Relay::forwardEvents(Attempt& attempt) {
+  if (attempt.parser->is_done()) co_return co_await forwardEmptyStream(attempt);
   Tcp::socket& socket = attempt.connection->socket;
   auto& parser = *attempt.parser;
   ResponseProgress& progress = *attempt.progress;
@@ -181,7 +207,7 @@
       result.timeToFirstEvent = BootClock::now() - attempt.startedAt;
     }
     if (!events.empty()) bytes += encodeChunk(events);
-    if (isEnd) bytes += "0\r\n\r\n";
+    if (isEnd) bytes += kLastChunk;
     progress.headSent = true;
     if (!attempt.watch->hasStarted)
       placement_.notePrefillDone(attempt.placed.ticket, BootClock::now());
--- a/tests/stream_resume_tests.cpp
+++ b/tests/stream_resume_tests.cpp
@@ -61,3 +61,66 @@
   stage.post("/again/", "fresh");
   CHECK(headerIn(stage.servers[0]->received().back(), "Last-Event-Id").empty());
 }
+
+namespace {
+// One way in which the body of a successful answer ends.
+struct BodyEnd {
+  const char* name;
+  std::string headers;
+  std::string body;  // with the event 2, or empty
+  bool closes = false;
+};
+
+// Every way in which HTTP/1.1 ends the body of an answer, with an event and without.
+const std::vector<BodyEnd> kBodyEnds = {
+    {"the last chunk", "Transfer-Encoding: chunked\r\n", chunked({event(2)})},
+    {"the last chunk alone", "Transfer-Encoding: chunked\r\n", chunked({})},
+    {"a length", "Content-Length: " + std::to_string(event(2).size()) + "\r\n", event(2)},
+    {"a length of 0", "Content-Length: 0\r\n", ""},
+    {"the end of the connection", "", event(2), true},
+    {"the end of the connection at once", "", "", true},
+    {"a status without a body", "", ""},
+};
+
+std::string answerWith(const std::string& request, const BodyEnd& end) {
+  const bool hasNoBody = end.headers.empty() && !end.closes;
+  return std::string("HTTP/1.1 ") + (hasNoBody ? "204 No Content" : "200 OK") +
+         "\r\nX-Id: " + headerIn(request, "X-Id") + "\r\nX-Seal: s\r\n" + end.headers + "\r\n" +
+         end.body;
+}
+}  // namespace
+
+// Guards against: a stream whose last server ends it with its head never ends at its caller.
+TEST_CASE("resume: a stream ends at its caller in whatever way its server ends the body") {
+  for (const BodyEnd& end : kBodyEnds) {
+    INFO(end.name);
+    RelayStage stage(2);
+    std::atomic<int> served{0};
+    stage.setScript([&](int, const std::string& request) {
+      if (++served > 1) return Reply{answerWith(request, end), end.closes};
+      return Reply{streamHead(request) + chunked({event(1)}, false), true};
+    });
+    const std::string resumed = stage.post("/again/", "r1");
+    CHECK(statusOf(resumed) == 200);
+    CHECK(eventIds(resumed) == (end.body.find("id") == std::string::npos ? "1" : "12"));
+    CHECK(endsWhole(resumed));
+    // The same as a first answer, on a connection that is kept: the next request gets its own.
+    asio::io_context callerIo;
+    Tcp::socket socket(callerIo);
+    socket.connect(endpointOf(stage.callers));
+    std::string bytes;
+    asio::write(socket,
+                asio::buffer(RelayStage::request("/again/", "r2", "X-Key: key\r\n", false)));
+    asio::read_until(socket, asio::dynamic_buffer(bytes), "\r\n\r\n");
+    CHECK(statusOf(bytes) / 100 == 2);
+    CHECK(headerIn(bytes, "X-Id") == "r2");
+    stage.setScript([](int, const std::string& request) {
+      return Reply{streamHead(request) + chunked({event(1)})};
+    });
+    asio::write(socket, asio::buffer(RelayStage::request("/again/", "r3")));
+    ErrorCode code;
+    asio::read(socket, asio::dynamic_buffer(bytes), code);
+    CHECK(bytes.find("X-Id: r3") != std::string::npos);
+    CHECK(endsWhole(bytes));
+  }
+}
