Leave by the grace in force, not by the one of the start

Cause: the relay left by the copy of the settings that it got at its start.

Change: the daemon passes the grace in force to Relay::beginLeaving. The tests of leaving pass the stage's grace.

Evidence: "leaving: the grace in force at the signal counts, not the one of the start" fails with the former copy and passes now.

--- a/src/daemon/daemon.cpp
+++ b/src/daemon/daemon.cpp
@@ -47,8 +47,8 @@
 }
 
 // Shuts the relay down gracefully. The relay has its own schedule within the grace period.
-void leave(Relay& relay) {
-  relay.beginLeaving();
+void leave(Relay& relay, const Settings& settings) {
+  relay.beginLeaving(settings.shutdownGrace);
   while (!relay.hasLeft()) std::this_thread::sleep_for(20ms);
   relay.stop();
 }
@@ -115,7 +115,7 @@
   LOG(INFO) << "shutting down: no longer ready, finishing accepted requests";
   if (agent) agent->beginLeaving();
   if (proxy) leave(*proxy, settings);
-  if (relay) leave(*relay);
+  if (relay) leave(*relay, settings);
   if (agent) {
     // A separate proxy process needs this agent's confirmations to finish its requests.
     waitForHandover(*agent, settings, receivedAt);
--- a/src/relay/leaving.cpp
+++ b/src/relay/leaving.cpp
@@ -37,10 +37,9 @@
   return schedule;
 }
 
-void Relay::beginLeaving() {
+void Relay::beginLeaving(Duration grace) {
   if (leaving_.exchange(true)) return;
-  asio::co_spawn(io_, leave(leaveSchedule(BootClock::now(), settings_.shutdownGrace)),
-                 asio::detached);
+  asio::co_spawn(io_, leave(leaveSchedule(BootClock::now(), grace)), asio::detached);
 }
 
 awaitable<void> Relay::leave(LeaveSchedule schedule) {
--- a/src/relay/relay.h
+++ b/src/relay/relay.h
@@ -134,7 +134,8 @@
   void setReporter(Reporter reporter) { reporter_ = std::move(reporter); }
   // Starts a graceful shutdown: reports not ready at once, still accepts requests for a while,
   // completes the accepted ones, and finishes before the grace period is over.
-  void beginLeaving();
+  // `grace`: the time until this process may be killed, by the settings in force now.
+  void beginLeaving(Duration grace);
   // True once the graceful shutdown is complete.
   bool hasLeft() const { return hasLeft_; }
   // Stops at once.
--- a/tests/leaving_tests.cpp
+++ b/tests/leaving_tests.cpp
@@ -53,7 +53,7 @@
   PersistentCaller caller(stage);
   caller.send("/once/", "r1");
   CHECK(headerIn(caller.readNext(), "Connection").empty());
-  stage.relay->beginLeaving();
+  stage.relay->beginLeaving(stage.grace);
   stage.waitReady(503);
   caller.send("/once/", "r2");
   const std::string second = caller.readNext();
@@ -78,7 +78,7 @@
   caller.send("/once/", "r1");
   // The server's thread is waiting in the script.
   eventually([&] { return stage.servers[0]->arrived > 0; });
-  stage.relay->beginLeaving();
+  stage.relay->beginLeaving(stage.grace);
   stage.waitReady(503);
   mayAnswer = true;
   const std::string answer = caller.readNext();
@@ -94,7 +94,7 @@
   PersistentCaller caller(stage);
   caller.send("/once/", "r1");
   asio::read_until(caller.socket, asio::dynamic_buffer(caller.bytes), event(1));
-  stage.relay->beginLeaving();
+  stage.relay->beginLeaving(stage.grace);
   stage.waitReady(503);
   stage.servers[0]->sendMore(chunked({event(2)}));
   const std::string answer = caller.readNext();
@@ -113,7 +113,7 @@
   again.send("/again/", "r2");
   eventually([&] { return stage.arrivals() == 2; });
   const Instant signal = BootClock::now();
-  stage.relay->beginLeaving();
+  stage.relay->beginLeaving(stage.grace);
   const std::string unknown = once.readToEnd();
   CHECK(statusOf(unknown) == 502);
   CHECK(headerIn(unknown, "Connection") == "close");
@@ -130,7 +130,7 @@
   PersistentCaller running(stage), idle(stage);
   running.send("/once/", "r1");  // keeps the relay from finishing early
   eventually([&] { return stage.arrivals() == 1; });
-  stage.relay->beginLeaving();
+  stage.relay->beginLeaving(stage.grace);
   CHECK(idle.readToEnd().empty());  // the relay rejects requests from now on
   // Confirms the configuration again, so that only the shutdown can cause the rejection.
   stage.relay->applySnapshot(stage.snapshot, BootClock::now());
@@ -145,8 +145,27 @@
   RelayStage stage(1, 3s);
   PersistentCaller idle(stage);
   const Instant signal = BootClock::now();
-  stage.relay->beginLeaving();
+  stage.relay->beginLeaving(stage.grace);
   eventually([&] { return stage.relay->hasLeft(); });
   CHECK(BootClock::now() - signal >= 1500ms);
   CHECK(idle.readToEnd().empty());
 }
+
+// Guards against: a grace that was changed while the daemon ran is not heeded when it leaves.
+TEST_CASE("leaving: the grace in force at the signal counts, not the one of the start") {
+  RelayStage stage(1, 400ms);
+  stage.setScript([](int, const std::string& request) {
+    return Reply{streamHead(request) + chunked({event(1)}, false), false, true};
+  });
+  PersistentCaller caller(stage);
+  caller.send("/once/", "r1");
+  eventually([&] { return stage.arrivals() == 1; });
+  const Instant leftAt = BootClock::now();
+  stage.relay->beginLeaving(60s);
+  // Longer than the grace of the start.
+  while (BootClock::now() < leftAt + 900ms) std::this_thread::sleep_for(20ms);
+  stage.servers[0]->sendMore(chunked({event(2)}));
+  const std::string answer = caller.readNext();
+  CHECK(answer.find(event(2)) != std::string::npos);
+  CHECK(endsWhole(answer));
+}
--- a/tests/relay_stage.h
+++ b/tests/relay_stage.h
@@ -41,13 +41,15 @@
   Address callers = localAddress(1, 7202), ready = localAddress(1, 7203);
   Configuration configuration;
   Snapshot snapshot;
+  Duration grace{};  // for beginLeaving()
   // Called on the relay's traffic thread whenever it reads a configuration.
   std::function<void()> onReadConfiguration = [] {};
 
   // `hasSnapshot` false: the relay has received nothing from its agent. `retryShare`: the share of
   // requests that may be retried. The default allows the retries of every test.
   explicit RelayStage(int count, std::chrono::milliseconds grace = 60s, bool hasSnapshot = true,
-                      double retryShare = 20, std::chrono::milliseconds stalenessLimit = 2s) {
+                      double retryShare = 20, std::chrono::milliseconds stalenessLimit = 2s)
+      : grace(grace) {
     configuration.weights[ModelName{"m"}] = WeightsVersion{"1"};
     configuration.tenants[TenantName{"north"}] = {};
     configuration.tenants[TenantName{"hill"}].isolated = true;
