Stop accepting operator calls before waiting for them to end

Cause: the daemon waited until no operator call was open and accepted new ones meanwhile.

Change: after the handover the operators' server accepts no more, and the wait is bounded by the grace.

--- a/src/agent/agent.h
+++ b/src/agent/agent.h
@@ -58,6 +58,9 @@
   }
   // Accepts what the data plane in this process observed. May be called on any thread.
   void takePlaneReport(DataPlaneReport report);
+  // Accepts no more operator calls: open connections are closed once their call is answered. May be
+  // called on any thread.
+  void stopAccepting() { operatorServer_->stopAccepting(); }
   // Operator calls that were accepted and not answered yet. May be called on any thread.
   std::size_t openOperatorCalls() const { return openOperatorCalls_; }
 
--- a/src/daemon/daemon.cpp
+++ b/src/daemon/daemon.cpp
@@ -16,6 +16,9 @@
 using namespace std::chrono_literals;
 
 namespace {
+// Before the end of the grace, for the process to exit.
+constexpr Duration kOperatorCallsMargin = 500ms;
+
 // Shuts the proxy down gracefully. The platform must see that the proxy is not ready before
 // connections are refused, so requests are still accepted for a while; after that, open ones only
 // finish. Accepted requests have until their deadline, even if the grace period is shorter.
@@ -46,6 +49,16 @@
     std::this_thread::sleep_for(20ms);
 }
 
+// Answers the operator calls that were accepted, and accepts no more: an operator that calls
+// without a pause must not keep the process beyond its grace.
+void finishOperatorCalls(Agent& agent, const Settings& settings, Instant receivedAt) {
+  agent.stopAccepting();
+  const Instant until = std::max(receivedAt + settings.shutdownGrace - kOperatorCallsMargin,
+                                 BootClock::now() + kOperatorCallsMargin);
+  while (agent.openOperatorCalls() > 0 && BootClock::now() < until)
+    std::this_thread::sleep_for(20ms);
+}
+
 // Shuts the relay down gracefully. The relay has its own schedule within the grace period.
 void leave(Relay& relay, const Settings& settings) {
   relay.beginLeaving(settings.shutdownGrace);
@@ -119,8 +132,7 @@
   if (agent) {
     // A separate proxy process needs this agent's confirmations to finish its requests.
     waitForHandover(*agent, settings, receivedAt);
-    // Each operator call has its own timeout, so this loop ends.
-    while (agent->openOperatorCalls() > 0) std::this_thread::sleep_for(20ms);
+    finishOperatorCalls(*agent, settings, receivedAt);
     agent->stop();
     controlThread.join();
   }
