Add a soak to quayrill-local, and clients that keep their connections in use

Clients use open connections of all daemons until these close them (--use-connections alone does that with four operators a core). The checker asks that a daemon that is told to leave is gone within its grace, and that none of its answers breaks off on the way. Races of operators that overlap name their paths apart: before, two of them could share a name, and the checker called a refused change applied.

All faults of cores hit one core of a run, as a fleet of four bears the loss of one.

--- a/src/fleet/checker.cpp
+++ b/src/fleet/checker.cpp
@@ -15,6 +15,8 @@
 constexpr Duration kWeightsLimit = 25s;
 constexpr Duration kRetryWindow = 10s;
 constexpr Duration kRecoveryLimit = 12s;
+// The default grace of a daemon, and a second to exit and be waited for.
+constexpr Duration kLeaveLimit = 11s;
 
 std::string millis(Duration span) {
   return std::to_string(std::chrono::duration_cast<std::chrono::milliseconds>(span).count()) +
@@ -184,6 +186,23 @@
   }
 }
 
+// A daemon must be gone within its grace, whatever its clients do, and no answer that it has begun
+// may break off on the way.
+void checkLeaving(const Ledger& ledger, std::vector<Finding>* findings) {
+  for (const PlannedRestartRow& planned : ledger.plannedRestarts) {
+    if (planned.ended - planned.begun > kLeaveLimit)
+      findings->push_back({"leaves-in-time", planned.daemon + " was gone " +
+                                                 millis(planned.ended - planned.begun) +
+                                                 " after SIGTERM"});
+    for (const KeptCallRow& call : ledger.keptCalls) {
+      const bool isCrossing =
+          call.daemon == planned.daemon && call.begun < planned.ended && call.ended > planned.begun;
+      if (isCrossing && call.hasBegun && !call.complete)
+        findings->push_back({"planned-restart", "an answer of " + call.daemon + " broke off"});
+    }
+  }
+}
+
 // Requests that a daemon had accepted at SIGTERM, or accepted before it stopped listening, must be
 // answered completely.
 void checkPlannedRestarts(const Ledger& ledger, std::vector<Finding>* findings) {
@@ -275,6 +294,7 @@
   checkOrders(ledger, &findings);
   checkRetries(ledger, trafficEnd, &findings);
   checkPlannedRestarts(ledger, &findings);
+  checkLeaving(ledger, &findings);
   checkRecovery(ledger, trafficEnd, &findings);
   checkConfigurationChanges(ledger, &findings);
   return findings;
--- a/src/fleet/ledger.h
+++ b/src/fleet/ledger.h
@@ -46,6 +46,14 @@
   std::string requestId;
 };
 
+// One request of a client that uses its connection until the daemon closes it.
+struct KeptCallRow {
+  std::string daemon;
+  Instant begun, ended;
+  bool hasBegun = false;  // some byte of the answer was received
+  bool complete = false;
+};
+
 // A request that arrived at a model server, whether or not it was then run.
 struct ArrivalRow {
   std::string nonce;
@@ -99,6 +107,7 @@
   std::vector<OrderRow> orders;
   std::vector<ArrivalRow> arrivals;
   std::vector<PlannedRestartRow> plannedRestarts;
+  std::vector<KeptCallRow> keptCalls;
   std::set<std::string> abortedByServer;  // nonces of runs that a server aborted
   std::vector<DisruptionRow> disruptions;
   std::vector<ConfigurationChangeRow> configurationChanges;
--- a/src/fleet/local_deployment.cpp
+++ b/src/fleet/local_deployment.cpp
@@ -101,6 +101,7 @@
     ++openSteps_;
     asio::co_spawn(io_, perform(std::move(step)), asio::detached);
   }
+  if (settings_.keepsConnections) keepConnections();
   co_await loadGenerator_->sendTraffic(span, settings_.rateFactor);
   const Instant deadline = BootClock::now() + 60s;
   while ((loadGenerator_->openCalls() > 0 || openSteps_ > 0) && BootClock::now() < deadline)
@@ -115,6 +116,16 @@
   }
 }
 
+void LocalDeployment::keepConnections() {
+  connectionKeeper_ = std::make_unique<ConnectionKeeper>(io_, ledger_);
+  for (const Daemon& daemon : daemons_) {
+    connectionKeeper_->start(daemon.callers, daemon.callers, "/readyz");
+    const bool isCore = !daemon.dataFolder.empty();
+    for (int i = 0; isCore && i < settings_.operatorsPerCore; ++i)
+      connectionKeeper_->start(daemon.callers, daemon.operators, "/q/spec?settled=1");
+  }
+}
+
 void LocalDeployment::shutDown() {
   for (const Daemon& daemon : daemons_) {
     signalDaemon(daemon, SIGCONT);
--- a/src/fleet/local_deployment.h
+++ b/src/fleet/local_deployment.h
@@ -3,6 +3,7 @@
 // and the steps that inject faults and act as operators.
 #include <memory>
 
+#include "fleet/connection_keeper.h"
 #include "fleet/daemons.h"
 #include "fleet/load_generator.h"
 #include "fleet/stand_in_services.h"
@@ -18,6 +19,10 @@
   std::size_t cacheTokens = 16000;  // of each model server
   double rateFactor = 1.0;
   std::uint64_t seed = 1;
+  // Clients use open connections until a daemon closes them, this many of them as operators of each
+  // core.
+  bool keepsConnections = false;
+  int operatorsPerCore = 1;
 };
 
 // How an acknowledged configuration change reached the daemons.
@@ -56,6 +61,8 @@
   const std::vector<std::string>& settingsErrors() const { return settingsErrors_; }
 
  private:
+  // Starts clients that use open connections to callers' and operators' addresses of all daemons.
+  void keepConnections();
   // Waits for the step's time and performs it.
   awaitable<void> perform(Step step);
   // Applies a fault to a daemon and ends it again. Does nothing if the daemon has a fault already.
@@ -103,11 +110,13 @@
   std::unique_ptr<StandInPlatform> platform_;
   std::unique_ptr<Relay> relay_;
   std::unique_ptr<LoadGenerator> loadGenerator_;
+  std::unique_ptr<ConnectionKeeper> connectionKeeper_;
   std::vector<ChangeResult> changes_;
   Instant trafficEnd_{};
   int shutdownErrors_ = 0;
   std::vector<std::string> settingsErrors_;
   std::size_t openSteps_ = 0;
+  std::size_t races_ = 0;              // begun so far
   Instant majorityLostAt_{};           // when a majority of disks was emptied
   std::set<std::string> busyDaemons_;  // names of the daemons with a fault in progress
 };
--- a/src/fleet/operator_steps.cpp
+++ b/src/fleet/operator_steps.cpp
@@ -119,7 +119,7 @@
 }
 
 awaitable<void> LocalDeployment::raceOperators(std::size_t changes) {
-  const std::size_t suffix = openSteps_;
+  const std::size_t suffix = ++races_;  // races may overlap, and each path must be of one change
   for (const char* name : {"left", "right"}) {
     ++openSteps_;
     const std::size_t firstDaemon = name[0] == 'l' ? 0 : daemons_.size() / 2;
--- a/src/fleet/quayrill_local.cpp
+++ b/src/fleet/quayrill_local.cpp
@@ -15,7 +15,7 @@
 Usage:
   quayrill-local [--deployment=NAME] [--cores=N] [--edges=N] [--servers=N] [--seconds=S]
                [--rate=FACTOR] [--placement=RULE] [--fetch=ON] [--steps=LIST] [--net=N] [--seed=N] [--cache-tokens=N]
-               [--chaos=SEED] [--quayrilld=PROGRAM] [--work=DIR] [--pair] [--tenants] [--json] [--keep-open]
+               [--chaos=SEED | --soak=SEED] [--use-connections] [--quayrilld=PROGRAM] [--work=DIR] [--pair] [--tenants] [--json] [--keep-open]
   quayrill-local --help | --version
 
 Options:
@@ -29,6 +29,10 @@
   --fetch=ON           on or off [default: on].
   --steps=LIST         Faults and operator steps, STEP:ARGUMENT@SECOND split by commas.
   --chaos=SEED         Draw the steps from SEED instead; they are printed for a replay.
+  --soak=SEED          Draw overlapping series of steps from SEED, with clients as of --use-connections,
+                       but one operator a core.
+  --use-connections    Clients use open connections without a pause until a daemon closes them; four
+                       of them are operators of each core.
   --net=N              All addresses are 127.N.x.y [default: 40].
   --cache-tokens=N     Cache of each model server [default: 16000].
   --seed=N             Seed of the traffic [default: 1].
@@ -160,6 +164,15 @@
                                settings.plan.edges, settings.servers);
       std::cout << "--steps=" << fleet::formatSteps(steps) << std::endl;
     }
+    settings.keepsConnections = flags["--use-connections"].asBool() || flags["--soak"];
+    // Enough that a core has hardly a moment without an open call.
+    if (flags["--use-connections"].asBool()) settings.operatorsPerCore = 4;
+    if (flags["--soak"]) {
+      steps = fleet::drawSoakSteps(std::stoull(flags["--soak"].asString()),
+                                   std::chrono::duration<double>(span).count(), settings.plan.cores,
+                                   settings.plan.edges, settings.servers);
+      std::cout << "--steps=" << fleet::formatSteps(steps) << std::endl;
+    }
   } catch (const std::exception& error) {
     std::cerr << "quayrill-local: " << error.what() << "\n";
     return 2;
--- a/src/fleet/random_steps.cpp
+++ b/src/fleet/random_steps.cpp
@@ -1,4 +1,5 @@
 // Random steps for chaos runs.
+#include <iterator>
 #include <random>
 
 #include "fleet/steps.h"
@@ -72,4 +73,62 @@
   return steps;
 }
 
+namespace {
+// The kinds of step that a soak repeats in series.
+struct SoakSeries {
+  const char* type;
+  StepTarget target;
+};
+constexpr SoakSeries kSoakSeries[] = {
+    {"restart-edge", StepTarget::Edge},   {"restart-edge", StepTarget::Edge},
+    {"restart-core", StepTarget::Core},   {"hup-edge", StepTarget::Edge},
+    {"kill-edge", StepTarget::Edge},      {"kill-core", StepTarget::Core},
+    {"freeze-edge", StepTarget::Edge},    {"cut-edge", StepTarget::Edge},
+    {"slow-core", StepTarget::Core},      {"stall-core", StepTarget::Core},
+    {"change", StepTarget::Operator},     {"change", StepTarget::Operator},
+    {"race", StepTarget::Operator},       {"weights", StepTarget::Operator},
+    {"crash-server", StepTarget::Server}, {"silent-server", StepTarget::Server},
+    {"drop-stream", StepTarget::Server},  {"drop-first", StepTarget::Server},
+};
+constexpr std::size_t kMinSeriesSteps = 3, kMaxSeriesSteps = 8;
+// Short enough that a series never has more time limits open than the run has time left.
+constexpr double kSoakStepsUntil = 0.7;  // of the run
+
+// A time in seconds, rounded to what formatSteps prints.
+double rounded(double seconds) { return static_cast<double>(static_cast<int>(seconds * 10)) / 10; }
+}  // namespace
+
+std::vector<Step> drawSoakSteps(std::uint64_t seed, double seconds, std::size_t cores,
+                                std::size_t edges, std::size_t servers) {
+  std::mt19937_64 random(seed);
+  const auto drawSeconds = [&](double from, double to) {
+    return from + (to - from) * static_cast<double>(random() % 1000) / 1000;
+  };
+  std::vector<Step> steps;
+  std::size_t names = 0;
+  // The loss of one core at a time is what a fleet with four of them bears.
+  const std::string faultyCore = std::to_string(1 + random() % cores);
+  for (double seriesAt = 1; seriesAt < seconds * kSoakStepsUntil; seriesAt += drawSeconds(0.3, 4)) {
+    const SoakSeries& series = kSoakSeries[random() % std::size(kSoakSeries)];
+    const std::size_t count = kMinSeriesSteps + random() % (kMaxSeriesSteps - kMinSeriesSteps + 1);
+    const double gap = drawSeconds(0.1, 1.5);
+    for (std::size_t i = 0; i < count; ++i) {
+      Step step{series.type, "", rounded(seriesAt + gap * static_cast<double>(i))};
+      if (step.atSecond >= seconds * kSoakStepsUntil) break;
+      if (series.target == StepTarget::Core)
+        step.argument = faultyCore;
+      else if (series.target == StepTarget::Edge)
+        step.argument = std::to_string(1 + random() % edges);
+      else if (series.target == StepTarget::Server)
+        step.argument = std::to_string(1 + random() % servers);
+      else if (step.type == "race")
+        step.argument = std::to_string(1 + random() % 4);
+      else
+        step.argument = (step.type == "weights" ? "w" : "added") + std::to_string(++names);
+      steps.push_back(step);
+    }
+  }
+  return steps;
+}
+
 }  // namespace quayrill::fleet
--- a/src/fleet/steps.h
+++ b/src/fleet/steps.h
@@ -75,5 +75,10 @@
 // guarantees cover no more at a time.
 std::vector<Step> drawSteps(std::uint64_t seed, double seconds, std::size_t cores,
                             std::size_t edges, std::size_t servers);
+// Draws series of steps for a soak: signals, restarts and changes in quick succession, several
+// series at a time. All faults of cores hit the same one, no disk is lost, and the same arguments
+// give the same steps.
+std::vector<Step> drawSoakSteps(std::uint64_t seed, double seconds, std::size_t cores,
+                                std::size_t edges, std::size_t servers);
 
 }  // namespace quayrill::fleet
--- a/tests/checker_tests.cpp
+++ b/tests/checker_tests.cpp
@@ -1,7 +1,9 @@
 // Tests of the checker: each error injected into a ledger violates exactly its own rule.
 #include <catch2/catch.hpp>
+#include <set>
 
 #include "fleet/ledger.h"
+#include "fleet/steps.h"
 
 using namespace quayrill;
 using namespace quayrill::fleet;
@@ -280,3 +282,41 @@
           ledger.abortedByServer = {"dropped"};
         }).empty());
 }
+
+// Guards against: a daemon that does not leave while clients use it passes for one that does.
+TEST_CASE("checker: a daemon leaves within its grace and breaks off no answer on the way") {
+  const auto restartOf = [](Duration took, bool hasBegun, bool complete) {
+    return rulesBroken([=](Ledger& ledger) {
+      ledger.plannedRestarts = {{"d", kStart, kStart + took}};
+      ledger.keptCalls = {{"d", kStart + 1s, kStart + 2s, hasBegun, complete}};
+    });
+  };
+  CHECK(restartOf(10s, true, true).empty());
+  CHECK(restartOf(10s, false, false).empty());
+  CHECK(restartOf(10s, true, false) == "planned-restart");
+  CHECK(restartOf(12s, true, true) == "leaves-in-time");
+  // A broken answer of another daemon, or of one that was killed, is no fault of its leaving.
+  CHECK(rulesBroken([](Ledger& ledger) {
+          ledger.plannedRestarts = {{"d", kStart, kStart + 1s}};
+          ledger.keptCalls = {{"e", kStart, kStart + 2s, true, false},
+                              {"d", kStart + 3s, kStart + 4s, true, false}};
+        }).empty());
+}
+
+TEST_CASE("soak: the same seed draws the same steps, and one core alone has faults") {
+  for (std::uint64_t seed = 1; seed <= 50; ++seed) {
+    const auto steps = drawSoakSteps(seed, 60, 4, 9, 18);
+    CHECK(formatSteps(steps) == formatSteps(drawSoakSteps(seed, 60, 4, 9, 18)));
+    CHECK(steps.size() > 20);
+    std::set<std::string> cores;
+    for (const Step& step : steps) {
+      if (step.type.ends_with("-core")) cores.insert(step.argument);
+      CHECK(step.type != "wipe-core");
+      CHECK(step.atSecond < 42);
+    }
+    CHECK(cores.size() <= 1);
+    std::string error;
+    CHECK(parseSteps(formatSteps(steps), &error).size() == steps.size());
+    CHECK(error.empty());
+  }
+}
