Say which build a program is, and show the builds of a fleet

Nothing that a daemon printed told which sources it was built from, so the log of a run of stale objects looks like that of the repaired sources.

GET /q/builds, `quayrillctl builds` and the SQL table builds ask all live daemons; those that differ, or are of an earlier build that doesn't know the question, are visible there. The two messages stand behind all others, so frames of earlier builds are read as before and the wire version stays.

--- a/src/agent/agent.cpp
+++ b/src/agent/agent.cpp
@@ -4,6 +4,8 @@
 
 #include <random>
 
+#include "base/build_identity.h"
+
 namespace quayrill {
 
 using namespace std::chrono_literals;
@@ -35,6 +37,7 @@
   core.losses = settings.losses;
   core.topology = settings.topology;
   core.catchUpSpan = settings.catchUp;
+  core.build = buildIdentity();
   return core;
 }
 }  // namespace
--- a/src/agent/agent.h
+++ b/src/agent/agent.h
@@ -122,6 +122,8 @@
   // Omits the configuration's body if `knownConfiguration` is the version in force.
   Snapshot snapshot(std::uint64_t knownConfiguration, Instant now) const;
   nlohmann::json membersJson(Instant now) const;
+  // Asks all live daemons which build they are, and waits for the answers.
+  awaitable<HttpResponse> handleBuilds();
   nlohmann::json serversJson(Instant now) const;
   nlohmann::json configurationJson() const;
 
--- a/src/agent/core/agent_core.cpp
+++ b/src/agent/core/agent_core.cpp
@@ -33,7 +33,8 @@
       proposer_(ProposerId{settings_.nonce}, settings_.nonce + 2),
       leases_(settings_.self, settings_.nonce, settings_.leaseSpan),
       list_({settings_.self, settings_.listInterval, settings_.listCallsPerSecond}),
-      exchange_(settings_.self, settings_.zone) {
+      exchange_(settings_.self, settings_.zone),
+      builds_(settings_.self, settings_.build) {
   ownFleet_ = random_() | 1;
   if (!disk) return;
   replica_.emplace(StoreId{random_() | 1});
@@ -146,6 +147,10 @@
     exchange_.onReport(envelope.from, *report, now);
   } else if (const auto* digest = std::get_if<DataPlaneDigest>(&envelope.body)) {
     exchange_.onDigest(*digest, now);
+  } else if (std::holds_alternative<BuildRequest>(envelope.body)) {
+    builds_.onRequest(envelope.from, &effects->sends);
+  } else if (const auto* build = std::get_if<BuildResponse>(&envelope.body)) {
+    builds_.onResponse(envelope.from, *build, now);
   } else if (const auto* replicaAnswer = std::get_if<ReplicaResponse>(&envelope.body)) {
     sendAll(proposer_.onAnswer(*replicaAnswer, now, &done), effects);
     adopt(replicaAnswer->replicas, now, effects);
--- a/src/agent/core/agent_core.h
+++ b/src/agent/core/agent_core.h
@@ -6,6 +6,7 @@
 #include <set>
 
 #include "agent/core/event_sources.h"
+#include "agent/core/fleet_builds.h"
 #include "agent/core/freshness.h"
 #include "agent/core/gossip.h"
 #include "agent/core/leases.h"
@@ -42,6 +43,7 @@
   // The shortest time from the start of a lost machine or its successor to the next loss; 0: no
   // such guarantee.
   Duration catchUpSpan{};
+  std::string build;  // of this program, see buildIdentity()
 };
 
 // One unit of work for the replica's disk: the writes are synced in order, then the answer is sent.
@@ -143,6 +145,11 @@
   // restart of all daemons each of them would read everything.
   std::vector<ServerName> eventSources(const std::vector<EventSource>& sources, Instant now) const;
   const Freshness& freshness() const { return freshness_; }
+  // Asks all live daemons which build they are. Answers are in builds() as they come.
+  void askBuilds(Instant now, AgentEffects* effects) {
+    builds_.ask(gossip_.live(now), now, &effects->sends);
+  }
+  const FleetBuilds& builds() const { return builds_; }
   // The gossip items of all live daemons, including this one.
   std::vector<GossipItem> live(Instant now) const { return gossip_.live(now); }
   const AgentSettings& settings() const { return settings_; }
@@ -242,6 +249,7 @@
   ServerNotes notes_;
   PlaneExchange exchange_;
   WeightsHistories weights_;
+  FleetBuilds builds_;
   std::map<OperationId, Purpose> purposes_;  // one entry per operation in progress
   std::uint64_t operationCounter_ = 0;
   // Replica work that was issued and isn't finished. At the limit the replica drops messages, which
--- a/src/agent/operator_api.cpp
+++ b/src/agent/operator_api.cpp
@@ -11,6 +11,10 @@
 using Json = nlohmann::json;
 
 namespace {
+// How long daemons have to tell their build. One that doesn't is shown without.
+constexpr Duration kBuildAnswersTimeout = 1s;
+constexpr Duration kBuildAnswersPoll = 20ms;
+
 HttpResponse rejection(const std::string& why) {
   HttpResponse response = errorResponse({ErrorKind::Rejected, why});
   response.set(http::field::retry_after, "1");
@@ -159,6 +163,32 @@
             {"members", replicaRows}}}};
 }
 
+awaitable<HttpResponse> Agent::handleBuilds() {
+  const Instant askedAt = BootClock::now();
+  AgentEffects effects;
+  core_->askBuilds(askedAt, &effects);
+  apply(std::move(effects));
+  const std::vector<GossipItem> live = core_->live(askedAt);
+  const auto hasAnswered = [&](const GossipItem& item) {
+    return core_->builds().buildOf(item.source, askedAt).has_value();
+  };
+  asio::steady_timer timer(io_);
+  while (BootClock::now() < askedAt + kBuildAnswersTimeout &&
+         !std::all_of(live.begin(), live.end(), hasAnswered)) {
+    timer.expires_after(kBuildAnswersPoll);
+    ErrorCode code;
+    co_await timer.async_wait(into(code));
+  }
+  Json rows = Json::array();
+  std::set<std::string> builds;
+  for (const GossipItem& item : live) {
+    const auto build = core_->builds().buildOf(item.source, askedAt);
+    builds.insert(build.value_or(""));
+    rows.push_back({{"cohort", item.source.value}, {"build", build ? Json(*build) : Json()}});
+  }
+  co_return jsonResponse(200, {{"builds", rows}, {"mixed", builds.size() > 1}});
+}
+
 Json Agent::serversJson(Instant now) const {
   Json rows = Json::array();
   const Snapshot current = snapshot(configurationVersion_, now);
@@ -211,6 +241,7 @@
   }
   if (path == "/metrics") co_return textResponse(200, renderCounters(counters_));
   if (path == "/q/members") co_return jsonResponse(200, membersJson(now));
+  if (path == "/q/builds") co_return co_await handleBuilds();
   if (path == "/q/servers") co_return jsonResponse(200, serversJson(now));
   if (path == "/q/feed") {
     const std::string knownVersion = queryValue(request, "spec");
--- a/src/daemon/daemon.cpp
+++ b/src/daemon/daemon.cpp
@@ -8,6 +8,7 @@
 #include <thread>
 
 #include "agent/agent.h"
+#include "base/build_identity.h"
 #include "proxy/proxy.h"
 #include "relay/relay.h"
 
@@ -115,7 +116,7 @@
       std::_Exit(1);
     }
   }
-  LOG(INFO) << program << " " QUAYRILL_VERSION " started with role " << settings.role;
+  LOG(INFO) << program << " " << buildIdentity() << " started with role " << settings.role;
   if (const std::string off = settings.mechanisms.disabledNames(); !off.empty())
     LOG(WARNING) << "mechanisms switched off: " << off;
   SettingsWatch watch(std::move(source), settings, [&agent](const Settings& changed) {
--- a/src/fleet/quayrill_local.cpp
+++ b/src/fleet/quayrill_local.cpp
@@ -6,6 +6,7 @@
 #include <iomanip>
 #include <iostream>
 
+#include "base/build_identity.h"
 #include "fleet/local_deployment.h"
 
 namespace {
@@ -131,8 +132,8 @@
 int main(int argc, char** argv) {
   using namespace quayrill;
   using namespace std::chrono_literals;
-  auto flags =
-      docopt::docopt(kUsage, {argv + 1, argv + argc}, true, "quayrill-local " QUAYRILL_VERSION);
+  auto flags = docopt::docopt(kUsage, {argv + 1, argv + argc}, true,
+                              "quayrill-local " + quayrill::buildIdentity());
   std::signal(SIGPIPE, SIG_IGN);
   fleet::LocalDeploymentSettings settings;
   std::vector<fleet::Step> steps;
--- a/src/model/modelcheck.cpp
+++ b/src/model/modelcheck.cpp
@@ -5,6 +5,7 @@
 #include <iostream>
 #include <limits>
 
+#include "base/build_identity.h"
 #include "model/explorer.h"
 
 namespace {
@@ -121,7 +122,7 @@
 
 int main(int argc, char** argv) {
   const Flags flags = docopt::docopt(kUsage, {argv + 1, argv + argc}, true,
-                                     "quayrill-modelcheck " QUAYRILL_VERSION);
+                                     "quayrill-modelcheck " + quayrill::buildIdentity());
   if (flags.at("--list").asBool()) {
     for (const Configuration& configuration : quayrill::model::configurations())
       std::cout << configuration.name << ": " << configuration.description << "\n";
--- a/src/operator/fleet_tables.cpp
+++ b/src/operator/fleet_tables.cpp
@@ -14,6 +14,7 @@
   X("members", "/q/members", "/members",                                                           \
     "cohort,callers,zone,store,spec_in_force,incarnation,leaving")                                 \
   X("copies", "/q/members", "/copies/members", "cohort,store")                                     \
+  X("builds", "/q/builds", "/builds", "cohort,build")                                              \
   X("servers", "/q/servers", "/servers",                                                           \
     "name,zone,model,weights,sound,leaving,running,queued,slots,cache_tokens,identity,hold_fence") \
   X("tenants", "/q/spec", "/spec/tenants", "name,isolated,concurrency")                            \
--- a/src/operator/quayrillctl.cpp
+++ b/src/operator/quayrillctl.cpp
@@ -4,6 +4,7 @@
 #include <fstream>
 #include <iostream>
 
+#include "base/build_identity.h"
 #include "base/digest.h"
 #include "net/http.h"
 #include "operator/fleet_tables.h"
@@ -24,6 +25,7 @@
   quayrillctl [--daemon=ADDR] [--json] key withdraw TENANT SECRET
   quayrillctl [--daemon=ADDR] [--json] weights name MODEL VERSION
   quayrillctl [--daemon=ADDR] [--json] members
+  quayrillctl [--daemon=ADDR] [--json] builds
   quayrillctl [--daemon=ADDR] [--json] query SQL
   quayrillctl [--daemon=ADDR] [--json] refound [--spec=FILE] [--confirm=FLEET]
   quayrillctl [--daemon=ADDR] [--json] decisions [--from=POSITION] [--callers=ADDR] [--follow]
@@ -42,8 +44,8 @@
   -h --help          Show this text.
   --version          Show the version.
 
-SQL is one SELECT over members, copies, servers, tenants, contracts, ways and decisions, as the
-daemon knows them now. refound is the last resort when a majority of the register's disks is lost:
+SQL is one SELECT over members, copies, builds, servers, tenants, contracts, ways and decisions, as
+the daemon knows them now. refound is the last resort when a majority of the register's disks is lost:
 it founds a new register on the disk of the called daemon.
 
 FILE may be - for standard input. A request's id is in its answer's Quayrill-Request-Id.
@@ -170,6 +172,23 @@
   return kDone;
 }
 
+// Says for each live daemon which build it is, and at last whether they differ.
+int showBuilds(const Address& daemon, bool json) {
+  const CallResult answer = call(daemon, http::verb::get, "/q/builds");
+  if (answer.exit != kDone) return answer.exit;
+  if (json) {
+    std::cout << answer.response.body();
+    return kDone;
+  }
+  const Json all = Json::parse(answer.response.body());
+  for (const auto& row : all["builds"])
+    std::cout << row["cohort"].get<std::string>() << "  "
+              << (row["build"].is_string() ? row["build"].get<std::string>() : "no answer") << "\n";
+  if (all["mixed"] == true)
+    std::cout << "the daemons differ: restart those of the older build, and look at silent ones\n";
+  return kDone;
+}
+
 int showDecisions(const Address& daemon, std::uint64_t from, bool follow) {
   for (;;) {
     const CallResult answer =
@@ -328,7 +347,7 @@
     std::cout << kUsage;
     return kDone;
   } catch (const docopt::DocoptExitVersion&) {
-    std::cout << "quayrillctl " QUAYRILL_VERSION "\n";
+    std::cout << "quayrillctl " << buildIdentity() << "\n";
     return kDone;
   } catch (const std::exception&) {
     std::cerr << "quayrillctl: unknown command or option: see --help\n";
@@ -374,6 +393,7 @@
     if (is("query")) return query(daemon, text("SQL"), json);
     if (is("refound")) return recover(daemon, text("--spec"), text("--confirm"), json);
     if (is("members")) return showMembers(daemon, json);
+    if (is("builds")) return showBuilds(daemon, json);
     if (is("decisions")) {
       const Address source = text("--callers").empty() ? daemon : Address{text("--callers")};
       return showDecisions(source, std::stoull(text("--from")), is("--follow"));
--- a/src/peers/messages.h
+++ b/src/peers/messages.h
@@ -334,6 +334,17 @@
   QUAYRILL_FIELDS(zone, ageMicros, outstanding, batches)
 };
 
+// Asks a daemon which build it is.
+struct BuildRequest {
+  std::uint8_t reserved = 0;
+  QUAYRILL_FIELDS(reserved)
+};
+// See buildIdentity().
+struct BuildResponse {
+  std::string build;
+  QUAYRILL_FIELDS(build)
+};
+
 // Type and printed name. On the wire a message type is identified by its position in this table, so
 // the order of the rows is part of the protocol.
 // clang-format off
@@ -355,7 +366,9 @@
   X(ServerListResponse, "ListAnswer") \
   X(ServerNote, "ServerNote") \
   X(DataPlaneReport, "PlaneReport") \
-  X(DataPlaneDigest, "PlaneDigest")
+  X(DataPlaneDigest, "PlaneDigest") \
+  X(BuildRequest, "BuildRequest") \
+  X(BuildResponse, "BuildResponse")
 // clang-format on
 
 // Any message; std::monostate stands for none.
--- a/src/quayrilld.cpp
+++ b/src/quayrilld.cpp
@@ -2,6 +2,7 @@
 #include <docopt/docopt.h>
 #include <iostream>
 
+#include "base/build_identity.h"
 #include "daemon/daemon.h"
 #include "settings/settings.h"
 
@@ -54,7 +55,6 @@
 }  // namespace
 
 int main(int argc, char** argv) {
-  const std::string program = "quayrilld " QUAYRILL_VERSION;
   std::map<std::string, docopt::value> flags;
   try {
     flags = docopt::docopt_parse(kUsage, {argv + 1, argv + argc}, true, true);
@@ -62,7 +62,7 @@
     std::cout << kUsage << quayrill::mechanismsHelp();
     return 0;
   } catch (const docopt::DocoptExitVersion&) {
-    std::cout << program << "\n";
+    std::cout << "quayrilld " << quayrill::buildIdentity() << "\n";
     return 0;
   } catch (const std::exception& error) {
     std::cerr << "quayrilld: " << error.what() << ": see --help\n";
--- a/src/sim/quayrill_sim.cpp
+++ b/src/sim/quayrill_sim.cpp
@@ -5,6 +5,7 @@
 #include <algorithm>
 #include <iostream>
 
+#include "base/build_identity.h"
 #include "sim/scenario.h"
 #include "sim/scenarios.h"
 
@@ -104,8 +105,8 @@
 
 int main(int argc, char** argv) {
   using namespace quayrill::sim;
-  auto flags =
-      docopt::docopt(kUsage, {argv + 1, argv + argc}, true, "quayrill-sim " QUAYRILL_VERSION);
+  auto flags = docopt::docopt(kUsage, {argv + 1, argv + argc}, true,
+                              "quayrill-sim " + quayrill::buildIdentity());
   WorldSettings settings;
   const std::string defect = flags["--plant"] ? flags["--plant"].asString() : "";
   settings.injectUnsyncedDisk = defect == "unsynced";
