Refuse a configuration full of violations within a core's memory

Cause: the schema validator collects all violations when asked for any. Related: a patch looked for each name among all rows, a patch of a field that is no list threw, and errors that quote bytes that are no UTF-8 threw.

Change: the validator judges first without collecting; the violation is then found from the root down. Operators' documents have at most 262,144 values. Errors print any bytes.

--- a/src/agent/operator_api.cpp
+++ b/src/agent/operator_api.cpp
@@ -111,6 +111,8 @@
     co_return errorResponse(
         {ErrorKind::MalformedRequest,
          "?confirm=FLEET is not the fleet that is to be given up: it is " + fleet});
+  if (const char* error = documentShapeError(request.body()))
+    co_return errorResponse({ErrorKind::MalformedRequest, "/: " + std::string(error)});
   const Json saved = request.body().empty() ? Json::object() : parseJson(request.body());
   const Json version = saved.is_object() ? saved.value("version", Json(0U)) : Json();
   if (!version.is_number_unsigned())
--- a/src/configuration/configuration.cpp
+++ b/src/configuration/configuration.cpp
@@ -51,7 +51,8 @@
 }
 
 absl::StatusOr<std::string> patchConfiguration(const std::string& body, const std::string& patch) {
-  if (nestsTooDeep(patch)) return absl::InvalidArgumentError("/: " + std::string(kNestsTooDeep));
+  if (const char* error = documentShapeError(patch))
+    return absl::InvalidArgumentError("/: " + std::string(error));
   Json document = body.empty() ? Json::object() : parseJson(body);
   const Json change = parseJson(patch);
   if (document.is_discarded() || !change.is_object())
--- a/src/configuration/schema.cpp
+++ b/src/configuration/schema.cpp
@@ -9,32 +9,120 @@
 
 namespace quayrill {
 
-std::optional<SchemaError> schemaError(const char* schemaText, const nlohmann::json& document) {
-  const auto schemaJson = nlohmann::json::parse(schemaText);
-  valijson::Schema schema;
-  valijson::SchemaParser parser;
-  parser.populateSchema(valijson::adapters::NlohmannJsonAdapter(schemaJson), schema);
-  valijson::Validator validator;
-  valijson::ValidationResults results;
-  if (validator.validate(schema, valijson::adapters::NlohmannJsonAdapter(document), &results))
-    return std::nullopt;
-  // The validator reports a violation at every level. The deepest report names the field itself.
-  SchemaError deepestError;
-  std::size_t maxDepth = 0;
-  valijson::ValidationResults::Error error;
-  while (results.popError(error)) {
-    if (!deepestError.what.empty() && error.context.size() < maxDepth) continue;
-    maxDepth = error.context.size();
-    deepestError.path.clear();
-    for (const std::string& step : error.context) {
-      if (step == "<root>") continue;
-      const bool isIndex = step.size() > 2 && step.front() == '[';
-      deepestError.path += "/" + (isIndex ? step.substr(1, step.size() - 2) : step);
+namespace {
+using Json = nlohmann::json;
+using Adapter = valijson::adapters::NlohmannJsonAdapter;
+
+// A schema, or a part of one, ready to judge values.
+class CompiledSchema {
+ public:
+  // `part` may refer to the definitions of `root`.
+  CompiledSchema(const Json& root, Json part) : text_(std::move(part)) {
+    if (root.contains("definitions")) text_["definitions"] = root["definitions"];
+    valijson::SchemaParser parser;
+    parser.populateSchema(Adapter(text_), schema_);
+  }
+
+  // Stops at the first violation and collects nothing.
+  bool accepts(const Json& value) const {
+    valijson::Validator validator;
+    return validator.validate(schema_, Adapter(value), nullptr);
+  }
+
+  // The description of a violation; "" if there is none. Collects all of them, so `value` must be
+  // able to have few only.
+  std::string violationIn(const Json& value) const {
+    valijson::Validator validator;
+    valijson::ValidationResults results;
+    validator.validate(schema_, Adapter(value), &results);
+    valijson::ValidationResults::Error error;
+    while (results.popError(error)) {
     }
-    if (deepestError.path.empty()) deepestError.path = "/";
-    deepestError.what = error.description + " Correct or remove it.";
+    return error.description;
   }
-  return deepestError;
+
+ private:
+  Json text_;
+  valijson::Schema schema_;
+};
+
+// The schema that `schema` refers to, or itself.
+const Json& resolved(const Json& root, const Json& schema) {
+  const auto reference = schema.find("$ref");
+  if (reference == schema.end()) return schema;
+  return root.at(Json::json_pointer(reference->get<std::string>().substr(1)));
+}
+
+// The schema of an object's member; null if all values are allowed, or none is.
+const Json* memberSchema(const Json& schema, const std::string& member) {
+  if (const auto known = schema.find("properties"); known != schema.end()) {
+    if (const auto row = known->find(member); row != known->end()) return &*row;
+  }
+  const auto others = schema.find("additionalProperties");
+  return others != schema.end() && others->is_object() ? &*others : nullptr;
+}
+
+// A value that violates `schema`, with its path.
+struct Violation {
+  const Json* schema;
+  const Json* value;
+  std::string path;
+};
+
+// The first item or member of the violating value that violates the schema itself.
+std::optional<Violation> violatingChild(const Json& root, const Violation& parent) {
+  const Json* compiledPart = nullptr;
+  std::optional<CompiledSchema> compiled;
+  const auto accepts = [&](const Json& part, const Json& child) {
+    if (compiledPart != &part) {
+      compiled.emplace(root, part);
+      compiledPart = &part;
+    }
+    return compiled->accepts(child);
+  };
+  if (parent.value->is_array() && parent.schema->contains("items")) {
+    const Json& part = (*parent.schema)["items"];
+    for (std::size_t i = 0; i < parent.value->size(); ++i) {
+      const Json& item = (*parent.value)[i];
+      if (!accepts(part, item))
+        return Violation{&resolved(root, part), &item, parent.path + "/" + std::to_string(i)};
+    }
+  }
+  if (parent.value->is_object()) {
+    for (const auto& [name, member] : parent.value->items()) {
+      const Json* part = memberSchema(*parent.schema, name);
+      if (part && !accepts(*part, member))
+        return Violation{&resolved(root, *part), &member, parent.path + "/" + name};
+    }
+  }
+  return std::nullopt;
+}
+
+// What the value violates of the schema apart from its items and members, which are valid. Of an
+// object's unknown members one is judged for all: there may be any number of them.
+std::string ownViolation(const Json& root, const Violation& violation) {
+  Json schema = *violation.schema;
+  schema.erase("items");
+  if (!violation.value->is_object())
+    return CompiledSchema(root, schema).violationIn(*violation.value);
+  Json few = Json::object();
+  bool hasUnknown = false;
+  for (const auto& [name, member] : violation.value->items()) {
+    const bool isKnown = schema.contains("properties") && schema["properties"].contains(name);
+    if (!isKnown && std::exchange(hasUnknown, true)) continue;
+    few[name] = member;
+  }
+  return CompiledSchema(root, schema).violationIn(few);
+}
+}  // namespace
+
+std::optional<SchemaError> schemaError(const char* schemaText, const nlohmann::json& document) {
+  const Json root = Json::parse(schemaText);
+  if (CompiledSchema(root, root).accepts(document)) return std::nullopt;
+  Violation violation{&root, &document, ""};
+  while (auto child = violatingChild(root, violation)) violation = *std::move(child);
+  return SchemaError{violation.path.empty() ? "/" : violation.path,
+                     ownViolation(root, violation) + " Correct or remove it."};
 }
 
 }  // namespace quayrill
--- a/src/net/http.cpp
+++ b/src/net/http.cpp
@@ -2,6 +2,8 @@
 
 #include <cxxtools/query_params.h>
 
+#include "base/json_text.h"
+
 namespace quayrill {
 
 using namespace std::chrono_literals;
@@ -183,7 +185,7 @@
 }
 
 HttpResponse jsonResponse(unsigned status, const nlohmann::json& body) {
-  HttpResponse response = textResponse(status, body.dump() + "\n");
+  HttpResponse response = textResponse(status, printJson(body) + "\n");
   response.set(http::field::content_type, "application/json");
   return response;
 }
--- a/src/proxy/run.cpp
+++ b/src/proxy/run.cpp
@@ -1,6 +1,7 @@
 // Handles a request from admission to the last piece of its answer: attempts, fetches and outcome.
 #include <glog/logging.h>
 
+#include "base/json_text.h"
 #include "base/scope_exit.h"
 #include "proxy/proxy.h"
 
@@ -265,7 +266,7 @@
                                  BootClock::now() - job.receivedAt)
                                  .count()},
                  {"tries", trace.tries}};
-  decisions_.add(job.id.value, row.dump());
+  decisions_.add(job.id.value, printJson(row));
 }
 
 }  // namespace quayrill
--- a/tests/document_limit_tests.cpp
+++ b/tests/document_limit_tests.cpp
@@ -1,5 +1,11 @@
 // Tests that documents from outside are bounded before anything recurses over them.
+#include <sys/resource.h>
+#include <sys/wait.h>
+#include <unistd.h>
+
 #include <catch2/catch.hpp>
+#include <chrono>
+#include <fstream>
 
 #include "base/digest.h"
 #include "base/json_text.h"
@@ -50,6 +56,62 @@
   if (!document.ok()) return std::string(document.status().message());
   return std::string(platform::parseConfig(std::move(*document)).status().message());
 }
+// The largest body that the operator API reads.
+constexpr std::size_t kLargestBody = 4 << 20;
+
+// A document of the largest size: `before`, as many of `item` as fit, `last` and `after`.
+std::string fullOf(const std::string& before, const std::string& item, const std::string& last,
+                   const std::string& after) {
+  std::string text = before;
+  text.reserve(kLargestBody);
+  while (text.size() + item.size() + last.size() + after.size() + 1 < kLargestBody)
+    text += item + ",";
+  return text + last + after;
+}
+
+// `what` repeated into a list of `count`.
+std::string listOf(const std::string& what, std::size_t count) {
+  std::string text;
+  for (std::size_t i = 0; i < count; ++i) text += (i > 0 ? "," : "") + what;
+  return text;
+}
+
+// The memory that the process uses as addresses, in bytes.
+std::size_t addressSpace() {
+  std::size_t pages = 0;
+  std::ifstream("/proc/self/statm") >> pages;
+  return pages * static_cast<std::size_t>(::sysconf(_SC_PAGESIZE));
+}
+
+// Half of what a core machine has in all: the other half is the daemon's own.
+constexpr std::size_t kMemoryForOneBody = 128 << 20;
+// A core's control thread may not rest for as long as a lease lasts.
+constexpr std::chrono::seconds kTimeForOneBody{3};
+
+// Whether `judge` returns true within the memory and time that a core has for one body. It runs in
+// a process of its own.
+template <typename Judge>
+bool holdsWithinACore(Judge judge) {
+  const pid_t child = ::fork();
+  if (child == 0) {
+#if !defined(__SANITIZE_ADDRESS__) && !defined(__SANITIZE_THREAD__)
+    const rlim_t bytes = addressSpace() + kMemoryForOneBody;
+    const rlimit limit{bytes, bytes};
+    ::setrlimit(RLIMIT_AS, &limit);
+    const rlimit seconds{kTimeForOneBody.count(), kTimeForOneBody.count()};
+    ::setrlimit(RLIMIT_CPU, &seconds);
+#endif
+    bool holds = false;
+    try {
+      holds = judge();
+    } catch (const std::bad_alloc&) {
+    }
+    ::_exit(holds ? 0 : 1);
+  }
+  int status = 0;
+  ::waitpid(child, &status, 0);
+  return WIFEXITED(status) && WEXITSTATUS(status) == 0;
+}
 }  // namespace
 
 // Guards against: a long text field in a configuration ends the process that checks it (SIGSEGV).
@@ -106,3 +168,88 @@
                                  "sha256:" + std::string(64, 'G'), std::string(71, 'a')})
     CHECK_FALSE(isKeyDigest(bad));
 }
+
+// Guards against: the list of all violations of a document takes many times its size (1.3 GiB for
+// 4 MiB, where a core has 256 MB) and seconds of the control thread.
+TEST_CASE("documents: one full of violations is refused within a core's memory and time") {
+  const std::string start = R"({"gen":7,"backends":[],"routes":[)";
+  const auto isRefused = [](const std::string& document, const std::string& error) {
+    return holdsWithinACore([&] { return platformError(document).starts_with(error); });
+  };
+  for (const char* item : {"{}", "0", "[]"}) {
+    INFO(item);
+    CHECK(isRefused(fullOf(start, item, item, "]}"), "/: more than 262144 values"));
+    CHECK(isRefused(start + listOf(item, 100000) + "]}", "/routes/0: "));
+  }
+  const std::string keys =
+      R"({"gen":7,"backends":[],"routes":[],"tenants":[{"name":"a","apiKeys":[)";
+  CHECK(isRefused(keys + listOf(R"("")", 200000) + "]}]}", "/tenants/0/apiKeys/0: "));
+  const std::string good = R"({"name":"b"})";
+  CHECK(isRefused(R"({"gen":7,"routes":[],"backends":[)" + listOf(good, 1) + "," +
+                      listOf(R"({"name":0})", 100000) + "]}",
+                  "/backends/1/name: "));
+  CHECK(isRefused(R"({"gen":7,"routes":[],"backends":[],"later":[)" + listOf("{}", 300000) + "]}",
+                  "/: more than 262144 values"));
+  // The built-in dialect knows all members of an object.
+  std::string unknown;
+  for (int i = 0; i < 100000; ++i) unknown += ",\"u" + std::to_string(i) + "\":0";
+  const std::string full = R"({"models":{},"tenants":{},"contracts":{},"ways":{})";
+  CHECK(holdsWithinACore([&] { return builtInError(full + unknown + "}").starts_with("/: "); }));
+  CHECK(holdsWithinACore([&] {
+    return builtInError(R"({"models":{},"contracts":{},"ways":{},"tenants":{"a":0)" + unknown +
+                        "}}")
+        .starts_with("/tenants/a: ");
+  }));
+}
+
+// Guards against: documents for which each name is looked for among all rows.
+TEST_CASE("documents: a patch of many names takes time in proportion to its size") {
+  std::string rows, names;
+  for (int i = 0; i < 20000; ++i) {
+    const std::string name = "\"n" + std::to_string(i) + "\"";
+    rows += (i > 0 ? "," : "") + (R"({"name":)" + name + "}");
+    names += (i > 0 ? "," : "") + name;
+  }
+  const std::string current = R"({"gen":1,"routes":[],"backends":[)" + rows + "]}";
+  const auto patched = [&](const std::string& patch) {
+    auto base = platform::parseDocument(current), change = platform::parseDocument(patch);
+    REQUIRE(base.ok());
+    REQUIRE(change.ok());
+    REQUIRE(platform::validatePatch(*change).ok());
+    return platform::applyPatch(std::move(*base), *change);
+  };
+  CHECK(holdsWithinACore([&] {
+    const auto result = patched(R"({"gen":2,"upsert":{"backends":[)" + rows + "]}}");
+    return result.ok() && (*result)["backends"].size() == 20000;
+  }));
+  CHECK(holdsWithinACore([&] {
+    const auto result = patched(R"({"gen":2,"remove":{"backends":[)" + names + "]}}");
+    return result.ok() && (*result)["backends"].empty();
+  }));
+}
+
+// Guards against: a patch of a field that is no list throws, and its call gets no answer.
+TEST_CASE("documents: a patch of a field that is no list is refused by its name") {
+  const std::string config =
+      R"({"gen":1,"routes":[],"backends":[],"limits":{"maxBodyBytes":1},"later":[1,{"name":2}]})";
+  const auto errorOf = [&](const std::string& patch) {
+    const auto change = platform::parseDocument(patch);
+    REQUIRE(change.ok());
+    REQUIRE(platform::validatePatch(*change).ok());
+    const auto result = platform::applyPatch(*platform::parseDocument(config), *change);
+    return std::string(result.status().message());
+  };
+  CHECK_THAT(errorOf(R"({"gen":2,"remove":{"limits":["maxBodyBytes"]}})"),
+             StartsWith("/remove/limits: is no list"));
+  CHECK_THAT(errorOf(R"({"gen":2,"remove":{"gen":["a"]}})"), StartsWith("/remove/gen: is no list"));
+  CHECK_THAT(errorOf(R"({"gen":2,"upsert":{"gen":[{"name":"a"}]}})"),
+             StartsWith("/upsert/gen: is no list"));
+  CHECK(errorOf(R"({"gen":2,"upsert":{"later":[{"name":"a"}]},"remove":{"later":["b"]}})").empty());
+}
+
+// Guards against: a path with bytes that are no UTF-8 throws where it is printed, and its call gets
+// no answer.
+TEST_CASE("documents: bytes that are no UTF-8 are printed") {
+  CHECK(printJson({{"message", "no route for '/\xff\xfe'"}}) ==
+        "{\"message\":\"no route for '/\xEF\xBF\xBD\xEF\xBF\xBD'\"}");
+}
