--- a/src/configuration/configuration.cpp
+++ b/src/configuration/configuration.cpp
@@ -17,6 +17,12 @@
 constexpr std::string_view kSharedScopePrefix = "shared:";
 constexpr std::size_t kScopeDigestDigits = 16;
 
+// A tenant's name behind its length, which keeps names apart that contain each other's
+// separators, or that differ by what a header drops at its ends.
+std::string withLength(const TenantName& tenant) {
+  return std::to_string(tenant.value.size()) + ":" + tenant.value;
+}
+
 bool isReserved(const std::string& requestedSalt) {
   return requestedSalt.starts_with(kIsolatedScopePrefix) ||
          requestedSalt.starts_with(kSharedScopePrefix);
@@ -85,8 +91,7 @@
 void deriveSharedScope(Configuration* configuration) {
   std::string isolated;
   for (const auto& [name, tenant] : configuration->tenants) {
-    // The length keeps names apart that contain each other's separators.
-    if (tenant.isolated) isolated += std::to_string(name.value.size()) + ":" + name.value;
+    if (tenant.isolated) isolated += withLength(name);
   }
   configuration->sharedScope = {};
   if (isolated.empty()) return;
@@ -98,7 +103,7 @@
 CacheSalt cacheScope(const Configuration& configuration, const TenantName& tenant) {
   const auto row = configuration.tenants.find(tenant);
   if (row == configuration.tenants.end() || !row->second.isolated) return configuration.sharedScope;
-  return CacheSalt{std::string(kIsolatedScopePrefix) + tenant.value};
+  return CacheSalt{std::string(kIsolatedScopePrefix) + withLength(tenant)};
 }
 
 bool resolveCacheSalt(const Configuration& configuration, const TenantName& tenant,
