--- a/src/agent/core/agent_core.h
+++ b/src/agent/core/agent_core.h
@@ -43,7 +43,7 @@
   // The shortest time from the start of a lost machine or its successor to the next loss; 0: no
   // such guarantee.
   Duration catchUpSpan{};
-  std::string build;  // of this program, see buildIdentity()
+  std::string build{};  // of this program, see buildIdentity()
 };
 
 // One unit of work for the replica's disk: the writes are synced in order, then the answer is sent.
