--- a/tests/document_limit_tests.cpp
+++ b/tests/document_limit_tests.cpp
@@ -228,6 +228,32 @@
   }));
 }
 
+// Guards against: each field's name is looked for among all fields of its object, so that a
+// configuration of 728 KB holds up the control thread for six seconds.
+TEST_CASE("documents: objects of many fields take time in proportion to their size") {
+  std::string fields, lists;
+  for (int i = 0; i < 100000; ++i) {
+    const std::string name = (i > 0 ? ",\"f" : "\"f") + std::to_string(i) + "\"";
+    fields += name + ":0";
+    lists += name + ":[]";
+  }
+  const std::string start = R"({"gen":7,"routes":[],"backends":[],"limits":{)";
+  const std::string config = start + fields + "}}";
+  CHECK(holdsWithinACore([&] { return platformError(config).empty(); }));
+  CHECK(holdsWithinACore([&] { return platformError(start + "}," + fields + "}").empty(); }));
+  CHECK(holdsWithinACore(
+      [&] { return !platform::readConfiguration(R"({"config":)" + config + "}").ok(); }));
+  for (const std::string& patch :
+       {R"({"gen":8,"limits":{)" + fields + "}}", R"({"gen":8,"upsert":{)" + lists + "}}",
+        R"({"gen":8,"remove":{)" + lists + "}}"}) {
+    CHECK(holdsWithinACore([&] {
+      const auto base = platform::parseDocument(config), change = platform::parseDocument(patch);
+      return base.ok() && change.ok() && platform::validatePatch(*change).ok() &&
+             platform::applyPatch(*base, *change).ok();
+    }));
+  }
+}
+
 // Guards against: a patch of a field that is no list throws, and its call gets no answer.
 TEST_CASE("documents: a patch of a field that is no list is refused by its name") {
   const std::string config =
