Block signals while the program is loaded, before main and all other initialization

Seen: processes ended by signal 1 or 15 right after a start; with SIGHUPs behind half of the starts, three times and more on three of six machines. Cause: signals were blocked in runDaemon, after flags and settings had been read; until then SIGHUP and SIGTERM have their default action. They are now blocked by a constructor of the program, so one that comes early is taken by the first sigwait. SIGTERM during a start ends the process with 0.

--- a/src/daemon/daemon.cpp
+++ b/src/daemon/daemon.cpp
@@ -2,13 +2,13 @@
 
 #include <glog/logging.h>
 
-#include <csignal>
 #include <iostream>
 #include <memory>
 #include <thread>
 
 #include "agent/agent.h"
 #include "base/build_identity.h"
+#include "daemon/process_setup.h"
 #include "proxy/proxy.h"
 #include "relay/relay.h"
 
@@ -72,14 +72,7 @@
               SettingsSource source) {
   FLAGS_logtostderr = true;
   google::InitGoogleLogging(program);
-  sigset_t handledSignals;
-  sigemptyset(&handledSignals);
-  sigaddset(&handledSignals, SIGTERM);
-  sigaddset(&handledSignals, SIGINT);
-  sigaddset(&handledSignals, SIGHUP);
-  pthread_sigmask(SIG_BLOCK, &handledSignals, nullptr);  // before any thread starts
-  std::signal(SIGPIPE, SIG_IGN);
-  std::signal(SIGXFSZ, SIG_IGN);  // a write over the file size limit must fail like on a full disk
+  if (isLeaveRequested()) return 0;
 
   std::unique_ptr<Agent> agent;
   std::unique_ptr<Proxy> proxy;
@@ -123,7 +116,8 @@
     if (agent) agent->applySettings(changed);
   });
   int signal = 0;
-  while (sigwait(&handledSignals, &signal) == 0 && signal == SIGHUP) watch.requestReload();
+  const sigset_t signals = handledSignals();
+  while (sigwait(&signals, &signal) == 0 && signal == SIGHUP) watch.requestReload();
   const Instant receivedAt = BootClock::now();
   settings = watch.stop();
   LOG(INFO) << "shutting down: no longer ready, finishing accepted requests";
--- /dev/null
+++ b/src/daemon/process_setup.cpp
@@ -0,0 +1,33 @@
+#include "daemon/process_setup.h"
+
+namespace quayrill {
+
+namespace {
+// The earliest that programs may ask for; lower ones are the compiler's.
+constexpr int kFirstConstructor = 101;
+
+[[gnu::constructor(kFirstConstructor)]] void prepareProcess() {
+  const sigset_t signals = handledSignals();
+  ::pthread_sigmask(SIG_BLOCK, &signals, nullptr);
+  std::signal(SIGPIPE, SIG_IGN);
+  std::signal(SIGXFSZ, SIG_IGN);  // a write over the file size limit must fail like on a full disk
+}
+}  // namespace
+
+sigset_t handledSignals() {
+  sigset_t signals;
+  sigemptyset(&signals);
+  sigaddset(&signals, SIGTERM);
+  sigaddset(&signals, SIGINT);
+  sigaddset(&signals, SIGHUP);
+  return signals;
+}
+
+bool isLeaveRequested() {
+  sigset_t pending;
+  sigemptyset(&pending);
+  ::sigpending(&pending);
+  return sigismember(&pending, SIGTERM) == 1 || sigismember(&pending, SIGINT) == 1;
+}
+
+}  // namespace quayrill
