--- a/tests/document_limit_tests.cpp
+++ b/tests/document_limit_tests.cpp
@@ -254,6 +254,22 @@
   }
 }
 
+TEST_CASE("documents: parsing keeps the order, and of equal names the last value") {
+  const std::string text =
+      R"({"b":[1,-2,2.5,"x",null,true,{"z":{},"a":[]}],"a":{"k":1},"b2":{"y":1,"x":2}})";
+  CHECK(platform::parseDocumentText(text).dump() == text);
+  CHECK(platform::parseDocumentText(R"({"a":1,"b":2,"a":[3]})").dump() == R"({"a":[3],"b":2})");
+  for (const char* broken : {"", "{", "[1,]", R"({"a":1)", R"({"a" 1})", "1 2"})
+    CHECK(platform::parseDocumentText(broken).is_discarded());
+  std::string many = "{";
+  for (int i = 0; i < 40; ++i)
+    many += "\"" + std::to_string(i % 20) + "\":" + std::to_string(i) + ",";
+  platform::Document document = platform::parseDocumentText(many + R"("last":0})");
+  REQUIRE(document.size() == 21);
+  CHECK(document["7"] == 27);
+  CHECK(document.begin().key() == "0");
+}
+
 // Guards against: a patch of a field that is no list throws, and its call gets no answer.
 TEST_CASE("documents: a patch of a field that is no list is refused by its name") {
   const std::string config =
