--- a/src/agent/operator_api.cpp
+++ b/src/agent/operator_api.cpp
@@ -4,6 +4,7 @@
 #include "agent/agent.h"
 #include "base/json_text.h"
 #include "base/scope_exit.h"
+#include "net/metrics.h"
 
 namespace quayrill {
 
@@ -241,7 +242,7 @@
         configurationVersion_ > 0 && confirmedAt && now - *confirmedAt < settings_.stalenessLimit;
     co_return textResponse(ready ? 200 : 503, ready ? "ready\n" : "configuration unconfirmed\n");
   }
-  if (path == "/metrics") co_return textResponse(200, renderCounters(counters_));
+  if (path == "/metrics") co_return metricsResponse(counters_);
   if (path == "/q/members") co_return jsonResponse(200, membersJson(now));
   if (path == "/q/builds") co_return co_await handleBuilds();
   if (path == "/q/servers") co_return jsonResponse(200, serversJson(now));
--- a/src/base/counters.h
+++ b/src/base/counters.h
@@ -29,7 +29,8 @@
   X(configurationChanges, "configurationChanges", "configuration versions taken in force")        \
   X(listCalls, "listCalls", "calls to the platform for its list of servers")                      \
   X(weightOrders, "weightOrders", "weight orders sent to servers")                                \
-  X(diskErrors, "diskErrors", "write errors of the data folder")
+  X(diskErrors, "diskErrors", "write errors of the data folder")                                  \
+  X(logLinesDropped, "logLinesDropped", "log lines dropped because nobody read them")
 
 // Fields may be incremented from any thread.
 struct Counters {
--- /dev/null
+++ b/src/net/metrics.cpp
@@ -0,0 +1,12 @@
+#include "net/metrics.h"
+
+#include "net/log_sink.h"
+
+namespace quayrill {
+
+HttpResponse metricsResponse(Counters& counters) {
+  counters.logLinesDropped = droppedLogLines();
+  return textResponse(200, renderCounters(counters));
+}
+
+}  // namespace quayrill
--- a/src/proxy/proxy.cpp
+++ b/src/proxy/proxy.cpp
@@ -4,6 +4,8 @@
 
 #include <random>
 
+#include "net/metrics.h"
+
 namespace quayrill {
 
 using namespace std::chrono_literals;
@@ -211,7 +213,7 @@
     response.set("Quayrill-Spec-Version", std::to_string(currentView->configurationVersion));
     co_return response;
   }
-  if (path == "/metrics") co_return textResponse(200, renderCounters(counters_));
+  if (path == "/metrics") co_return metricsResponse(counters_);
   if (path == "/q/decisions") co_return readDecisions(request);
   if (path == "/q/explain") co_return explain(queryValue(request, "id"));
   co_return co_await serve(connection, request);
--- a/src/relay/caller_connections.cpp
+++ b/src/relay/caller_connections.cpp
@@ -2,6 +2,7 @@
 #include <glog/logging.h>
 #include <sys/socket.h>
 
+#include "net/metrics.h"
 #include "relay/relay.h"
 
 namespace quayrill {
@@ -85,7 +86,7 @@
     co_return textResponse(ready ? 200 : 503, ready ? "ready\n" : "not ready\n");
   }
   if (path == "/healthz") co_return textResponse(200, "ok\n");
-  if (path == "/metrics") co_return textResponse(200, renderCounters(counters_));
+  if (path == "/metrics") co_return metricsResponse(counters_);
   if (path == "/q/explain") {
     if (const auto line = decisions_.find(queryValue(request, "id")))
       co_return textResponse(200, *line + "\n");
