Wait at a start for a predecessor's addresses and lock, and for settings that are being written

Seen: a start while the former process still leaves ended with 1, 30 of 30; a settings file that is missing or half written ended it with 2. A supervisor that starts again after a second sees three ends. Only LevelDB's own error for the lock is taken for a held one. Three tests failed before and pass now; their sockets are no longer inherited by the process that they hold up, with which the first of them could not pass.

--- a/src/daemon/daemon.cpp
+++ b/src/daemon/daemon.cpp
@@ -9,6 +9,7 @@
 #include "agent/agent.h"
 #include "base/build_identity.h"
 #include "daemon/process_setup.h"
+#include "daemon/startup.h"
 #include "net/log_sink.h"
 #include "proxy/proxy.h"
 #include "relay/relay.h"
@@ -72,6 +73,7 @@
 int runDaemon(Settings settings, const Dialect& dialect, const char* program,
               SettingsSource source) {
   startLogging(program);
+  waitForPredecessor(settings);
   if (isLeaveRequested()) return 0;
 
   std::unique_ptr<Agent> agent;
--- a/src/net/disk.cpp
+++ b/src/net/disk.cpp
@@ -17,8 +17,13 @@
   return absl::DataLossError("data folder: " + what +
                              ": start with an empty folder; the machine joins as a new member");
 }
+
+// LevelDB's own folder inside the data folder.
+std::string databaseFolder(const std::string& folder) { return folder + "/register"; }
 }  // namespace
 
+std::string lockFileOf(const std::string& folder) { return databaseFolder(folder) + "/LOCK"; }
+
 Disk::Disk(DiskSettings settings, ReopenedCallback onReopened)
     : settings_(std::move(settings)), onReopened_(std::move(onReopened)) {
   env_ = syncedFolderEnv(settings_.files.env ? settings_.files : hostFileSystem());
@@ -60,9 +65,10 @@
   options.write_buffer_size = settings_.writeBuffer;
   options.env = slowSyncEnv_ ? slowSyncEnv_.get() : env_.get();
   leveldb::DB* db = nullptr;
-  auto status = leveldb::DB::Open(options, settings_.folder + "/register", &db);
+  auto status = leveldb::DB::Open(options, databaseFolder(settings_.folder), &db);
   if (status.IsCorruption()) return damagedError(status.ToString());
-  if (!status.ok() && status.ToString().find("lock") != std::string::npos)
+  const std::string lockError = "lock " + lockFileOf(settings_.folder);
+  if (!status.ok() && status.ToString().find(lockError) != std::string::npos)
     return absl::FailedPreconditionError("data folder: " + status.ToString() +
                                          ": end the other process or name another folder");
   if (!status.ok()) return absl::UnavailableError(status.ToString());
--- a/src/net/disk.h
+++ b/src/net/disk.h
@@ -37,6 +37,9 @@
   std::size_t writeBuffer = kWriteBufferBytes;
 };
 
+// The file that a process locks while it uses the data folder.
+std::string lockFileOf(const std::string& folder);
+
 // Stores the register replica's rows durably. After an I/O error it reopens the database until that
 // works, and then hands over the rows that are really there.
 class Disk {
--- a/src/quayrilld.cpp
+++ b/src/quayrilld.cpp
@@ -4,6 +4,7 @@
 
 #include "base/build_identity.h"
 #include "daemon/daemon.h"
+#include "daemon/startup.h"
 #include "settings/settings.h"
 
 namespace {
@@ -80,12 +81,14 @@
                                   [commandLineFlags = commandLine.flags](const std::string& text) {
                                     return quayrill::readSettings(text, commandLineFlags);
                                   }};
-  const auto settings = quayrill::loadSettings(&source);
+  const bool isCheck = flags["--check"].asBool();
+  const auto settings =
+      isCheck ? quayrill::loadSettings(&source) : quayrill::loadSettingsAtStart(&source);
   if (!settings.ok()) {
     std::cerr << "quayrilld: " << settings.status().message() << "\n";
     return 2;
   }
-  if (flags["--check"].asBool()) return 0;
+  if (isCheck) return 0;
 
   return quayrill::runDaemon(*settings, quayrill::nativeDialect(), argv[0], std::move(source));
 }
--- a/tests/process_tests.cpp
+++ b/tests/process_tests.cpp
@@ -10,7 +10,7 @@
 namespace {
 // A socket that listens where the process is to listen.
 int holdAddress(const std::string& ip, unsigned short port) {
-  const int socket = ::socket(AF_INET, SOCK_STREAM, 0);
+  const int socket = ::socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
   const int on = 1;
   ::setsockopt(socket, SOL_SOCKET, SO_REUSEADDR, &on, sizeof on);
   sockaddr_in address{};
@@ -25,7 +25,8 @@
 // Locks the data folder as another process of the daemon does.
 int holdDataFolder(const std::string& folder) {
   std::filesystem::create_directories(folder + "/data/register");
-  const int file = ::open((folder + "/data/register/LOCK").c_str(), O_RDWR | O_CREAT, 0600);
+  const int file =
+      ::open((folder + "/data/register/LOCK").c_str(), O_RDWR | O_CREAT | O_CLOEXEC, 0600);
   struct flock lock {};
   lock.l_type = F_WRLCK;
   lock.l_whence = SEEK_SET;
