Set a damaged replica aside at a start instead of ending at every start

Seen: 5 of 12 cut, zeroed or removed files of the data folder ended the process with 1, at each later start too, until someone emptied the folder. It is now kept beside as register.damaged, reported by log and metric, and the machine joins as after the loss of its disk: with a new store identity, so no vote is given by the damaged one. It founds no fleet while the damaged one is there.

--- a/src/agent/agent.cpp
+++ b/src/agent/agent.cpp
@@ -2,6 +2,7 @@
 
 #include <glog/logging.h>
 
+#include <filesystem>
 #include <random>
 
 #include "base/build_identity.h"
@@ -45,12 +46,37 @@
 Agent::Agent(Settings settings, Dialect dialect)
     : settings_(std::move(settings)), dialect_(std::move(dialect)) {}
 
+absl::StatusOr<std::optional<Disk::Rows>> Agent::openDisk() {
+  disk_ = std::make_unique<Disk>(DiskSettings{settings_.dataFolder, settings_.syncDelayFile},
+                                 [this](Disk::Rows rows) { onDiskReopened(std::move(rows)); });
+  return disk_->open();
+}
+
+// Opens the data folder. A damaged replica gives no vote: it is set aside, and this machine joins
+// as after the loss of its disk.
+absl::StatusOr<std::optional<Disk::Rows>> Agent::openDataFolder() {
+  auto opened = openDisk();
+  if (absl::IsDataLoss(opened.status())) {
+    LOG(ERROR) << "data folder is damaged: " << opened.status().message() << ": it is kept as '"
+               << damagedReplicaOf(settings_.dataFolder) << "'";
+    disk_.reset();
+    if (auto status = setDamagedReplicaAside(settings_.dataFolder); !status.ok()) return status;
+    ++counters_.dataFoldersSetAside;
+    opened = openDisk();
+  }
+  // The fleet that the damaged replica belonged to may hold acknowledged changes.
+  if (settings_.mayFound && std::filesystem::exists(damagedReplicaOf(settings_.dataFolder))) {
+    LOG(WARNING) << "this machine founds no fleet while '" << damagedReplicaOf(settings_.dataFolder)
+                 << "' exists: remove it to allow that";
+    settings_.mayFound = false;
+  }
+  return opened;
+}
+
 absl::Status Agent::start() {
   std::optional<std::map<std::string, std::string>> diskRows;
   if (!settings_.dataFolder.empty()) {
-    disk_ = std::make_unique<Disk>(DiskSettings{settings_.dataFolder, settings_.syncDelayFile},
-                                   [this](Disk::Rows rows) { onDiskReopened(std::move(rows)); });
-    auto opened = disk_->open();
+    auto opened = openDataFolder();
     if (!opened.ok()) return opened.status();
     diskRows = std::move(*opened);
     if (!diskRows) LOG(ERROR) << kDataFolderNotWritable;
--- a/src/agent/agent.h
+++ b/src/agent/agent.h
@@ -87,6 +87,8 @@
 
   // Carries out what the control logic decided: sends, disk writes, results of operations.
   void apply(AgentEffects effects);
+  absl::StatusOr<std::optional<Disk::Rows>> openDisk();
+  absl::StatusOr<std::optional<Disk::Rows>> openDataFolder();
   void onDiskReopened(Disk::Rows rows);
   void publishSnapshot(Instant now);
   void updateEventSources(Instant now);
--- a/src/base/counters.h
+++ b/src/base/counters.h
@@ -30,6 +30,7 @@
   X(listCalls, "listCalls", "calls to the platform for its list of servers")                      \
   X(weightOrders, "weightOrders", "weight orders sent to servers")                                \
   X(diskErrors, "diskErrors", "write errors of the data folder")                                  \
+  X(dataFoldersSetAside, "dataFoldersSetAside", "damaged replicas set aside at a start")          \
   X(logLinesDropped, "logLinesDropped", "log lines dropped because nobody read them")
 
 // Fields may be incremented from any thread.
--- a/src/net/disk.cpp
+++ b/src/net/disk.cpp
@@ -3,6 +3,8 @@
 #include <leveldb/db.h>
 #include <leveldb/write_batch.h>
 
+#include <filesystem>
+
 #include "base/digest.h"
 #include "net/slow_sync_env.h"
 
@@ -24,6 +26,19 @@
 
 std::string lockFileOf(const std::string& folder) { return databaseFolder(folder) + "/LOCK"; }
 
+std::string damagedReplicaOf(const std::string& folder) {
+  return databaseFolder(folder) + ".damaged";
+}
+
+absl::Status setDamagedReplicaAside(const std::string& folder) {
+  std::error_code error;
+  std::filesystem::remove_all(damagedReplicaOf(folder), error);
+  if (!error) std::filesystem::rename(databaseFolder(folder), damagedReplicaOf(folder), error);
+  if (!error) return absl::OkStatus();
+  return absl::UnavailableError("data folder: the damaged replica can't be moved aside (" +
+                                error.message() + "): empty '" + folder + "' by hand");
+}
+
 Disk::Disk(DiskSettings settings, ReopenedCallback onReopened)
     : settings_(std::move(settings)), onReopened_(std::move(onReopened)) {
   env_ = syncedFolderEnv(settings_.files.env ? settings_.files : hostFileSystem());
--- a/src/net/disk.h
+++ b/src/net/disk.h
@@ -40,6 +40,14 @@
 // The file that a process locks while it uses the data folder.
 std::string lockFileOf(const std::string& folder);
 
+// Where a damaged replica of the data folder is kept for inspection.
+std::string damagedReplicaOf(const std::string& folder);
+
+// Moves the replica in the data folder to damagedReplicaOf(folder), in place of an earlier one, so
+// that the folder can be opened as an empty one. Its machine then joins as a new member, as after
+// the loss of its disk.
+absl::Status setDamagedReplicaAside(const std::string& folder);
+
 // Stores the register replica's rows durably. After an I/O error it reopens the database until that
 // works, and then hands over the rows that are really there.
 class Disk {
