Report turns of the control thread that come over half a second late

A daemon that is up and does nothing, because one piece of work or the machine holds up its control thread, could not be told from one that is cut off. Log line and metric lateControlTurns.

--- a/src/agent/agent.cpp
+++ b/src/agent/agent.cpp
@@ -13,6 +13,7 @@
 
 namespace {
 constexpr Duration kTickInterval = 50ms;
+constexpr Duration kLateTurn = 500ms;  // reported; peers take a second of silence for a failure
 constexpr Duration kSnapshotInterval = 100ms;
 constexpr Duration kEventSourceInterval = 400ms;
 constexpr Duration kServerPollInterval = 400ms;
@@ -223,10 +224,19 @@
   eventSources_ = isShared ? core_->eventSources(sources, now) : namesOf(sources);
 }
 
+// Reports a control thread that something held up: a long piece of work, the machine or a freeze.
+void Agent::noteLateness(Duration lateness) {
+  if (lateness < kLateTurn) return;
+  ++counters_.lateControlTurns;
+  LOG(WARNING) << "the control thread was held up for " << lateness / 1ms << " ms";
+}
+
 awaitable<void> Agent::tickLoop() {
   asio::steady_timer timer(io_);
+  Instant dueAt = BootClock::now();
   for (;;) {
     const Instant now = BootClock::now();
+    noteLateness(now - dueAt);
     AgentEffects effects;
     core_->onTick(now, &effects);
     handingOver_ = core_->isHandingOver(now);
@@ -238,6 +248,7 @@
     publishSnapshot(now);
     publishPlaneDigests(now);
     timer.expires_after(kTickInterval);
+    dueAt = BootClock::now() + kTickInterval;
     ErrorCode code;
     co_await timer.async_wait(into(code));
   }
--- a/src/agent/agent.h
+++ b/src/agent/agent.h
@@ -93,6 +93,7 @@
   void publishSnapshot(Instant now);
   void updateEventSources(Instant now);
   void publishPlaneDigests(Instant now);
+  void noteLateness(Duration lateness);
   awaitable<void> tickLoop();
   awaitable<void> readList();
   // Adopts a newer server list, whether the platform or another daemon provided it.
--- a/src/base/counters.h
+++ b/src/base/counters.h
@@ -31,7 +31,9 @@
   X(weightOrders, "weightOrders", "weight orders sent to servers")                                \
   X(diskErrors, "diskErrors", "write errors of the data folder")                                  \
   X(dataFoldersSetAside, "dataFoldersSetAside", "damaged replicas set aside at a start")          \
-  X(logLinesDropped, "logLinesDropped", "log lines dropped because nobody read them")
+  X(logLinesDropped, "logLinesDropped", "log lines dropped because nobody read them")             \
+  X(lateControlTurns, "lateControlTurns",                                                         \
+    "turns of the control thread that came over half a second late")
 
 // Fields may be incremented from any thread.
 struct Counters {
