End the process when an exception ends one of its loops, and log all others

Seen by reading: coroutines were started detached, and an exception ended the control loop, a listener or the writing to a peer in silence; such a daemon is up and does nothing. Essential ones now end the process with 1, those of one connection or one call are logged. A test plants an exception in both kinds, another that no daemon source starts a detached coroutine.

--- a/src/agent/agent.cpp
+++ b/src/agent/agent.cpp
@@ -6,6 +6,7 @@
 #include <random>
 
 #include "base/build_identity.h"
+#include "net/spawn.h"
 
 namespace quayrill {
 
@@ -101,7 +102,7 @@
   AgentEffects effects;
   effects.replicaWork = core_->start();
   apply(std::move(effects));
-  asio::co_spawn(io_, tickLoop(), asio::detached);
+  spawnEssential(io_, "the control loop", tickLoop());
   return absl::OkStatus();
 }
 
@@ -240,7 +241,7 @@
     AgentEffects effects;
     core_->onTick(now, &effects);
     handingOver_ = core_->isHandingOver(now);
-    if (effects.readList) asio::co_spawn(io_, readList(), asio::detached);
+    if (effects.readList) spawnTask(io_, "reading the server list", readList());
     apply(std::move(effects));
     takeList();
     tickRollouts(now);
@@ -286,7 +287,7 @@
     row->second.generation = ++lastPollGeneration_;
     LOG(INFO) << "server " << server.name.value << " listed";
     if (!dialect_.readServer) continue;
-    asio::co_spawn(io_, pollLoop(server.name, lastPollGeneration_), asio::detached);
+    spawnTask(io_, "polling a server", pollLoop(server.name, lastPollGeneration_));
   }
   std::erase_if(servers_, [&](const auto& row) { return !names.contains(row.first); });
 }
--- a/src/agent/weights_orders.cpp
+++ b/src/agent/weights_orders.cpp
@@ -1,5 +1,6 @@
 // Rollout of weights: runs the rollout logic of each model and sends its orders to the servers.
 #include "agent/agent.h"
+#include "net/spawn.h"
 
 namespace quayrill {
 
@@ -83,9 +84,9 @@
   for (const ServerNote& note : rolloutEffects.notes) core_->broadcastNote(note, now, &effects);
   apply(std::move(effects));
   for (const WeightsOrder& order : rolloutEffects.orders)
-    asio::co_spawn(io_, sendWeightsOrder(model, order, now), asio::detached);
+    spawnTask(io_, "a weights order", sendWeightsOrder(model, order, now));
   for (const ReportRequest& request : rolloutEffects.reportRequests)
-    asio::co_spawn(io_, requestWeightsReport(model, request), asio::detached);
+    spawnTask(io_, "a report of weights", requestWeightsReport(model, request));
 }
 
 awaitable<void> Agent::sendWeightsOrder(ModelName model, WeightsOrder order, Instant decidedAt) {
--- a/src/net/http.cpp
+++ b/src/net/http.cpp
@@ -3,6 +3,7 @@
 #include <cxxtools/query_params.h>
 
 #include "base/json_text.h"
+#include "net/spawn.h"
 
 namespace quayrill {
 
@@ -76,7 +77,7 @@
 
 absl::Status HttpServer::start() {
   if (auto status = listenAt(acceptor_, settings_.listen, 512); !status.ok()) return status;
-  asio::co_spawn(acceptor_.get_executor(), accept(), asio::detached);
+  spawnEssential(acceptor_.get_executor(), "an HTTP listener", accept());
   return absl::OkStatus();
 }
 
@@ -100,7 +101,7 @@
       continue;
     }
     if (connections_->load() >= settings_.connectionLimit) continue;  // closes the socket
-    asio::co_spawn(executor, serve(std::move(socket)), asio::detached);
+    spawnTask(executor, "an HTTP connection", serve(std::move(socket)));
   }
 }
 
--- a/src/net/peer_link.cpp
+++ b/src/net/peer_link.cpp
@@ -3,6 +3,8 @@
 #include <netinet/in.h>
 #include <netinet/tcp.h>
 
+#include "net/spawn.h"
+
 namespace quayrill {
 
 using namespace std::chrono_literals;
@@ -35,7 +37,7 @@
 
 absl::Status PeerLink::start() {
   if (auto status = listenAt(acceptor_, self_, 256); !status.ok()) return status;
-  asio::co_spawn(io_, accept(), asio::detached);
+  spawnEssential(io_, "the peers' listener", accept());
   return absl::OkStatus();
 }
 
@@ -48,7 +50,7 @@
       co_await pauseFor(10ms);
       continue;
     }
-    asio::co_spawn(io_, receive(std::move(socket)), asio::detached);
+    spawnTask(io_, "reading from a peer", receive(std::move(socket)));
   }
 }
 
@@ -105,7 +107,7 @@
   queue->wake.cancel();
   if (!queue->isDraining) {
     queue->isDraining = true;
-    asio::co_spawn(io_, drain(envelope.to, queue), asio::detached);
+    spawnEssential(io_, "writing to a peer", drain(envelope.to, queue));
   }
 }
 
@@ -158,7 +160,7 @@
   queue->isDraining = false;
   if (!queue->frames.empty()) {
     queue->isDraining = true;
-    asio::co_spawn(io_, drain(to, queue), asio::detached);
+    spawnEssential(io_, "writing to a peer", drain(to, queue));
   }
 }
 
--- a/src/net/request_sender.cpp
+++ b/src/net/request_sender.cpp
@@ -2,6 +2,8 @@
 
 #include <array>
 
+#include "net/spawn.h"
+
 namespace quayrill {
 
 RequestSender::RequestSender(Tcp::socket& socket, std::string head, std::string_view body,
@@ -16,7 +18,7 @@
   sendPiece();
   if (code_ || isComplete()) return;
   isRunning_ = true;
-  asio::co_spawn(socket_.get_executor(), sendRest(), asio::detached);
+  spawnTask(socket_.get_executor(), "sending a request", sendRest());
 }
 
 // Makes a single system call. Nothing is awaited between the permission check and the write.
--- a/src/proxy/proxy.cpp
+++ b/src/proxy/proxy.cpp
@@ -5,6 +5,7 @@
 #include <random>
 
 #include "net/metrics.h"
+#include "net/spawn.h"
 
 namespace quayrill {
 
@@ -50,8 +51,8 @@
   if (auto status = callerServer_->start(); !status.ok()) return status;
   // A connection's timer and its reads must never run concurrently, so each loop has its own
   // strand.
-  asio::co_spawn(asio::make_strand(io_), snapshotLoop(), asio::detached);
-  asio::co_spawn(asio::make_strand(io_), cacheEventLoop(), asio::detached);
+  spawnEssential(asio::make_strand(io_), "the loop of snapshots", snapshotLoop());
+  spawnEssential(asio::make_strand(io_), "the loop of cache events", cacheEventLoop());
   for (std::size_t i = 0; i < settings_.trafficThreads; ++i)
     threads_.emplace_back([this] { io_.run(); });
   return absl::OkStatus();
@@ -127,8 +128,8 @@
     const auto currentView = view();
     for (const ServerState& server : currentView->servers) {
       if (server.healthy)
-        asio::co_spawn(co_await asio::this_coro::executor, pollCacheEvents(server.name),
-                       asio::detached);
+        spawnTask(co_await asio::this_coro::executor, "reading cache events",
+                  pollCacheEvents(server.name));
     }
     co_await pauseFor(1s);
   }
--- a/src/relay/caller_connections.cpp
+++ b/src/relay/caller_connections.cpp
@@ -3,6 +3,7 @@
 #include <sys/socket.h>
 
 #include "net/metrics.h"
+#include "net/spawn.h"
 #include "relay/relay.h"
 
 namespace quayrill {
@@ -59,10 +60,10 @@
         [this](Connection&, HttpRequest& request) { return handleAdminRequest(request); });
     if (auto status = ready_->start(); !status.ok()) return status;
   }
-  asio::co_spawn(io_, accept(callers_), asio::detached);
+  spawnEssential(io_, "the callers' listener", accept(callers_));
   if (dialect_.partEvents && settings_.mechanisms.isEnabled(Mechanism::Events))
-    asio::co_spawn(io_, eventLoop(), asio::detached);
-  asio::co_spawn(io_, reportLoop(), asio::detached);
+    spawnEssential(io_, "the loop of cache events", eventLoop());
+  spawnEssential(io_, "the loop of reports", reportLoop());
   thread_ = std::thread([this] { io_.run(); });
   return absl::OkStatus();
 }
@@ -115,7 +116,7 @@
     auto caller = std::make_shared<Caller>(std::move(socket));
     callerList_.remove_if([](const auto& weak) { return weak.expired(); });
     callerList_.push_back(caller);
-    asio::co_spawn(io_, serveCaller(std::move(caller)), asio::detached);
+    spawnTask(io_, "a caller's connection", serveCaller(std::move(caller)));
   }
 }
 
--- a/src/relay/leaving.cpp
+++ b/src/relay/leaving.cpp
@@ -6,6 +6,7 @@
 
 #include <algorithm>
 
+#include "net/spawn.h"
 #include "relay/relay.h"
 
 namespace quayrill {
@@ -39,7 +40,7 @@
 
 void Relay::beginLeaving(Duration grace) {
   if (leaving_.exchange(true)) return;
-  asio::co_spawn(io_, leave(leaveSchedule(BootClock::now(), grace)), asio::detached);
+  spawnEssential(io_, "leaving", leave(leaveSchedule(BootClock::now(), grace)));
 }
 
 awaitable<void> Relay::leave(LeaveSchedule schedule) {
--- a/src/relay/part_events.cpp
+++ b/src/relay/part_events.cpp
@@ -1,6 +1,7 @@
 // Cache events: reads them from the sources assigned to this daemon, shares them with the fleet,
 // and applies those shared by other daemons. The outstanding requests of this daemon are shared in
 // the same way.
+#include "net/spawn.h"
 #include "relay/part_event_batch.h"
 #include "relay/relay.h"
 
@@ -79,7 +80,7 @@
           nextPollAt.try_emplace(source, now + interval * (random_() % 100) / 100);
       if (isNew || now < pollAt->second) continue;
       pollAt->second = now + interval;
-      asio::co_spawn(io_, pullEvents(source), asio::detached);
+      spawnTask(io_, "reading cache events", pullEvents(source));
     }
     co_await pauseFor(kCheckInterval);
   }
