Hold the bodies of requests within a budget of the process's memory

Seen: 100 bodies of 4 MiB at one edge took it to 354 MB where its platform ends it at 260; eight operators with configurations of 1.9 MB took a core to 225 MB of 256. Bodies of requests now share a third of the memory limit, bodies of operators' calls a 64th (4 MiB at least) until they are answered. Without a limit in the settings it is half of the machine's memory. What answers hold for clients that do not read is not bounded yet.

--- a/src/agent/agent.cpp
+++ b/src/agent/agent.cpp
@@ -20,6 +20,9 @@
 constexpr Duration kServerPollInterval = 400ms;
 constexpr Duration kListTimeout = 800ms;
 constexpr Duration kServerStateMaxAge = 1500ms;
+constexpr std::size_t kOperatorBodyLimit = 4 << 20;  // bytes
+// Of the memory, for the bodies of operators' calls. A parsed body takes up to 25 times its size.
+constexpr std::size_t kOperatorBodyFraction = 64;
 constexpr char kDataFolderNotWritable[] =
     "data folder is not writable: the register replica on this machine does not vote; free disk "
     "space, writing is retried every second";
@@ -95,7 +98,9 @@
   if (auto status = link_->start(); !status.ok()) return status;
   HttpServerSettings serverSettings;
   serverSettings.listen = settings_.operatorAddress;
-  serverSettings.bodyLimit = 4 << 20;
+  serverSettings.bodyLimit = kOperatorBodyLimit;
+  serverSettings.bodyBudget =
+      std::max(kOperatorBodyLimit, memoryLimitOf(settings_) / kOperatorBodyFraction);
   operatorServer_ = std::make_unique<HttpServer>(
       io_, serverSettings, [this](Connection&, HttpRequest& request) { return handle(request); });
   if (auto status = operatorServer_->start(); !status.ok()) return status;
--- a/src/net/http.cpp
+++ b/src/net/http.cpp
@@ -3,6 +3,7 @@
 #include <cxxtools/query_params.h>
 
 #include "base/json_text.h"
+#include "net/body_reader.h"
 #include "net/spawn.h"
 
 namespace quayrill {
@@ -71,6 +72,7 @@
 HttpServer::HttpServer(asio::io_context& io, HttpServerSettings settings, HttpHandler handler)
     : io_(io),
       settings_(std::move(settings)),
+      bodies_(settings_.bodyBudget),
       handler_(std::move(handler)),
       acceptor_(asio::make_strand(io)),
       connections_(std::make_shared<std::atomic<std::size_t>>(0)) {}
@@ -148,14 +150,14 @@
       if (!readable) co_return;
     }
     connection.expires_after(settings_.readTimeout);
-    co_await http::async_read(connection, buffer, parser, into(code));
+    ByteBudget::Share share = bodies_.open();
+    co_await http::async_read_header(connection, buffer, parser, into(code));
+    if (!code)
+      co_await readBodyWithin(connection, buffer, parser, share, &code, [] { return true; });
     if (code == http::error::end_of_stream) co_return;
     if (code) {
       if (code == beast::error::timeout || !connection.socket().is_open()) co_return;
-      const bool large = code == http::error::body_limit || code == http::error::header_limit;
-      HttpResponse response =
-          errorResponse({large ? ErrorKind::BodyTooLarge : ErrorKind::MalformedRequest,
-                         "the request can't be read (" + code.message() + ")"});
+      HttpResponse response = readErrorResponse(code);
       response.keep_alive(false);
       connection.expires_after(2s);
       co_await http::async_write(connection, response, into(code));
@@ -177,6 +179,18 @@
   }
 }
 
+HttpResponse readErrorResponse(const ErrorCode& code) {
+  if (code == boost::system::errc::not_enough_memory) {
+    HttpResponse response = errorResponse(
+        {ErrorKind::Rejected, "other bodies take the memory that there is for bodies"});
+    response.set(http::field::retry_after, "0.2");
+    return response;
+  }
+  const bool isLarge = code == http::error::body_limit || code == http::error::header_limit;
+  return errorResponse({isLarge ? ErrorKind::BodyTooLarge : ErrorKind::MalformedRequest,
+                        "the request can't be read (" + code.message() + ")"});
+}
+
 HttpResponse textResponse(unsigned status, std::string body) {
   HttpResponse response;
   response.result(status);
--- a/src/net/http.h
+++ b/src/net/http.h
@@ -8,6 +8,7 @@
 #include <memory>
 #include <nlohmann/json.hpp>
 
+#include "base/byte_budget.h"
 #include "base/error.h"
 #include "net/asio.h"
 
@@ -45,6 +46,7 @@
   std::size_t bodyLimit = 1 << 20;     // bytes
   std::size_t headerLimit = 16 << 10;  // bytes
   std::size_t connectionLimit = 4096;
+  std::size_t bodyBudget = 64 << 20;  // bytes, of all bodies that are read or being answered
   Duration readTimeout = std::chrono::seconds(10);  // for one request, and for writing its answer
   Duration idleTimeout = std::chrono::seconds(60);  // for the next request on a kept connection
 };
@@ -67,6 +69,7 @@
 
   asio::io_context& io_;
   HttpServerSettings settings_;
+  ByteBudget bodies_;
   HttpHandler handler_;
   Tcp::acceptor acceptor_;
   std::shared_ptr<std::atomic<std::size_t>> connections_;
@@ -77,6 +80,8 @@
 HttpResponse jsonResponse(unsigned status, const nlohmann::json& body);
 // A response of type text/plain.
 HttpResponse textResponse(unsigned status, std::string body);
+// The response that a connection ends with when its request can't be read.
+HttpResponse readErrorResponse(const ErrorCode& code);
 // The error's HTTP status, with its name and message as JSON.
 HttpResponse errorResponse(const Error& error);
 
--- a/src/relay/caller_connections.cpp
+++ b/src/relay/caller_connections.cpp
@@ -2,6 +2,7 @@
 #include <glog/logging.h>
 #include <sys/socket.h>
 
+#include "net/body_reader.h"
 #include "net/metrics.h"
 #include "net/spawn.h"
 #include "relay/relay.h"
@@ -19,6 +20,8 @@
 constexpr std::size_t kMaxPipelinedBytes = 64 << 10;
 constexpr std::size_t kMaxCallerConnections = 3000;
 constexpr std::size_t kMaxIdlePerServer = 32;
+// Of the memory, for the bodies of requests.
+constexpr std::size_t kBodyFraction = 3;
 constexpr Duration kDefaultIdleTimeout = 4s;  // if the server does not specify a time
 // Prompts at a server wait for each other's prefill, so even a few requests above the mean matter.
 constexpr double kSpreadRequests = 4, kSpreadFactor = 1.5;
@@ -42,7 +45,8 @@
       budgets_(settings_.retryShare, settings_.retryWindow),
       retrySlack_(settings_.retryWindow),
       pool_(io_, settings_.mechanisms.isEnabled(Mechanism::ConnectionReuse) ? kMaxIdlePerServer : 0,
-            kDefaultIdleTimeout) {}
+            kDefaultIdleTimeout),
+      bodies_(memoryLimitOf(settings_) / kBodyFraction) {}
 
 Relay::~Relay() {
   stop();
@@ -208,6 +212,7 @@
   };
   ErrorCode code;
   caller->isIdle = true;
+  caller->bodyShare = bodies_.open();
   if (caller->buffer.size() == 0) {
     const Instant idleSince = BootClock::now();
     do {  // a configuration that arrives meanwhile may extend the limit
@@ -232,7 +237,9 @@
       static const std::string kContinue = "HTTP/1.1 100 Continue\r\n\r\n";
       co_await asio::async_write(caller->socket, asio::buffer(kContinue), into(code));
     }
-    if (!code) co_await http::async_read(caller->socket, caller->buffer, parser, into(code));
+    if (!code)
+      co_await readBodyWithin(caller->socket, caller->buffer, parser, caller->bodyShare, &code,
+                              [&caller] { return !caller->timedOut; });
   }
   caller->deadline = Instant::max();
   if (!code) {
@@ -245,6 +252,14 @@
     error = {ErrorKind::RequestTimeout, "the request did not come whole in time"};
   if (code == http::error::header_limit) error = {ErrorKind::HeadersTooLarge, "the headers"};
   if (code == http::error::body_limit) error = {ErrorKind::BodyTooLarge, "the body"};
+  if (code == boost::system::errc::not_enough_memory) {
+    co_await sendResponse(caller,
+                          reject(ErrorKind::Rejected, "other bodies take the memory for bodies",
+                                 std::string(parser.get()[headerNames_.requestId])),
+                          false);
+    co_await drain(caller);
+    co_return false;
+  }
   const bool isClosed = code == asio::error::eof || code == asio::error::connection_reset ||
                         code == http::error::partial_message;
   if (!isClosed) {
--- a/src/relay/relay.h
+++ b/src/relay/relay.h
@@ -9,6 +9,7 @@
 #include <thread>
 
 #include "agent/view.h"
+#include "base/byte_budget.h"
 #include "base/counters.h"
 #include "base/decision_log.h"
 #include "dialect/dialect.h"
@@ -59,6 +60,8 @@
   Instant requestStartedAt{};        // when the first byte of the current request was read
   bool isDisconnectWatched = false;  // a wait for the caller's disconnect is pending
   bool staysOpen = true;             // stays open after the current response
+  // What the body of the current request takes of the relay's budget.
+  ByteBudget::Share bodyShare;
   // A whole request was read, and its response is not complete.
   bool isAwaitingResponse = false;
   // The caller closed or half-closed the connection while a response was pending.
@@ -225,6 +228,7 @@
   RetryBudgets budgets_;
   RetrySlack retrySlack_;
   ConnectionPool pool_;
+  ByteBudget bodies_;  // of callers' requests, from their first byte to the end of the response
   std::map<ServerName, std::size_t> serverRows_;  // index of each server in view_
   std::list<std::weak_ptr<Caller>> callerList_;
   // When each listed server last sent anything. Distinguishes a slow server, which still answers
--- a/src/settings/settings.cpp
+++ b/src/settings/settings.cpp
@@ -218,4 +218,12 @@
   return settings;
 }
 
+std::size_t memoryLimitOf(const Settings& settings) {
+  if (settings.memoryLimit > 0) return settings.memoryLimit;
+  const long pages = ::sysconf(_SC_PHYS_PAGES), pageSize = ::sysconf(_SC_PAGESIZE);
+  constexpr std::size_t kSmallMachine = 256 << 20;  // bytes; where the machine does not tell
+  if (pages <= 0 || pageSize <= 0) return kSmallMachine;
+  return static_cast<std::size_t>(pages) * static_cast<std::size_t>(pageSize) / 2;
+}
+
 }  // namespace quayrill
--- a/src/settings/settings.h
+++ b/src/settings/settings.h
@@ -64,9 +64,14 @@
   double retryShare = 0.2;
   std::chrono::milliseconds retryWindow{10000};
   std::size_t retryHeadroom = 0;
+  // Bytes that the process may use before its platform ends it; 0: half of the machine's memory.
+  std::size_t memoryLimit = 0;
   Mechanisms mechanisms;  // all enabled, except in measurements
 };
 
+// The bytes that the process may use.
+std::size_t memoryLimitOf(const Settings& settings);
+
 // What the command line says about settings.
 struct SettingsArguments {
   std::string settingsFile;                  // "": none
--- a/tests/relay_stage.h
+++ b/tests/relay_stage.h
@@ -46,9 +46,11 @@
   std::function<void()> onReadConfiguration = [] {};
 
   // `hasSnapshot` false: the relay has received nothing from its agent. `retryShare`: the share of
-  // requests that may be retried. The default allows the retries of every test.
+  // requests that may be retried. The default allows the retries of every test. `memoryLimit`: 0
+  // for that of the machine.
   explicit RelayStage(int count, std::chrono::milliseconds grace = 60s, bool hasSnapshot = true,
-                      double retryShare = 20, std::chrono::milliseconds stalenessLimit = 2s)
+                      double retryShare = 20, std::chrono::milliseconds stalenessLimit = 2s,
+                      std::size_t memoryLimit = 0)
       : grace(grace) {
     configuration.weights[ModelName{"m"}] = WeightsVersion{"1"};
     configuration.tenants[TenantName{"north"}] = {};
@@ -87,6 +89,7 @@
     settings.retryShare = retryShare;
     settings.shutdownGrace = grace;
     settings.stalenessLimit = stalenessLimit;
+    settings.memoryLimit = memoryLimit;
     Dialect dialect = nativeDialect();
     dialect.relayHeaderNames = relayTestNames();
     dialect.readConfiguration = [this](const std::string&) -> absl::StatusOr<Configuration> {
