Bound the wait for operators' calls at the end of a leave by the grace

By reading: after the data plane had left (at most 7.75 s of 8), open calls of operators were waited for half a second more, so the process could outlast its grace. It is now a tenth of a second.

--- a/src/daemon/daemon.cpp
+++ b/src/daemon/daemon.cpp
@@ -21,6 +21,8 @@
 namespace {
 // Before the end of the grace, for the process to exit.
 constexpr Duration kOperatorCallsMargin = 500ms;
+// For operator calls that are open when the data plane took up the whole grace.
+constexpr Duration kShortestOperatorWait = 100ms;
 
 // Shuts the proxy down gracefully. The platform must see that the proxy is not ready before
 // connections are refused, so requests are still accepted for a while; after that, open ones only
@@ -57,7 +59,7 @@
 void finishOperatorCalls(Agent& agent, const Settings& settings, Instant receivedAt) {
   agent.stopAccepting();
   const Instant until = std::max(receivedAt + settings.shutdownGrace - kOperatorCallsMargin,
-                                 BootClock::now() + kOperatorCallsMargin);
+                                 BootClock::now() + kShortestOperatorWait);
   while (agent.openOperatorCalls() > 0 && BootClock::now() < until)
     std::this_thread::sleep_for(20ms);
 }
