--- a/src/fleet/daemon_faults.cpp
+++ b/src/fleet/daemon_faults.cpp
@@ -13,6 +13,10 @@
 using namespace std::chrono_literals;
 
 namespace {
+// How long and how often a successor that starts gets SIGHUP.
+constexpr Duration kEarlySignals = 300ms, kEarlySignalInterval = 5ms;
+constexpr Duration kProcessPollInterval = 100ms;
+
 std::string ipOf(const Daemon& daemon) {
   return daemon.peer.value.substr(0, daemon.peer.value.rfind(':'));
 }
@@ -55,9 +59,7 @@
   recordDisruption(daemon.callers.value, begun);
 }
 
-awaitable<void> LocalDeployment::restart(Daemon& daemon) {
-  const Instant begun = BootClock::now();
-  signalDaemon(daemon, SIGTERM);
+awaitable<void> LocalDeployment::awaitShutdown(Daemon& daemon, Instant begun) {
   int status = -1;
   for (int i = 0; i < 2000 && status == -1; ++i) {
     status = waitDaemon(&daemon, 0);
@@ -67,10 +69,41 @@
   ledger_.withLock([&](Ledger& ledger) {
     ledger.plannedRestarts.push_back({daemon.callers.value, begun, BootClock::now()});
   });
+}
+
+awaitable<void> LocalDeployment::restart(Daemon& daemon) {
+  const Instant begun = BootClock::now();
+  signalDaemon(daemon, SIGTERM);
+  co_await awaitShutdown(daemon, begun);
   startDaemon(&daemon, settings_.plan);
   recordDisruption(daemon.callers.value, begun);
 }
 
+awaitable<void> LocalDeployment::restartOverlapping(Daemon& daemon) {
+  const Instant begun = BootClock::now();
+  Daemon predecessor = daemon;
+  signalDaemon(predecessor, SIGTERM);
+  startDaemon(&daemon, settings_.plan);
+  while (BootClock::now() < begun + kEarlySignals) {
+    if (handlesHangup(daemon)) signalDaemon(daemon, SIGHUP);
+    co_await pauseFor(kEarlySignalInterval);
+  }
+  co_await awaitShutdown(predecessor, begun);
+  recordDisruption(daemon.callers.value, begun);
+}
+
+awaitable<void> LocalDeployment::watchProcesses() {
+  for (;;) {
+    co_await pauseFor(kProcessPollInterval);
+    for (Daemon& daemon : daemons_) {
+      if (busyDaemons_.contains(daemon.name) || !hasEndedProcess(&daemon)) continue;
+      unexpectedEnds_.push_back(daemon.name + " ended by itself");
+      note(unexpectedEnds_.back());
+      startDaemon(&daemon, settings_.plan);
+    }
+  }
+}
+
 // Changes the settings file with SIGHUP, makes it invalid, and restores it without SIGHUP; waits
 // for the daemon to log each. Records no disruption, since a daemon must keep serving while
 // settings change.
@@ -108,6 +141,8 @@
     co_await kill(daemon, type == "wipe" ? 1s : 3s, type == "wipe");
   } else if (type == "restart") {
     co_await restart(daemon);
+  } else if (type == "overlap") {
+    co_await restartOverlapping(daemon);
   } else if (type == "hup") {
     co_await changeSettings(daemon);
   } else if (type == "freeze") {
--- a/src/fleet/daemons.cpp
+++ b/src/fleet/daemons.cpp
@@ -6,6 +6,7 @@
 
 #include <chrono>
 #include <csignal>
+#include <cstdlib>
 #include <filesystem>
 #include <fstream>
 #include <thread>
@@ -110,6 +111,26 @@
   }
 }
 
+bool handlesHangup(const Daemon& daemon) {
+  for (const pid_t pid : {daemon.pid, daemon.proxyPid}) {
+    if (pid <= 0) continue;
+    std::ifstream status("/proc/" + std::to_string(pid) + "/status");
+    std::string line;
+    while (std::getline(status, line) && !line.starts_with("SigBlk:")) {
+    }
+    const auto blocked = std::strtoull(line.c_str() + line.find_first_of("\t "), nullptr, 16);
+    if (!line.starts_with("SigBlk:") || (blocked >> (SIGHUP - 1) & 1) == 0) return false;
+  }
+  return true;
+}
+
+bool hasEndedProcess(Daemon* daemon) {
+  bool hasEnded = false;
+  for (pid_t* const pid : {&daemon->pid, &daemon->proxyPid})
+    hasEnded |= *pid > 0 && waitProcess(pid, 0) != -1;
+  return hasEnded;
+}
+
 int waitDaemon(Daemon* daemon, int milliseconds) {
   int failure = daemon->pid > 0 ? waitProcess(&daemon->pid, milliseconds) : 0;
   if (daemon->proxyPid > 0) {
--- a/src/fleet/daemons.h
+++ b/src/fleet/daemons.h
@@ -42,6 +42,11 @@
 bool startDaemon(Daemon* daemon, const FleetPlan& plan);
 // Sends a signal to all running processes of the daemon.
 void signalDaemon(const Daemon& daemon, int signal);
+// Whether all processes of the daemon that run handle SIGHUP. Before, while the dynamic linker
+// still loads the program, no program can keep it from ending the process.
+bool handlesHangup(const Daemon& daemon);
+// Whether a process of the daemon that was running has ended. Its `pid` is then 0.
+bool hasEndedProcess(Daemon* daemon);
 // Waits at most `milliseconds` for each process to exit. Returns the exit status, -1 if a process
 // is still running, or -2 if a signal ended it; of two processes, the proxy's status if it is not
 // 0.
--- a/src/fleet/local_deployment.cpp
+++ b/src/fleet/local_deployment.cpp
@@ -101,6 +101,7 @@
     ++openSteps_;
     asio::co_spawn(io_, perform(std::move(step)), asio::detached);
   }
+  asio::co_spawn(io_, watchProcesses(), asio::detached);
   if (settings_.keepsConnections) keepConnections();
   co_await loadGenerator_->sendTraffic(span, settings_.rateFactor);
   const Instant deadline = BootClock::now() + 60s;
--- a/src/fleet/local_deployment.h
+++ b/src/fleet/local_deployment.h
@@ -57,6 +57,8 @@
   Instant trafficEnd() const { return trafficEnd_; }
   // How many daemons did not exit with status 0 on SIGTERM.
   int shutdownErrors() const { return shutdownErrors_; }
+  // The daemons that ended without a step of the run.
+  const std::vector<std::string>& unexpectedEnds() const { return unexpectedEnds_; }
   // Expected log lines on changed settings files that a daemon did not write in time.
   const std::vector<std::string>& settingsErrors() const { return settingsErrors_; }
 
@@ -69,6 +71,12 @@
   awaitable<void> applyDaemonFault(std::string type, Daemon& daemon);
   awaitable<void> kill(Daemon& daemon, Duration backAfter, bool wipe);
   awaitable<void> restart(Daemon& daemon);
+  // Starts the daemon's successor while it still leaves, and sends SIGHUPs to the successor.
+  awaitable<void> restartOverlapping(Daemon& daemon);
+  // Waits until a daemon that got SIGTERM at `begun` has exited, and records that.
+  awaitable<void> awaitShutdown(Daemon& daemon, Instant begun);
+  // Records and starts again each daemon that ends without a step of the run.
+  awaitable<void> watchProcesses();
   awaitable<void> changeSettings(Daemon& daemon);
   // Waits for a text in the daemon's log; records an error if it does not appear in time.
   awaitable<void> awaitLog(const Daemon& daemon, std::string text);
@@ -115,6 +123,7 @@
   Instant trafficEnd_{};
   int shutdownErrors_ = 0;
   std::vector<std::string> settingsErrors_;
+  std::vector<std::string> unexpectedEnds_;
   std::size_t openSteps_ = 0;
   std::size_t races_ = 0;              // begun so far
   Instant majorityLostAt_{};           // when a majority of disks was emptied
--- a/src/fleet/quayrill_local.cpp
+++ b/src/fleet/quayrill_local.cpp
@@ -66,6 +66,7 @@
   }
   if (deployment.shutdownErrors() > 0)
     findings.push_back({"planned-restart", "a SIGTERM did not end well"});
+  for (const std::string& end : deployment.unexpectedEnds()) findings.push_back({"ends", end});
   for (const std::string& error : deployment.settingsErrors())
     findings.push_back({"settings", error});
   std::cout << std::fixed << std::setprecision(3);
--- a/src/fleet/random_steps.cpp
+++ b/src/fleet/random_steps.cpp
@@ -13,7 +13,7 @@
 bool isDrawnAtRandom(const std::string& type) {
   return type != "repeat-piece" && type != "vanish-server" && type != "leave-server" &&
          type != "withdraw" && type != "ways" && type != "flood" && type != "wipe-cores" &&
-         type != "refound" && type != "hup-edge";
+         type != "refound" && type != "hup-edge" && !type.starts_with("overlap-");
 }
 }  // namespace
 
@@ -82,6 +82,7 @@
 constexpr SoakSeries kSoakSeries[] = {
     {"restart-edge", StepTarget::Edge},   {"restart-edge", StepTarget::Edge},
     {"restart-core", StepTarget::Core},   {"hup-edge", StepTarget::Edge},
+    {"overlap-edge", StepTarget::Edge},   {"overlap-core", StepTarget::Core},
     {"kill-edge", StepTarget::Edge},      {"kill-core", StepTarget::Core},
     {"freeze-edge", StepTarget::Edge},    {"cut-edge", StepTarget::Edge},
     {"slow-core", StepTarget::Core},      {"stall-core", StepTarget::Core},
--- a/src/fleet/steps.h
+++ b/src/fleet/steps.h
@@ -15,6 +15,8 @@
   X("kill-edge", Edge, "edge number: kill -9, back after 3 s")                                     \
   X("restart-edge", Edge, "edge number: SIGTERM, restarted once it has exited")                    \
   X("restart-core", Core, "core number: SIGTERM, restarted once it has exited")                    \
+  X("overlap-edge", Edge, "edge number: SIGTERM, SIGHUPs, and its successor started at once")      \
+  X("overlap-core", Core, "core number: the same")                                                 \
   X("hup-edge", Edge, "edge number: settings file changed with and without SIGHUP, and invalid")   \
   X("freeze-core", Core, "core number: SIGSTOP for 6 s")                                           \
   X("freeze-edge", Edge, "edge number: SIGSTOP for 6 s")                                           \
