--- a/tests/document_limit_tests.cpp
+++ b/tests/document_limit_tests.cpp
@@ -254,6 +254,17 @@
   }
 }
 
+// Guards against: a configuration that is too large is judged whole, and its keys are digested, on
+// the control thread before its size is looked at.
+TEST_CASE("documents: a configuration over the limit is refused by its size, before its fields") {
+  const std::string start =
+      R"({"gen":7,"backends":[],"routes":0,"tenants":[{"name":"a","apiKeys":[)";
+  const std::string large = start + listOf(R"("0123456789")", 100000) + "]}]}";
+  CHECK(absl::IsResourceExhausted(platform::configReplacement(large, 0).status()));
+  const std::string small = start + listOf(R"("0123456789")", 10) + "]}]}";
+  CHECK(absl::IsInvalidArgument(platform::configReplacement(small, 0).status()));
+}
+
 TEST_CASE("documents: parsing keeps the order, and of equal names the last value") {
   const std::string text =
       R"({"b":[1,-2,2.5,"x",null,true,{"z":{},"a":[]}],"a":{"k":1},"b2":{"y":1,"x":2}})";
