--- a/tests/packages_test.sh
+++ b/tests/packages_test.sh
@@ -80,6 +80,7 @@
   local link
   link=$(tr -d '"' <"$scratch/target/CMakeFiles/quayrilld-platform.dir/link.txt")
   (cd "$build_dir" && ${link/-o quayrilld-platform/-o $scratch/quayrilld-platform} -Wl,--trace) | paths
+  "$scratch/quayrilld-platform" --version >/dev/null || fail "the deploy file's program does not start"
 }
 
 cmake_files() {
