Log and link: no shared library but the C library's while a process starts

Until the first code of our own blocks the signal, the dynamic linker works, and nothing of ours can.

Cause: what remained to load. glog brings gflags, libunwind and liblzma (shared on x86-64 since its static library is not whole there), LevelDB brings snappy, and each C++ library the C++ runtime: 10 to 13 libraries. Which of them can be static differs between kinds of machine.

Change, one decision for both kinds: glog goes. Its one use, a line on standard error that never waits, is LOG_LINE over spdlog, which Debian ships as headers and which is compiled into one source (src/net/log.cpp); the format of a line stays. The programs then load libc and libm. Not wholly static: the tests that preload a leaping clock need the dynamic linker, and OpenSSL and the C library open modules by it. A configuration that this build can't parse is logged once a version, no longer once in 1,000 looks.

--- a/cmake/static_libraries.cmake
+++ b/cmake/static_libraries.cmake
@@ -62,3 +62,32 @@
   message(STATUS "${name}: ${linkage}")
   set(${name}_LINKAGE ${linkage} PARENT_SCOPE)
 endfunction()
+
+# prefer_static_runtime(USERS GROUP... PROBE FILE)
+#   USERS  the groups of prefer_static_libraries that are written in C++: while one of them is shared,
+#          it brings the shared runtime along, and a program must not hold two
+#   PROBE  as above
+# Sets RUNTIME_LINKAGE in the caller's scope, and the link options of all targets that follow.
+function(prefer_static_runtime)
+  cmake_parse_arguments(PARSE_ARGV 0 runtime "" "PROBE" "USERS")
+  set(RUNTIME_LINKAGE shared PARENT_SCOPE)
+  foreach(group IN LISTS runtime_USERS)
+    if(NOT ${group}_LINKAGE STREQUAL "static")
+      message(STATUS "RUNTIME: shared, as ${group} is")
+      return()
+    endif()
+  endforeach()
+  set(options -static-libstdc++ -static-libgcc)
+  try_run(RUNTIME_STATIC_EXIT RUNTIME_STATIC_BUILDS
+          SOURCES "${runtime_PROBE}"
+          LINK_OPTIONS ${options}
+          LINK_LIBRARIES Threads::Threads
+          CXX_STANDARD 20 CXX_STANDARD_REQUIRED ON)
+  if(NOT RUNTIME_STATIC_BUILDS OR NOT RUNTIME_STATIC_EXIT STREQUAL "0")
+    message(STATUS "RUNTIME: shared")
+    return()
+  endif()
+  add_link_options(${options})
+  message(STATUS "RUNTIME: static")
+  set(RUNTIME_LINKAGE static PARENT_SCOPE)
+endfunction()
--- a/src/agent/agent.cpp
+++ b/src/agent/agent.cpp
@@ -1,11 +1,10 @@
 #include "agent/agent.h"
 
-#include <glog/logging.h>
-
 #include <filesystem>
 #include <random>
 
 #include "base/build_identity.h"
+#include "net/log.h"
 #include "net/spawn.h"
 
 namespace quayrill {
@@ -62,8 +61,8 @@
 absl::StatusOr<std::optional<Disk::Rows>> Agent::openDataFolder() {
   auto opened = openDisk();
   if (absl::IsDataLoss(opened.status())) {
-    LOG(ERROR) << "data folder is damaged: " << opened.status().message() << ": it is kept as '"
-               << damagedReplicaOf(settings_.dataFolder) << "'";
+    LOG_LINE(kError) << "data folder is damaged: " << opened.status().message()
+                     << ": it is kept as '" << damagedReplicaOf(settings_.dataFolder) << "'";
     disk_.reset();
     if (auto status = setDamagedReplicaAside(settings_.dataFolder); !status.ok()) return status;
     ++counters_.dataFoldersSetAside;
@@ -71,8 +70,9 @@
   }
   // The fleet that the damaged replica belonged to may hold acknowledged changes.
   if (settings_.mayFound && std::filesystem::exists(damagedReplicaOf(settings_.dataFolder))) {
-    LOG(WARNING) << "this machine founds no fleet while '" << damagedReplicaOf(settings_.dataFolder)
-                 << "' exists: remove it to allow that";
+    LOG_LINE(kWarning) << "this machine founds no fleet while '"
+                       << damagedReplicaOf(settings_.dataFolder)
+                       << "' exists: remove it to allow that";
     settings_.mayFound = false;
   }
   return opened;
@@ -84,7 +84,7 @@
     auto opened = openDataFolder();
     if (!opened.ok()) return opened.status();
     diskRows = std::move(*opened);
-    if (!diskRows) LOG(ERROR) << kDataFolderNotWritable;
+    if (!diskRows) LOG_LINE(kError) << kDataFolderNotWritable;
   }
   core_.emplace(coreSettings(settings_), diskRows);
   link_ = std::make_unique<PeerLink>(io_, settings_.peerAddress, settings_.peerRelay,
@@ -130,11 +130,12 @@
   asio::post(io_, [this, rows = std::move(rows)] {
     AgentEffects effects;
     if (!core_->onDiskReloaded(rows, &effects)) {
-      LOG(ERROR) << "data folder contents are not readable by this build: restart with an empty "
-                    "data folder";
+      LOG_LINE(kError)
+          << "data folder contents are not readable by this build: restart with an empty "
+             "data folder";
       return;
     }
-    LOG(INFO) << "data folder reopened: the register replica may vote again";
+    LOG_LINE(kInfo) << "data folder reopened: the register replica may vote again";
     disk_->resume();
     apply(std::move(effects));
   });
@@ -150,8 +151,8 @@
         if (!status.ok()) {
           ++counters_.diskErrors;
           if (core_->isWritable())
-            LOG(ERROR) << "register replica stopped voting: "
-                       << errorMessage({ErrorKind::DiskError, status.ToString()});
+            LOG_LINE(kError) << "register replica stopped voting: "
+                             << errorMessage({ErrorKind::DiskError, status.ToString()});
           core_->onDiskError();
         } else if (*answer) {
           link_->send(**answer);
@@ -179,9 +180,11 @@
   if (!parsed.ok()) {
     // Configurations are validated before they are proposed, so this one was written by a newer
     // build.
-    LOG_EVERY_N(ERROR, 1000) << "configuration " << value.version
-                             << " can't be parsed: " << parsed.status().message()
-                             << ": upgrade this daemon";
+    if (value.version != unreadableVersion_)
+      LOG_LINE(kError) << "configuration " << value.version
+                       << " can't be parsed: " << parsed.status().message()
+                       << ": upgrade this daemon";
+    unreadableVersion_ = value.version;
     return;
   }
   core_->onWeightsConfigured(parsed->weights,
@@ -189,7 +192,7 @@
   configuration_ = std::make_shared<const Configuration>(std::move(*parsed));
   configurationVersion_ = value.version;
   ++counters_.configurationChanges;
-  LOG(INFO) << "configuration " << configurationVersion_ << " is in force";
+  LOG_LINE(kInfo) << "configuration " << configurationVersion_ << " is in force";
 }
 
 void Agent::publishSnapshot(Instant now) {
@@ -234,7 +237,7 @@
 void Agent::noteLateness(Duration lateness) {
   if (lateness < kLateTurn) return;
   ++counters_.lateControlTurns;
-  LOG(WARNING) << "the control thread was held up for " << lateness / 1ms << " ms";
+  LOG_LINE(kWarning) << "the control thread was held up for " << lateness / 1ms << " ms";
 }
 
 awaitable<void> Agent::tickLoop() {
@@ -285,12 +288,12 @@
     names.insert(server.name);
     const auto [row, isNew] = servers_.try_emplace(server.name);
     if (!isNew && !row->second.listed.leaving && server.leaving)
-      LOG(INFO) << "server " << server.name.value << " is leaving";
+      LOG_LINE(kInfo) << "server " << server.name.value << " is leaving";
     row->second.listed = server;
     if (server.hasState) applyListedState(row->second, *appliedListReadAt_);
     if (!isNew) continue;
     row->second.generation = ++lastPollGeneration_;
-    LOG(INFO) << "server " << server.name.value << " listed";
+    LOG_LINE(kInfo) << "server " << server.name.value << " listed";
     if (!dialect_.readServer) continue;
     spawnTask(io_, "polling a server", pollLoop(server.name, lastPollGeneration_));
   }
--- a/src/agent/agent.h
+++ b/src/agent/agent.h
@@ -153,6 +153,7 @@
   Instant nextSnapshotAt_{};
   std::shared_ptr<const Configuration> configuration_;  // the one in force, parsed; null: none
   std::uint64_t configurationVersion_ = 0;
+  std::uint64_t unreadableVersion_ = 0;  // of the register's value that this build can't parse
   // When configuration_ was last known to be the newest one.
   std::optional<Instant> configurationConfirmedAt_;
   std::map<ModelName, Rollout> rollouts_;  // one per model whose weights the configuration names
--- a/src/agent/configuration_update.cpp
+++ b/src/agent/configuration_update.cpp
@@ -1,7 +1,7 @@
 // Changes to the configuration that are based on its current value (read, modify, propose).
-#include <glog/logging.h>
 
 #include "agent/agent.h"
+#include "net/log.h"
 #include "register/update_operation.h"
 
 namespace quayrill {
@@ -39,7 +39,7 @@
     updateOperation.onAnswer(answer);
   }
   if (updateOperation.done()->result == UpdateResult::Applied)
-    LOG(INFO) << "configuration change acknowledged";
+    LOG_LINE(kInfo) << "configuration change acknowledged";
   co_return *updateOperation.done();
 }
 
--- a/src/agent/operator_api.cpp
+++ b/src/agent/operator_api.cpp
@@ -1,9 +1,9 @@
 // The agent's operator API over HTTP.
-#include <glog/logging.h>
 
 #include "agent/agent.h"
 #include "base/json_text.h"
 #include "base/scope_exit.h"
+#include "net/log.h"
 #include "net/metrics.h"
 
 namespace quayrill {
@@ -84,7 +84,7 @@
   const ChangeOutcome done = co_await submitChange(change);
   switch (done.result) {
     case ChangeResult::Chosen: {
-      LOG(INFO) << "configuration " << done.value.version << " acknowledged";
+      LOG_LINE(kInfo) << "configuration " << done.value.version << " acknowledged";
       HttpResponse response = jsonResponse(200, {{"version", done.value.version}});
       response.set("Quayrill-Spec-Version", std::to_string(done.value.version));
       co_return response;
@@ -137,7 +137,7 @@
   if (done.result != ChangeResult::Chosen)
     co_return errorResponse(
         {ErrorKind::ChangeOutcomeUnknown, "the new register did not answer yet"});
-  LOG(INFO) << "new register founded as fleet " << recovered.replicas.fleet;
+  LOG_LINE(kInfo) << "new register founded as fleet " << recovered.replicas.fleet;
   co_return jsonResponse(200, {{"fleet", recovered.replicas.fleet},
                                {"epoch", recovered.replicas.epoch.value},
                                {"version", recovered.configurationVersion}});
--- a/src/daemon/daemon.cpp
+++ b/src/daemon/daemon.cpp
@@ -1,7 +1,5 @@
 #include "daemon/daemon.h"
 
-#include <glog/logging.h>
-
 #include <iostream>
 #include <memory>
 #include <thread>
@@ -10,7 +8,7 @@
 #include "base/build_identity.h"
 #include "daemon/process_setup.h"
 #include "daemon/startup.h"
-#include "net/log_sink.h"
+#include "net/log.h"
 #include "proxy/proxy.h"
 #include "relay/relay.h"
 
@@ -74,7 +72,6 @@
 
 int runDaemon(Settings settings, const Dialect& dialect, const char* program,
               SettingsSource source) {
-  startLogging(program);
   waitForPredecessor(settings);
   if (isLeaveRequested()) return 0;
 
@@ -113,9 +110,9 @@
       std::_Exit(1);
     }
   }
-  LOG(INFO) << program << " " << buildIdentity() << " started with role " << settings.role;
+  LOG_LINE(kInfo) << program << " " << buildIdentity() << " started with role " << settings.role;
   if (const std::string off = settings.mechanisms.disabledNames(); !off.empty())
-    LOG(WARNING) << "mechanisms switched off: " << off;
+    LOG_LINE(kWarning) << "mechanisms switched off: " << off;
   SettingsWatch watch(std::move(source), settings, [&agent](const Settings& changed) {
     if (agent) agent->applySettings(changed);
   });
@@ -124,7 +121,7 @@
   while (sigwait(&signals, &signal) == 0 && signal == SIGHUP) watch.requestReload();
   const Instant receivedAt = BootClock::now();
   settings = watch.stop();
-  LOG(INFO) << "shutting down: no longer ready, finishing accepted requests";
+  LOG_LINE(kInfo) << "shutting down: no longer ready, finishing accepted requests";
   if (agent) agent->beginLeaving();
   if (proxy) leave(*proxy, settings);
   if (relay) leave(*relay, settings);
@@ -135,8 +132,7 @@
     agent->stop();
     controlThread.join();
   }
-  LOG(INFO) << "ended";
-  google::FlushLogFiles(google::INFO);
+  LOG_LINE(kInfo) << "ended";
   std::_Exit(0);  // threads that still run have nothing to write
 }
 
--- a/src/daemon/settings_watch.cpp
+++ b/src/daemon/settings_watch.cpp
@@ -1,11 +1,11 @@
 #include "daemon/settings_watch.h"
 
-#include <glog/logging.h>
-
 #include <array>
 #include <fstream>
 #include <iterator>
 
+#include "net/log.h"
+
 namespace quayrill {
 
 namespace {
@@ -207,12 +207,12 @@
   std::chrono::milliseconds interval = kPollInterval;
   for (bool reloadRequested = false; waitForPoll(interval, &reloadRequested);) {
     if (file_.empty()) {
-      if (reloadRequested) LOG(INFO) << "SIGHUP ignored: started without a settings file";
+      if (reloadRequested) LOG_LINE(kInfo) << "SIGHUP ignored: started without a settings file";
       continue;
     }
     const SettingsPollResult result = reloader_.onPoll(readSettingsFile(file_), reloadRequested);
-    if (!result.error.empty()) LOG(ERROR) << result.error;
-    if (!result.notice.empty()) LOG(INFO) << result.notice;
+    if (!result.error.empty()) LOG_LINE(kError) << result.error;
+    if (!result.notice.empty()) LOG_LINE(kInfo) << result.notice;
     if (result.changed) applyCallback_(*result.changed);
     interval = result.pollSoon ? kSettleInterval : kPollInterval;
   }
--- a/src/daemon/startup.cpp
+++ b/src/daemon/startup.cpp
@@ -1,7 +1,6 @@
 #include "daemon/startup.h"
 
 #include <fcntl.h>
-#include <glog/logging.h>
 #include <unistd.h>
 
 #include <thread>
@@ -10,6 +9,7 @@
 #include "daemon/process_setup.h"
 #include "net/disk.h"
 #include "net/http.h"
+#include "net/log.h"
 
 namespace quayrill {
 
@@ -79,7 +79,8 @@
   while (BootClock::now() < deadline && !isLeaveRequested()) {
     const std::optional<std::string> held = heldResource(settings);
     if (!held) return;
-    if (*held != reported) LOG(WARNING) << "waiting for " << *held << ": another process holds it";
+    if (*held != reported)
+      LOG_LINE(kWarning) << "waiting for " << *held << ": another process holds it";
     reported = *held;
     std::this_thread::sleep_for(kPollInterval);
   }
--- a/src/net/metrics.cpp
+++ b/src/net/metrics.cpp
@@ -1,6 +1,6 @@
 #include "net/metrics.h"
 
-#include "net/log_sink.h"
+#include "net/log.h"
 
 namespace quayrill {
 
--- a/src/net/spawn.cpp
+++ b/src/net/spawn.cpp
@@ -1,9 +1,9 @@
 #include "net/spawn.h"
 
-#include <glog/logging.h>
-
 #include <cstdlib>
 
+#include "net/log.h"
+
 namespace quayrill {
 
 namespace {
@@ -19,13 +19,13 @@
 }  // namespace
 
 void endAfterException(const char* name, const std::exception_ptr& error) {
-  LOG(ERROR) << name << " was ended by an exception (" << describe(error)
-             << "): this process ends, start it again";
+  LOG_LINE(kError) << name << " was ended by an exception (" << describe(error)
+                   << "): this process ends, start it again";
   std::_Exit(1);
 }
 
 void logException(const char* name, const std::exception_ptr& error) {
-  LOG(ERROR) << name << " was ended by an exception (" << describe(error) << ")";
+  LOG_LINE(kError) << name << " was ended by an exception (" << describe(error) << ")";
 }
 
 }  // namespace quayrill
--- a/src/proxy/proxy.cpp
+++ b/src/proxy/proxy.cpp
@@ -1,9 +1,8 @@
 #include "proxy/proxy.h"
 
-#include <glog/logging.h>
-
 #include <random>
 
+#include "net/log.h"
 #include "net/metrics.h"
 #include "net/spawn.h"
 
--- a/src/proxy/run.cpp
+++ b/src/proxy/run.cpp
@@ -1,8 +1,8 @@
 // Handles a request from admission to the last piece of its answer: attempts, fetches and outcome.
-#include <glog/logging.h>
 
 #include "base/json_text.h"
 #include "base/scope_exit.h"
+#include "net/log.h"
 #include "proxy/proxy.h"
 
 namespace quayrill {
--- a/src/relay/caller_connections.cpp
+++ b/src/relay/caller_connections.cpp
@@ -1,8 +1,8 @@
 // Connections from callers: what they may send, and how long that may take.
-#include <glog/logging.h>
 #include <sys/socket.h>
 
 #include "net/body_reader.h"
+#include "net/log.h"
 #include "net/metrics.h"
 #include "net/spawn.h"
 #include "relay/relay.h"
--- a/src/relay/relay.cpp
+++ b/src/relay/relay.cpp
@@ -1,12 +1,11 @@
 // Runs one request over its attempts: places it, evaluates each attempt, and decides on retries.
 #include "relay/relay.h"
 
-#include <glog/logging.h>
-
 #include <cmath>
 #include <nlohmann/json.hpp>
 
 #include "base/scope_exit.h"
+#include "net/log.h"
 
 namespace quayrill {
 
