--- a/src/peers/messages.h
+++ b/src/peers/messages.h
@@ -18,11 +18,13 @@
 // Incremented when an older build could misread a frame of this one.
 inline constexpr std::uint32_t kWireVersion = 4;
 
-// Declares the fields that a message struct serializes.
-#define QUAYRILL_FIELDS(...)                   \
-  template <class Archive>                     \
-  void serialize(Archive& archive, unsigned) { \
-    serializeAll(archive, __VA_ARGS__);        \
+// Declares the fields that a message struct serializes. Their names, in that order, are text for
+// the tests of the layout.
+#define QUAYRILL_FIELDS(...)                               \
+  static constexpr const char* kFieldNames = #__VA_ARGS__; \
+  template <class Archive>                                 \
+  void serialize(Archive& archive, unsigned) {             \
+    serializeAll(archive, __VA_ARGS__);                    \
   }
 template <class Archive, class... Fields>
 void serializeAll(Archive& archive, Fields&... fields) {
