--- a/src/daemon/process_setup.cpp
+++ b/src/daemon/process_setup.cpp
@@ -3,6 +3,8 @@
 #include <fcntl.h>
 #include <unistd.h>
 
+#include <initializer_list>
+
 namespace quayrill {
 
 namespace {
