--- a/src/agent/core/founding.cpp
+++ b/src/agent/core/founding.cpp
@@ -1,5 +1,6 @@
 // Founds the register of a new fleet, and founds it again after the loss of its majority.
 #include <algorithm>
+#include <string_view>
 
 #include "agent/core/agent_core.h"
 
@@ -26,6 +27,8 @@
   std::uint64_t fleet = 0;
   QUAYRILL_FIELDS(to, fleet)
 };
+// The row is on disk: with other fields, or in another order, a grant of an older build is misread.
+static_assert(std::string_view(GrantRow::kFieldNames) == "to, fleet");
 }  // namespace
 
 void AgentCore::restoreGrant(const std::map<std::string, std::string>& disk) {
