--- a/src/agent/agent.cpp
+++ b/src/agent/agent.cpp
@@ -111,7 +111,14 @@
   return absl::OkStatus();
 }
 
-void Agent::run() { io_.run(); }
+void Agent::run() {
+  try {
+    io_.run();
+  } catch (...) {
+    // What the control logic holds may be half changed: the disk has the last whole state.
+    endAfterException("the control thread", std::current_exception());
+  }
+}
 void Agent::stop() { io_.stop(); }
 void Agent::beginLeaving() {
   asio::post(io_, [this] { core_->setLeaving(true); });
--- a/src/base/counters.h
+++ b/src/base/counters.h
@@ -35,6 +35,7 @@
   X(diskErrors, "diskErrors", "write errors of the data folder")                                  \
   X(dataFoldersSetAside, "dataFoldersSetAside", "damaged replicas set aside at a start")          \
   X(logLinesDropped, "logLinesDropped", "log lines dropped because nobody read them")             \
+  X(exceptions, "exceptions", "exceptions that ended a coroutine or a handler")                   \
   X(lateControlTurns, "lateControlTurns",                                                         \
     "turns of the control thread that came over half a second late")
 
