Outgoing connections leave their ports to listeners

What callers saw: a daemon that does not start, exit 1 and 'address already in use', though no other daemon is there. Cause: calls and connections to peers were bound to the own address and port 0 before connect, so the kernel took a port for that address alone, from the half that bind() also gives to listeners; without SO_REUSEADDR no listener can have it until the connection and its minute of TIME_WAIT are over. Connections to servers, which aren't bound, held their ports as well. Change: openOutgoing() is the one place that opens such sockets: the port is chosen at connect (IP_BIND_ADDRESS_NO_PORT), so that it is shared by destination, and the socket has SO_REUSEADDR, so that a listener which has it too may have the port. listenAt() tells an address that is held and a shortage of the machine from other errors, and no longer hides the first error behind the next.

--- a/src/net/asio.h
+++ b/src/net/asio.h
@@ -33,7 +33,11 @@
 // Parses "ip:port"; returns a default endpoint if the IP address is invalid.
 Tcp::endpoint endpointOf(const Address& address);
 
-// Opens, binds and listens. An error names the address and the remedy.
+// Whether an error says that the whole machine is short of something, which passes.
+bool isMachineShortage(const ErrorCode& code);
+
+// Opens, binds and listens. An error names the address and the remedy. It is kAlreadyExists where
+// another socket has the address, and kResourceExhausted where isMachineShortage().
 absl::Status listenAt(Tcp::acceptor& acceptor, const Address& address, int backlog);
 
 // Suspends the calling coroutine for `span`, using a timer on its executor.
--- a/src/net/http.cpp
+++ b/src/net/http.cpp
@@ -6,6 +6,7 @@
 
 #include "base/json_text.h"
 #include "net/body_reader.h"
+#include "net/outgoing.h"
 #include "net/read_buffer.h"
 #include "net/spawn.h"
 
@@ -26,16 +27,30 @@
   return {ip, static_cast<unsigned short>(std::atoi(address.value.c_str() + colon + 1))};
 }
 
+bool isMachineShortage(const ErrorCode& code) {
+  namespace errc = boost::system::errc;
+  return code == errc::too_many_files_open_in_system || code == errc::no_buffer_space ||
+         code == errc::not_enough_memory;
+}
+
 absl::Status listenAt(Tcp::acceptor& acceptor, const Address& address, int backlog) {
   const Tcp::endpoint endpoint = endpointOf(address);
   ErrorCode code;
   acceptor.open(endpoint.protocol(), code);
-  acceptor.set_option(Tcp::acceptor::reuse_address(true), code);
-  acceptor.bind(endpoint, code);
+  if (!code) acceptor.set_option(Tcp::acceptor::reuse_address(true), code);
+  if (!code) acceptor.bind(endpoint, code);
   if (!code) acceptor.listen(backlog, code);
   if (!code) return absl::OkStatus();
-  return absl::UnavailableError("can't listen on " + address.value + " (" + code.message() +
-                                "): free the port or name another");
+  const std::string what = "can't listen on " + address.value + " (" + code.message() + "): ";
+  ErrorCode ignored;
+  acceptor.close(ignored);
+  if (code == asio::error::address_in_use)
+    return absl::AlreadyExistsError(what + "free the port or name another");
+  if (isMachineShortage(code))
+    return absl::ResourceExhaustedError(what + "end other processes of this machine");
+  if (code == asio::error::no_descriptors)
+    return absl::UnavailableError(what + "raise the limit on open files");
+  return absl::UnavailableError(what + "name an address of this machine that this user may use");
 }
 
 awaitable<void> pauseFor(Duration span) {
@@ -51,12 +66,9 @@
   // prolong the call.
   connection.expires_after(call.timeout);
   ErrorCode code;
-  if (!call.from.value.empty()) {
-    connection.socket().open(Tcp::v4(), code);
-    const Tcp::endpoint from(endpointOf(call.from).address(), 0);
-    connection.socket().bind(from, code);
-  }
   const Tcp::endpoint endpoint = endpointOf(call.to);
+  openOutgoing(connection.socket(), endpoint, call.from, &code);
+  if (code) co_return absl::UnavailableError("connect: " + code.message());
   co_await connection.async_connect(endpoint, into(code));
   if (code) co_return absl::UnavailableError("connect: " + code.message());
   if (call.sendDeadline && BootClock::now() > *call.sendDeadline)
@@ -87,7 +99,7 @@
 
 absl::Status HttpServer::start() {
   if (auto status = listenAt(acceptor_, settings_.listen, 512); !status.ok()) return status;
-  spawnEssential(acceptor_.get_executor(), "an HTTP listener", accept());
+  spawnLoop(acceptor_.get_executor(), "an HTTP listener", [this] { return accept(); });
   return absl::OkStatus();
 }
 
--- a/src/net/peer_link.cpp
+++ b/src/net/peer_link.cpp
@@ -5,6 +5,7 @@
 
 #include "base/scope_exit.h"
 #include "net/body_reader.h"
+#include "net/outgoing.h"
 #include "net/spawn.h"
 
 namespace quayrill {
@@ -41,7 +42,7 @@
 
 absl::Status PeerLink::start() {
   if (auto status = listenAt(acceptor_, self_, 256); !status.ok()) return status;
-  spawnEssential(io_, "the peers' listener", accept());
+  spawnLoop(io_, "the peers' listener", [this] { return accept(); });
   return absl::OkStatus();
 }
 
@@ -124,10 +125,14 @@
   queue->wake.cancel();
   if (!queue->isDraining) {
     queue->isDraining = true;
-    spawnEssential(io_, "writing to a peer", drain(envelope.to, queue));
+    startDraining(envelope.to, queue);
   }
 }
 
+void PeerLink::startDraining(const Address& to, const std::shared_ptr<SendQueue>& queue) {
+  spawnLoop(io_, "writing to a peer", [this, to, queue] { return drain(to, queue); });
+}
+
 std::string PeerLink::takeOldest(SendQueue& queue) {
   std::string frame = std::move(queue.frames.front());
   queue.frames.pop_front();
@@ -145,13 +150,11 @@
   Connection connection(io_);
   ErrorCode code;
   connection.expires_after(kConnectTimeout);
-  connection.socket().open(Tcp::v4(), code);
+  const Tcp::endpoint endpoint = endpointOf(forwarder_.value.empty() ? to : forwarder_);
+  openOutgoing(connection.socket(), endpoint, self_, &code);
   // A machine that lost power never answers; frames for it must not wait for hours.
   using UserTimeout = asio::detail::socket_option::integer<IPPROTO_TCP, TCP_USER_TIMEOUT>;
   connection.socket().set_option(UserTimeout(kUserTimeoutMs), code);
-  const Tcp::endpoint from(endpointOf(self_).address(), 0);
-  connection.socket().bind(from, code);
-  const Tcp::endpoint endpoint = endpointOf(forwarder_.value.empty() ? to : forwarder_);
   co_await connection.async_connect(endpoint, into(code));
   if (!code && !forwarder_.value.empty()) {
     // Tells the forwarder the connection's source and destination.
@@ -177,7 +180,7 @@
   queue->isDraining = false;
   if (!queue->frames.empty()) {
     queue->isDraining = true;
-    spawnEssential(io_, "writing to a peer", drain(to, queue));
+    startDraining(to, queue);
   }
 }
 
--- a/src/net/peer_link.h
+++ b/src/net/peer_link.h
@@ -49,6 +49,7 @@
   void clear(SendQueue& queue);
   // Connects to a peer and sends its queue until it stays empty or the connection fails.
   awaitable<void> drain(Address to, std::shared_ptr<SendQueue> queue);
+  void startDraining(const Address& to, const std::shared_ptr<SendQueue>& queue);
 
   asio::io_context& io_;
   Address self_, forwarder_;
--- a/src/relay/connection_pool.cpp
+++ b/src/relay/connection_pool.cpp
@@ -3,6 +3,8 @@
 #include <netinet/tcp.h>
 #include <sys/socket.h>
 
+#include "net/outgoing.h"
+
 namespace quayrill {
 
 using namespace std::chrono_literals;
@@ -50,7 +52,7 @@
   });
   ErrorCode code;
   const Tcp::endpoint endpoint = endpointOf(Address{server.value});
-  socket.open(endpoint.protocol(), code);
+  openOutgoing(socket, endpoint, Address{}, &code);
   socket.set_option(asio::socket_base::receive_buffer_size(kReceiveBufferBytes), code);
   co_await socket.async_connect(endpoint, into(code));
   *ended = true;
