A start waits for what it lacks, and a leave for nothing that hangs

What callers saw: a daemon that ends with 1 some 16 s after its start, or by itself beside another start; signal 6 at a start; SIGTERM that is not followed until the platform ends the process. Cause: a start gave up. After twice the grace, or once another start was quicker between the look and listen(), the failed listen ended the process; std::thread threw where the machine had no room for a thread; reading the settings was waited for without limit by start and leave. Threads are started by startThread(), which waits; a shortage of the machine (descriptors, memory for sockets) is waited for likewise. An ExitGuard ends a start 1 s after SIGTERM and a leave a tenth before its grace is over, whatever holds them up; the settings watch is given 0.2 s. Listeners and loops begin anew after an exception, and the data plane's threads go on behind a handler that throws.

--- a/src/daemon/process_setup.cpp
+++ b/src/daemon/process_setup.cpp
@@ -39,11 +39,4 @@
   return signals;
 }
 
-bool isLeaveRequested() {
-  sigset_t pending;
-  sigemptyset(&pending);
-  ::sigpending(&pending);
-  return sigismember(&pending, SIGTERM) == 1 || sigismember(&pending, SIGINT) == 1;
-}
-
 }  // namespace quayrill
--- a/src/daemon/process_setup.h
+++ b/src/daemon/process_setup.h
@@ -9,7 +9,4 @@
 // one that comes early is handled once the daemon waits for it.
 sigset_t handledSignals();
 
-// Whether a signal that asks the daemon to leave has come and was not taken yet.
-bool isLeaveRequested();
-
 }  // namespace quayrill
--- a/src/daemon/settings_watch.cpp
+++ b/src/daemon/settings_watch.cpp
@@ -5,6 +5,7 @@
 #include <iterator>
 
 #include "net/log.h"
+#include "net/start_thread.h"
 
 namespace quayrill {
 
@@ -13,6 +14,8 @@
 constexpr std::chrono::milliseconds kPollInterval{1000};
 // Time between the two reads that must agree, so that a writer can finish the file.
 constexpr std::chrono::milliseconds kSettleInterval{200};
+// How long the end of a poll is waited for when the watch ends.
+constexpr std::chrono::milliseconds kStopWait{200};
 constexpr std::size_t kFileLimit = 1 << 20;  // bytes; settings files have a few thousand
 
 // A setting that only a restart can change. The name is the one in quayrill's settings file, if the
@@ -172,11 +175,15 @@
 
 SettingsWatch::SettingsWatch(SettingsSource source, Settings inForce, ApplyCallback applyCallback)
     : file_(source.file),
-      reloader_(std::move(source), std::move(inForce)),
+      reloader_(std::move(source), inForce),
       applyCallback_(std::move(applyCallback)),
-      thread_([this] { run(); }) {}
+      inForce_(std::move(inForce)),
+      thread_(startThread("the settings file", [this] { run(); })) {}
 
-SettingsWatch::~SettingsWatch() { stop(); }
+SettingsWatch::~SettingsWatch() {
+  stop();
+  thread_.join();
+}
 
 void SettingsWatch::requestReload() {
   const std::lock_guard lock(mutex_);
@@ -185,13 +192,12 @@
 }
 
 Settings SettingsWatch::stop() {
-  {
-    const std::lock_guard lock(mutex_);
-    stopping_ = true;
-    wake_.notify_all();
-  }
-  if (thread_.joinable()) thread_.join();
-  return reloader_.inForce();
+  std::unique_lock lock(mutex_);
+  stopping_ = true;
+  wake_.notify_all();
+  if (!wake_.wait_for(lock, kStopWait, [this] { return hasEnded_; }))
+    LOG_LINE(kWarning) << "settings file '" << file_ << "' is still being read: left as it is";
+  return inForce_;
 }
 
 // Returns false once the watch is stopped. Sets `*reloadRequested` if SIGHUP came since the last
@@ -210,12 +216,24 @@
       if (reloadRequested) LOG_LINE(kInfo) << "SIGHUP ignored: started without a settings file";
       continue;
     }
-    const SettingsPollResult result = reloader_.onPoll(readSettingsFile(file_), reloadRequested);
-    if (!result.error.empty()) LOG_LINE(kError) << result.error;
-    if (!result.notice.empty()) LOG_LINE(kInfo) << result.notice;
-    if (result.changed) applyCallback_(*result.changed);
-    interval = result.pollSoon ? kSettleInterval : kPollInterval;
+    interval = poll(reloadRequested);
+  }
+  const std::lock_guard lock(mutex_);
+  hasEnded_ = true;
+  wake_.notify_all();
+}
+
+std::chrono::milliseconds SettingsWatch::poll(bool reloadRequested) {
+  const SettingsPollResult result = reloader_.onPoll(readSettingsFile(file_), reloadRequested);
+  if (!result.error.empty()) LOG_LINE(kError) << result.error;
+  if (!result.notice.empty()) LOG_LINE(kInfo) << result.notice;
+  if (result.changed) {
+    const std::lock_guard lock(mutex_);
+    if (stopping_) return kPollInterval;
+    inForce_ = *result.changed;
   }
+  if (result.changed) applyCallback_(*result.changed);
+  return result.pollSoon ? kSettleInterval : kPollInterval;
 }
 
 }  // namespace quayrill
--- a/src/daemon/settings_watch.h
+++ b/src/daemon/settings_watch.h
@@ -87,20 +87,25 @@
 
   // Reads the file now instead of at the next poll.
   void requestReload();
-  // Ends the watch and returns the settings in force.
+  // Ends the watch and returns the settings in force. Doesn't wait for a file that is being read
+  // and doesn't come to its end.
   Settings stop();
 
  private:
   void run();
   bool waitForPoll(std::chrono::milliseconds interval, bool* reloadRequested);
+  // Reads and judges the file, and applies what has changed. Returns when to look next.
+  std::chrono::milliseconds poll(bool reloadRequested);
 
   const std::string file_;
-  SettingsReloader reloader_;  // used by thread_ only, until it has ended
+  SettingsReloader reloader_;  // used by thread_ only
   ApplyCallback applyCallback_;
   std::mutex mutex_;
   std::condition_variable wake_;
   bool reloadRequested_ = false;
   bool stopping_ = false;
+  bool hasEnded_ = false;  // the thread takes no more settings into force
+  Settings inForce_;
   std::thread thread_;
 };
 
--- a/src/daemon/startup.cpp
+++ b/src/daemon/startup.cpp
@@ -5,10 +5,11 @@
 
 #include <thread>
 
+#include "base/leave_request.h"
 #include "base/scope_exit.h"
-#include "daemon/process_setup.h"
+#include "daemon/address_holder.h"
+#include "daemon/exit_guard.h"
 #include "net/disk.h"
-#include "net/http.h"
 #include "net/log.h"
 
 namespace quayrill {
@@ -17,22 +18,11 @@
 
 namespace {
 constexpr std::chrono::milliseconds kPollInterval{50};
+// How often the log says what is still waited for.
+constexpr Duration kReportInterval = 10s;
 // Settings that can't be read or are invalid are read again for this long, at this interval.
 constexpr std::chrono::milliseconds kSettingsRetryPeriod{3000}, kSettingsInterval{100};
 
-// Whether another process listens on the address. Other reasons why an address can't be used are
-// left to the component that listens on it.
-bool isListenedOn(const Address& address) {
-  asio::io_context io;
-  Tcp::acceptor probe(io);
-  const Tcp::endpoint endpoint = endpointOf(address);
-  ErrorCode code;
-  probe.open(endpoint.protocol(), code);
-  probe.set_option(Tcp::acceptor::reuse_address(true), code);
-  probe.bind(endpoint, code);
-  return code == asio::error::address_in_use;
-}
-
 // The process that holds the lock of the data folder; nullopt if none does.
 std::optional<pid_t> lockHolder(const std::string& dataFolder) {
   const std::string path = lockFileOf(dataFolder);
@@ -48,6 +38,7 @@
 }  // namespace
 
 absl::StatusOr<Settings> loadSettingsAtStart(SettingsSource* source) {
+  const ExitGuard guard("reading the settings", isLeaveOverdue());
   const Instant deadline = BootClock::now() + kSettingsRetryPeriod;
   absl::StatusOr<Settings> settings = loadSettings(source);
   while (!settings.ok() && !source->file.empty() && BootClock::now() < deadline &&
@@ -58,30 +49,35 @@
   return settings;
 }
 
-std::optional<std::string> heldResource(const Settings& settings) {
+std::optional<HeldResource> findHeldResource(const Settings& settings) {
   std::vector<Address> addresses;
   if (settings.role != "proxy") addresses = {settings.peerAddress, settings.operatorAddress};
   if (settings.role != "agent") addresses.push_back(settings.callerAddress);
   if (settings.role == "both") addresses.push_back(settings.readinessAddress);
   for (const Address& address : addresses) {
-    if (!address.value.empty() && isListenedOn(address)) return address.value;
+    if (!address.value.empty() && isAddressHeld(address))
+      return HeldResource{address.value, describeHolders(address)};
   }
   if (settings.role == "proxy" || settings.dataFolder.empty()) return std::nullopt;
   const auto holder = lockHolder(settings.dataFolder);
   if (!holder) return std::nullopt;
-  return "data folder '" + settings.dataFolder + "' of process " + std::to_string(*holder);
+  return HeldResource{"data folder '" + settings.dataFolder + "'",
+                      "process " + std::to_string(*holder)};
 }
 
 void waitForPredecessor(const Settings& settings) {
-  // A predecessor may take longer than the grace where its requests do.
-  const Instant deadline = BootClock::now() + 2 * Duration(settings.shutdownGrace);
   std::string reported;
-  while (BootClock::now() < deadline && !isLeaveRequested()) {
-    const std::optional<std::string> held = heldResource(settings);
+  Instant reportedAt{};
+  while (!isLeaveRequested()) {
+    const std::optional<HeldResource> held = findHeldResource(settings);
     if (!held) return;
-    if (*held != reported)
-      LOG_LINE(kWarning) << "waiting for " << *held << ": another process holds it";
-    reported = *held;
+    const Instant now = BootClock::now();
+    if (held->name != reported || now >= reportedAt + kReportInterval) {
+      LOG_LINE(kWarning) << "waiting for " << held->name << ": " << held->holder
+                         << " has it; free it or name another";
+      reported = held->name;
+      reportedAt = now;
+    }
     std::this_thread::sleep_for(kPollInterval);
   }
 }
--- a/src/daemon/startup.h
+++ b/src/daemon/startup.h
@@ -12,12 +12,18 @@
 // so it is read again for a short while. Returns early once a signal asks the process to leave.
 absl::StatusOr<Settings> loadSettingsAtStart(SettingsSource* source);
 
-// The first of the daemon's addresses, or its data folder, that another process holds, with that
-// process where the system tells it; nullopt if all are free.
-std::optional<std::string> heldResource(const Settings& settings);
+// What another process holds that the daemon needs.
+struct HeldResource {
+  std::string name;  // one of the daemon's addresses, or its data folder
+  // Who holds it, as far as the system tells.
+  std::string holder;
+};
 
-// Waits until nothing is held, for at most twice the grace that a leaving predecessor has, and logs
-// what it waits for. Returns early once a signal asks this process to leave.
+// The first of the daemon's addresses, or its data folder, that is held; nullopt if all are free.
+std::optional<HeldResource> findHeldResource(const Settings& settings);
+
+// Waits until nothing is held, however long that takes, and logs from time to time what it waits
+// for. Returns early once a signal asks this process to leave.
 void waitForPredecessor(const Settings& settings);
 
 }  // namespace quayrill
--- a/src/net/disk.cpp
+++ b/src/net/disk.cpp
@@ -7,6 +7,7 @@
 
 #include "base/digest.h"
 #include "net/slow_sync_env.h"
+#include "net/start_thread.h"
 
 namespace quayrill {
 
@@ -84,8 +85,8 @@
   if (status.IsCorruption()) return damagedError(status.ToString());
   const std::string lockError = "lock " + lockFileOf(settings_.folder);
   if (!status.ok() && status.ToString().find(lockError) != std::string::npos)
-    return absl::FailedPreconditionError("data folder: " + status.ToString() +
-                                         ": end the other process or name another folder");
+    return absl::AlreadyExistsError("data folder: " + status.ToString() +
+                                    ": end the other process or name another folder");
   if (!status.ok()) return absl::UnavailableError(status.ToString());
   db_.reset(db);
   return absl::OkStatus();
@@ -127,7 +128,7 @@
 }
 
 absl::StatusOr<std::optional<Disk::Rows>> Disk::open() {
-  thread_ = std::thread([this] {
+  thread_ = startThread("the disk", [this] {
     openFirst();
     work();
   });
--- a/src/proxy/owned_table.h
+++ b/src/proxy/owned_table.h
@@ -9,6 +9,8 @@
 #include <thread>
 
 #include "net/asio.h"
+#include "net/spawn.h"
+#include "net/start_thread.h"
 
 namespace quayrill {
 
@@ -20,7 +22,9 @@
 
   template <class... Args>
   explicit OwnedTable(std::size_t limit, Args&&... args)
-      : limit_(limit), table_(std::forward<Args>(args)...), thread_([this] { work(); }) {}
+      : limit_(limit),
+        table_(std::forward<Args>(args)...),
+        thread_(startThread("a table", [this] { work(); })) {}
   ~OwnedTable() {
     {
       std::lock_guard lock(mutex_);
@@ -37,7 +41,7 @@
   void mustPost(Command command) { push(std::move(command), SIZE_MAX); }
 
   // Runs `command` on the owner thread and resumes the calling coroutine with its result. Returns
-  // nullopt if the queue is full.
+  // nullopt if the queue is full or the command throws.
   template <class Result>
   awaitable<std::optional<Result>> ask(std::function<Result(Table&)> command) {
     auto executor = co_await asio::this_coro::executor;
@@ -46,7 +50,12 @@
     timer->expires_at(std::chrono::steady_clock::time_point::max());
     auto done = std::make_shared<bool>(false);
     const bool posted = tryPost([=, command = std::move(command)](Table& table) {
-      Result result = command(table);
+      std::optional<Result> result;
+      try {
+        result = command(table);
+      } catch (...) {
+        logException("a command of a table", std::current_exception());
+      }
       asio::post(executor, [=, result = std::move(result)]() mutable {
         *answer = std::move(result);
         *done = true;
@@ -80,7 +89,15 @@
         if (commands_.empty()) return;
         batch.swap(commands_);
       }
-      for (Command& command : batch) command(table_);
+      for (Command& command : batch) run(command);
+    }
+  }
+  // A command that throws ends neither the others nor the process.
+  void run(const Command& command) {
+    try {
+      command(table_);
+    } catch (...) {
+      logException("a command of a table", std::current_exception());
     }
   }
 
--- a/src/proxy/proxy.cpp
+++ b/src/proxy/proxy.cpp
@@ -5,6 +5,7 @@
 #include "net/log.h"
 #include "net/metrics.h"
 #include "net/spawn.h"
+#include "net/start_thread.h"
 
 namespace quayrill {
 
@@ -50,10 +51,11 @@
   if (auto status = callerServer_->start(); !status.ok()) return status;
   // A connection's timer and its reads must never run concurrently, so each loop has its own
   // strand.
-  spawnEssential(asio::make_strand(io_), "the loop of snapshots", snapshotLoop());
-  spawnEssential(asio::make_strand(io_), "the loop of cache events", cacheEventLoop());
+  spawnLoop(asio::make_strand(io_), "the loop of snapshots", [this] { return snapshotLoop(); });
+  spawnLoop(asio::make_strand(io_), "the loop of cache events",
+            [this] { return cacheEventLoop(); });
   for (std::size_t i = 0; i < settings_.trafficThreads; ++i)
-    threads_.emplace_back([this] { io_.run(); });
+    threads_.push_back(startThread("traffic", [this] { runEventLoop(io_, "a traffic handler"); }));
   return absl::OkStatus();
 }
 
--- a/src/relay/caller_connections.cpp
+++ b/src/relay/caller_connections.cpp
@@ -5,6 +5,7 @@
 #include "net/log.h"
 #include "net/metrics.h"
 #include "net/spawn.h"
+#include "net/start_thread.h"
 #include "relay/relay.h"
 
 namespace quayrill {
@@ -58,7 +59,7 @@
   *alive_ = false;
 }
 
-absl::Status Relay::start() {
+absl::Status Relay::listen() {
   if (auto status = listenAt(callers_, settings_.callerAddress, 1024); !status.ok()) return status;
   if (!settings_.readinessAddress.value.empty()) {
     HttpServerSettings readySettings;
@@ -69,11 +70,20 @@
         [this](Connection&, HttpRequest& request) { return handleAdminRequest(request); });
     if (auto status = ready_->start(); !status.ok()) return status;
   }
-  spawnEssential(io_, "the callers' listener", accept(callers_));
+  return absl::OkStatus();
+}
+
+void Relay::run() {
+  spawnLoop(io_, "the callers' listener", [this] { return accept(callers_); });
   if (dialect_.partEvents && settings_.mechanisms.isEnabled(Mechanism::Events))
-    spawnEssential(io_, "the loop of cache events", eventLoop());
-  spawnEssential(io_, "the loop of reports", reportLoop());
-  thread_ = std::thread([this] { io_.run(); });
+    spawnLoop(io_, "the loop of cache events", [this] { return eventLoop(); });
+  spawnLoop(io_, "the loop of reports", [this] { return reportLoop(); });
+  thread_ = startThread("traffic", [this] { runEventLoop(io_, "a traffic handler"); });
+}
+
+absl::Status Relay::start() {
+  if (auto status = listen(); !status.ok()) return status;
+  run();
   return absl::OkStatus();
 }
 
--- a/src/relay/relay.h
+++ b/src/relay/relay.h
@@ -140,7 +140,11 @@
  public:
   Relay(Settings settings, Dialect dialect);
   ~Relay();
-  // Opens the listening sockets and starts the traffic thread.
+  // Opens the listening sockets. Nothing is served and no connection is made before run().
+  absl::Status listen();
+  // Starts the traffic thread, once listen() has succeeded.
+  void run();
+  // Both.
   absl::Status start();
   // Applies a new snapshot from the agent. Called on the agent's thread whenever something may have
   // changed. `configuration` is the snapshot's, parsed; if it is null, the snapshot's body is
