A leave ends an eighth before its grace is over, not 0.25 s

What callers saw: a leave that lasts 7.82 s of 8 (8.03 s on a slow build), which a busy machine's platform ends by force. Cause: fixed margins of 0.5 and 0.25 s for the final answers and for all that follows the relay. Change: parts of the grace, a seventh and an eighth, so that the process has left by a tenth. At 8 s the final answers are written at 6.86 s, within the last sixth, in which the users' pages allow it.

--- a/src/relay/leaving.cpp
+++ b/src/relay/leaving.cpp
@@ -18,9 +18,10 @@
 // second covers a check in progress and the handover of connections.
 constexpr Duration kHandoverPeriod = 3s;
 constexpr Duration kRejectPeriod = 500ms;  // late connections get a rejection instead of a reset
-constexpr Duration kAbortMargin = 500ms;   // before the kill, to write the final responses
-constexpr Duration kExitMargin = 250ms;    // before the kill, for the process to exit
 constexpr Duration kPollInterval = 20ms;
+// Parts of the grace before the kill: a busy machine may take that long for what is left to do. The
+// first leaves time to write the final responses, the second for the process to exit.
+constexpr int kAbortPart = 7, kExitPart = 8;
 
 // True if unread bytes of a request are available.
 bool hasBytes(Tcp::socket& socket) {
@@ -31,8 +32,8 @@
 
 LeaveSchedule leaveSchedule(Instant signalAt, Duration grace) {
   LeaveSchedule schedule;
-  schedule.exitBy = signalAt + grace - std::min<Duration>(kExitMargin, grace / 32);
-  schedule.abortAt = signalAt + grace - std::min<Duration>(kAbortMargin, grace / 16);
+  schedule.exitBy = signalAt + grace - grace / kExitPart;
+  schedule.abortAt = signalAt + grace - grace / kAbortPart;
   schedule.rejectFrom = signalAt + std::min<Duration>(kHandoverPeriod, grace / 2);
   schedule.earliestExit = schedule.rejectFrom + std::min<Duration>(kRejectPeriod, grace / 16);
   return schedule;
@@ -40,7 +41,7 @@
 
 void Relay::beginLeaving(Duration grace) {
   if (leaving_.exchange(true)) return;
-  spawnEssential(io_, "leaving", leave(leaveSchedule(BootClock::now(), grace)));
+  spawnTask(io_, "leaving", leave(leaveSchedule(BootClock::now(), grace)));
 }
 
 awaitable<void> Relay::leave(LeaveSchedule schedule) {
