--- a/src/fleet/daemon_faults.cpp
+++ b/src/fleet/daemon_faults.cpp
@@ -13,8 +13,6 @@
 using namespace std::chrono_literals;
 
 namespace {
-// How long and how often a successor that starts gets SIGHUP.
-constexpr Duration kEarlySignals = 300ms, kEarlySignalInterval = 5ms;
 constexpr Duration kProcessPollInterval = 100ms;
 
 std::string ipOf(const Daemon& daemon) {
@@ -79,25 +77,15 @@
   recordDisruption(daemon.callers.value, begun);
 }
 
-awaitable<void> LocalDeployment::restartOverlapping(Daemon& daemon) {
-  const Instant begun = BootClock::now();
-  Daemon predecessor = daemon;
-  signalDaemon(predecessor, SIGTERM);
-  startDaemon(&daemon, settings_.plan);
-  while (BootClock::now() < begun + kEarlySignals) {
-    if (handlesHangup(daemon)) signalDaemon(daemon, SIGHUP);
-    co_await pauseFor(kEarlySignalInterval);
-  }
-  co_await awaitShutdown(predecessor, begun);
-  recordDisruption(daemon.callers.value, begun);
-}
-
 awaitable<void> LocalDeployment::watchProcesses() {
   for (;;) {
     co_await pauseFor(kProcessPollInterval);
     for (Daemon& daemon : daemons_) {
-      if (busyDaemons_.contains(daemon.name) || !hasEndedProcess(&daemon)) continue;
-      unexpectedEnds_.push_back(daemon.name + " ended by itself");
+      if (busyDaemons_.contains(daemon.name)) continue;
+      const auto end = endOfProcess(&daemon);
+      if (!end) continue;
+      unexpectedEnds_.push_back(daemon.name + " ended by itself (" + *end +
+                                "): " + lastLogLine(daemon));
       note(unexpectedEnds_.back());
       startDaemon(&daemon, settings_.plan);
     }
@@ -143,6 +131,10 @@
     co_await restart(daemon);
   } else if (type == "overlap") {
     co_await restartOverlapping(daemon);
+  } else if (type == "hold") {
+    co_await restartBesideConnection(daemon);
+  } else if (type == "succeed") {
+    co_await restartInSuccession(daemon);
   } else if (type == "hup") {
     co_await changeSettings(daemon);
   } else if (type == "freeze") {
--- a/src/fleet/daemons.cpp
+++ b/src/fleet/daemons.cpp
@@ -129,11 +129,22 @@
   return true;
 }
 
-bool hasEndedProcess(Daemon* daemon) {
-  bool hasEnded = false;
-  for (pid_t* const pid : {&daemon->pid, &daemon->proxyPid})
-    hasEnded |= *pid > 0 && waitProcess(pid, 0) != -1;
-  return hasEnded;
+std::optional<std::string> endOfProcess(Daemon* daemon) {
+  for (pid_t* const pid : {&daemon->pid, &daemon->proxyPid}) {
+    int status = 0;
+    if (*pid <= 0 || ::waitpid(*pid, &status, WNOHANG) != *pid) continue;
+    *pid = 0;
+    return WIFSIGNALED(status) ? "signal " + std::to_string(WTERMSIG(status))
+                               : "exit " + std::to_string(WEXITSTATUS(status));
+  }
+  return std::nullopt;
+}
+
+std::string lastLogLine(const Daemon& daemon) {
+  std::ifstream log(daemon.logFile);
+  std::string last;
+  for (std::string line; std::getline(log, line);) last = line;
+  return last;
 }
 
 int waitDaemon(Daemon* daemon, int milliseconds) {
--- a/src/fleet/daemons.h
+++ b/src/fleet/daemons.h
@@ -2,6 +2,7 @@
 // Starts, signals and awaits the quayrilld processes of a run, by process id.
 #include <sys/types.h>
 
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -46,8 +47,11 @@
 // Whether all processes of the daemon that run handle SIGHUP. Before, while the dynamic linker
 // still loads the program, no program can keep it from ending the process.
 bool handlesHangup(const Daemon& daemon);
-// Whether a process of the daemon that was running has ended. Its `pid` is then 0.
-bool hasEndedProcess(Daemon* daemon);
+// How a process of the daemon that was running has ended, if one has: "exit 1", "signal 9". Its
+// `pid` is then 0.
+std::optional<std::string> endOfProcess(Daemon* daemon);
+// The last line of the daemon's log; empty if there is none.
+std::string lastLogLine(const Daemon& daemon);
 // Waits at most `milliseconds` for each process to exit. Returns the exit status, -1 if a process
 // is still running, or -2 if a signal ended it; of two processes, the proxy's status if it is not
 // 0.
--- a/src/fleet/local_deployment.h
+++ b/src/fleet/local_deployment.h
@@ -73,6 +73,10 @@
   awaitable<void> restart(Daemon& daemon);
   // Starts the daemon's successor while it still leaves, and sends SIGHUPs to the successor.
   awaitable<void> restartOverlapping(Daemon& daemon);
+  // Restarts the daemon while a connection of this process has its address.
+  awaitable<void> restartBesideConnection(Daemon& daemon);
+  // Starts two successors that wait for the daemon's addresses; then it leaves, and one of them.
+  awaitable<void> restartInSuccession(Daemon& daemon);
   // Waits until a daemon that got SIGTERM at `begun` has exited, and records that.
   awaitable<void> awaitShutdown(Daemon& daemon, Instant begun);
   // Records and starts again each daemon that ends without a step of the run.
--- a/src/fleet/random_steps.cpp
+++ b/src/fleet/random_steps.cpp
@@ -14,7 +14,8 @@
   return type != "repeat-piece" && type != "endless-server" && type != "vanish-server" &&
          type != "leave-server" && type != "withdraw" && type != "ways" && type != "flood" &&
          type != "wipe-cores" && type != "refound" && type != "hup-edge" &&
-         !type.starts_with("overlap-");
+         !type.starts_with("overlap-") && !type.starts_with("hold-") &&
+         !type.starts_with("succeed-");
 }
 }  // namespace
 
@@ -92,12 +93,34 @@
     {"crash-server", StepTarget::Server}, {"silent-server", StepTarget::Server},
     {"drop-stream", StepTarget::Server},  {"drop-first", StepTarget::Server},
 };
+// Starts beside processes that have the daemon's address, drawn one at a time.
+constexpr SoakSeries kSoakStarts[] = {
+    {"hold-edge", StepTarget::Edge},
+    {"hold-core", StepTarget::Core},
+    {"succeed-edge", StepTarget::Edge},
+    {"succeed-core", StepTarget::Core},
+};
+// The longest of them.
+constexpr double kStartStepSeconds = 15;
 constexpr std::size_t kMinSeriesSteps = 3, kMaxSeriesSteps = 8;
 // Short enough that a series never has more time limits open than the run has time left.
 constexpr double kSoakStepsUntil = 0.7;  // of the run
 
 // A time in seconds, rounded to what formatSteps prints.
 double rounded(double seconds) { return static_cast<double>(static_cast<int>(seconds * 10)) / 10; }
+
+std::vector<Step> drawSoakStarts(std::uint64_t seed, double until, const std::string& faultyCore,
+                                 std::size_t edges) {
+  std::mt19937_64 random(seed);
+  std::vector<Step> steps;
+  for (double at = 2; at < until; at += 3 + static_cast<double>(random() % 500) / 100) {
+    const SoakSeries& start = kSoakStarts[random() % std::size(kSoakStarts)];
+    const std::string edge = std::to_string(1 + random() % edges);
+    steps.push_back(
+        {start.type, start.target == StepTarget::Core ? faultyCore : edge, rounded(at)});
+  }
+  return steps;
+}
 }  // namespace
 
 std::vector<Step> drawSoakSteps(std::uint64_t seed, double seconds, std::size_t cores,
@@ -130,6 +153,10 @@
       steps.push_back(step);
     }
   }
+  // From a generator of their own, so that the series of each seed are the same without them.
+  const auto starts =
+      drawSoakStarts(~seed, seconds * kSoakStepsUntil - kStartStepSeconds, faultyCore, edges);
+  steps.insert(steps.end(), starts.begin(), starts.end());
   return steps;
 }
 
--- a/src/fleet/steps.h
+++ b/src/fleet/steps.h
@@ -17,6 +17,10 @@
   X("restart-core", Core, "core number: SIGTERM, restarted once it has exited")                    \
   X("overlap-edge", Edge, "edge number: SIGTERM, SIGHUPs, and its successor started at once")      \
   X("overlap-core", Core, "core number: the same")                                                 \
+  X("hold-edge", Edge, "edge number: SIGTERM, restarted while a connection has its address 14 s")   \
+  X("hold-core", Core, "core number: the same")                                                    \
+  X("succeed-edge", Edge, "edge number: two successors started beside it; it leaves, then one")    \
+  X("succeed-core", Core, "core number: the same")                                                 \
   X("hup-edge", Edge, "edge number: settings file changed with and without SIGHUP, and invalid")   \
   X("freeze-core", Core, "core number: SIGSTOP for 6 s")                                           \
   X("freeze-edge", Edge, "edge number: SIGSTOP for 6 s")                                           \
@@ -79,8 +83,8 @@
 std::vector<Step> drawSteps(std::uint64_t seed, double seconds, std::size_t cores,
                             std::size_t edges, std::size_t servers);
 // Draws series of steps for a soak: signals, restarts and changes in quick succession, several
-// series at a time. All faults of cores hit the same one, no disk is lost, and the same arguments
-// give the same steps.
+// series at a time, and starts beside processes that hold the daemon's address. All faults of cores
+// hit the same one, no disk is lost, and the same arguments give the same steps.
 std::vector<Step> drawSoakSteps(std::uint64_t seed, double seconds, std::size_t cores,
                                 std::size_t edges, std::size_t servers);
 
