--- a/src/daemon/daemon.cpp
+++ b/src/daemon/daemon.cpp
@@ -146,7 +146,7 @@
   for (;;) {
     waitForPredecessor(settings);
     if (isLeaveRequested()) return absl::CancelledError("asked to leave");
-    const absl::Status status = tryToStart(settings, dialect, components);
+    absl::Status status = tryToStart(settings, dialect, components);
     if (!isPassing(status)) return status;
     *components = Components{};
     LOG_LINE(kWarning) << status.message() << "; it is tried again";
