--- a/src/fleet/daemon_faults.cpp
+++ b/src/fleet/daemon_faults.cpp
@@ -69,10 +69,15 @@
   });
 }
 
-awaitable<void> LocalDeployment::restart(Daemon& daemon) {
+awaitable<void> LocalDeployment::leave(Daemon& daemon) {
   const Instant begun = BootClock::now();
   signalDaemon(daemon, SIGTERM);
   co_await awaitShutdown(daemon, begun);
+}
+
+awaitable<void> LocalDeployment::restart(Daemon& daemon) {
+  const Instant begun = BootClock::now();
+  co_await leave(daemon);
   startDaemon(&daemon, settings_.plan);
   recordDisruption(daemon.callers.value, begun);
 }
--- a/src/fleet/local_deployment.h
+++ b/src/fleet/local_deployment.h
@@ -77,6 +77,8 @@
   awaitable<void> restartBesideConnection(Daemon& daemon);
   // Starts two successors that wait for the daemon's addresses; then it leaves, and one of them.
   awaitable<void> restartInSuccession(Daemon& daemon);
+  // Sends SIGTERM and waits until the daemon has exited.
+  awaitable<void> leave(Daemon& daemon);
   // Waits until a daemon that got SIGTERM at `begun` has exited, and records that.
   awaitable<void> awaitShutdown(Daemon& daemon, Instant begun);
   // Records and starts again each daemon that ends without a step of the run.
--- a/src/fleet/start_faults.cpp
+++ b/src/fleet/start_faults.cpp
@@ -38,8 +38,7 @@
 
 awaitable<void> LocalDeployment::restartBesideConnection(Daemon& daemon) {
   const Instant begun = BootClock::now();
-  signalDaemon(daemon, SIGTERM);
-  co_await awaitShutdown(daemon, begun);
+  co_await leave(daemon);
   Tcp::socket connection(io_);
   ErrorCode code;
   connection.open(Tcp::v4(), code);
@@ -65,11 +64,9 @@
   startDaemon(&daemon, settings_.plan);
   co_await waitUntilLoaded(first);
   co_await waitUntilLoaded(daemon);
-  signalDaemon(predecessor, SIGTERM);
-  co_await awaitShutdown(predecessor, begun);
+  co_await leave(predecessor);
   co_await pauseFor(kBetweenLeaves);
-  signalDaemon(first, SIGTERM);
-  co_await awaitShutdown(first, begun);
+  co_await leave(first);
   recordDisruption(daemon.callers.value, begun);
 }
 
