A start looks up who has an address only when it reports it

A start that waits looked through the descriptors of all processes at each look, 20 times a second; now once in 10 s. An exception while the settings file is read is logged and the watch goes on. Relay::serve() has its name instead of a second run().

--- a/src/daemon/daemon.cpp
+++ b/src/daemon/daemon.cpp
@@ -120,7 +120,7 @@
     components->proxy = std::make_unique<Proxy>(settings, dialect);
     if (auto status = components->proxy->start(); !status.ok()) return status;
   }
-  if (hasRelay) components->relay->run();
+  if (hasRelay) components->relay->serve();
   return absl::OkStatus();
 }
 
--- a/src/daemon/settings_watch.cpp
+++ b/src/daemon/settings_watch.cpp
@@ -5,6 +5,7 @@
 #include <iterator>
 
 #include "net/log.h"
+#include "net/spawn.h"
 #include "net/start_thread.h"
 
 namespace quayrill {
@@ -216,7 +217,11 @@
       if (reloadRequested) LOG_LINE(kInfo) << "SIGHUP ignored: started without a settings file";
       continue;
     }
-    interval = poll(reloadRequested);
+    try {
+      interval = poll(reloadRequested);
+    } catch (...) {
+      logException("reading the settings", std::current_exception());
+    }
   }
   const std::lock_guard lock(mutex_);
   hasEnded_ = true;
--- a/src/daemon/startup.cpp
+++ b/src/daemon/startup.cpp
@@ -56,13 +56,16 @@
   if (settings.role == "both") addresses.push_back(settings.readinessAddress);
   for (const Address& address : addresses) {
     if (!address.value.empty() && isAddressHeld(address))
-      return HeldResource{address.value, describeHolders(address)};
+      return HeldResource{address.value, std::nullopt};
   }
   if (settings.role == "proxy" || settings.dataFolder.empty()) return std::nullopt;
   const auto holder = lockHolder(settings.dataFolder);
   if (!holder) return std::nullopt;
-  return HeldResource{"data folder '" + settings.dataFolder + "'",
-                      "process " + std::to_string(*holder)};
+  return HeldResource{"data folder '" + settings.dataFolder + "'", holder};
+}
+
+std::string HeldResource::describeHolder() const {
+  return lockHolder ? "process " + std::to_string(*lockHolder) : describeHolders(Address{name});
 }
 
 void waitForPredecessor(const Settings& settings) {
@@ -73,7 +76,7 @@
     if (!held) return;
     const Instant now = BootClock::now();
     if (held->name != reported || now >= reportedAt + kReportInterval) {
-      LOG_LINE(kWarning) << "waiting for " << held->name << ": " << held->holder
+      LOG_LINE(kWarning) << "waiting for " << held->name << ": " << held->describeHolder()
                          << " has it; free it or name another";
       reported = held->name;
       reportedAt = now;
--- a/src/daemon/startup.h
+++ b/src/daemon/startup.h
@@ -1,6 +1,8 @@
 #pragma once
 // Waits at a start for settings that are being written, and for what a predecessor on the same
 // machine still holds.
+#include <sys/types.h>
+
 #include <optional>
 #include <string>
 
@@ -14,9 +16,10 @@
 
 // What another process holds that the daemon needs.
 struct HeldResource {
-  std::string name;  // one of the daemon's addresses, or its data folder
-  // Who holds it, as far as the system tells.
-  std::string holder;
+  std::string name;                 // one of the daemon's addresses, or its data folder
+  std::optional<pid_t> lockHolder;  // the process that holds the data folder
+  // Who holds it, as far as the system tells. Takes a while, for an address.
+  std::string describeHolder() const;
 };
 
 // The first of the daemon's addresses, or its data folder, that is held; nullopt if all are free.
--- a/src/relay/caller_connections.cpp
+++ b/src/relay/caller_connections.cpp
@@ -73,7 +73,7 @@
   return absl::OkStatus();
 }
 
-void Relay::run() {
+void Relay::serve() {
   spawnLoop(io_, "the callers' listener", [this] { return accept(callers_); });
   if (dialect_.partEvents && settings_.mechanisms.isEnabled(Mechanism::Events))
     spawnLoop(io_, "the loop of cache events", [this] { return eventLoop(); });
@@ -83,7 +83,7 @@
 
 absl::Status Relay::start() {
   if (auto status = listen(); !status.ok()) return status;
-  run();
+  serve();
   return absl::OkStatus();
 }
 
--- a/src/relay/relay.h
+++ b/src/relay/relay.h
@@ -140,10 +140,10 @@
  public:
   Relay(Settings settings, Dialect dialect);
   ~Relay();
-  // Opens the listening sockets. Nothing is served and no connection is made before run().
+  // Opens the listening sockets. Nothing is served and no connection is made before serve().
   absl::Status listen();
   // Starts the traffic thread, once listen() has succeeded.
-  void run();
+  void serve();
   // Both.
   absl::Status start();
   // Applies a new snapshot from the agent. Called on the agent's thread whenever something may have
