End what waits at a server when a tenant becomes isolated

Cause: the scope was checked until the first byte left, not until the request began to run. Weights had such a bound for streams, scopes had none.

Change: the view keeps since when each tenant is isolated, counted from the last confirmation of the configuration before, and an attempt that has not begun is ended shortly before applyMs is over from there. Only changes that isolate set a bound, and only for requests with a prompt prefix under a scope that has lost a member. Attempts are judged anew at the change. Answers in one piece count as begun once their head or their server's load figures show it. Repeatable requests go out again under the scope in force, to the same server too; others get 502 with the reason. The built-in dialect's data plane had the same fault and has the same bound. Counter startsRevoked, a log line at each change.

Evidence: on the code before, "isolation wait: a request does not start under the scope of before past the bound" fails for all four kinds of route in both directions, and the test of the built-in dialect fails too (6 of 7 tests of the file; three of them only for the missing counter).

--- a/src/agent/view.cpp
+++ b/src/agent/view.cpp
@@ -9,8 +9,33 @@
 namespace {
 // Without a snapshot for this long, the agent may have learned of something newer since.
 constexpr Duration kSnapshotMaxAge = 1s;
+
+// `isolatedSince` of the view that follows `before` with this configuration. A tenant that was not
+// isolated in `before` has become so after that was last confirmed.
+std::map<TenantName, Instant> isolationTimes(const ProxyView& before,
+                                             const Configuration& configuration) {
+  std::map<TenantName, Instant> times;
+  for (const auto& [name, tenant] : configuration.tenants) {
+    if (!tenant.isolated) continue;
+    const auto known = before.isolatedSince.find(name);
+    times[name] = known != before.isolatedSince.end() ? known->second : before.confirmedAt;
+  }
+  return times;
+}
 }  // namespace
 
+Instant ProxyView::scopeUsableUntil(const Configuration& sentUnder, const TenantName& tenant,
+                                    Duration bound) const {
+  if (!configuration || sentUnder.sharedScope == configuration->sharedScope ||
+      isIsolated(sentUnder, tenant))
+    return Instant::max();
+  Instant earliest = Instant::max();
+  for (const auto& [name, since] : isolatedSince) {
+    if (!isIsolated(sentUnder, name)) earliest = std::min(earliest, since);
+  }
+  return earliest == Instant::max() ? earliest : earliest + bound;
+}
+
 bool ProxyView::isUsable(Instant now, const StalenessLimits& limits) const {
   if (!configuration) return false;
   const bool isOutOfTouch = registerSilent && now - updatedAt < kSnapshotMaxAge;
@@ -36,6 +61,7 @@
     return ageMicros < 0 ? Instant{} : requestedAt - std::chrono::microseconds(ageMicros);
   };
   if (configuration) {
+    next.isolatedSince = isolationTimes(before, *configuration);
     next.configuration = std::move(configuration);
     next.configurationVersion = snapshot.configurationVersion;
   }
--- a/src/agent/view.h
+++ b/src/agent/view.h
@@ -29,6 +29,8 @@
   std::vector<ServerState> servers;
   std::set<ServerName> eventSources;  // servers whose cache events this daemon reads
   WeightsHistories weights;
+  // For each isolated tenant, the latest time at which it was known not to be isolated.
+  std::map<TenantName, Instant> isolatedSince;
 
   // Whether requests may be served by this configuration. `limits.inTouch` holds as long as a newer
   // one could have been learned, `limits.outOfTouch` while the register does not answer.
@@ -38,6 +40,13 @@
   Instant usableUntil(const ServerState& server, Duration bound) const {
     return weights.usableUntil(server.model, server.weights, bound);
   }
+  // The cache scope of the tenants that are not isolated.
+  CacheSalt sharedScope() const { return configuration ? configuration->sharedScope : CacheSalt{}; }
+  // The time until which a request of `tenant` that was sent under the cache scope of `sentUnder`
+  // may start: `bound` after the first tenant that shared this scope became isolated. A tenant that
+  // was isolated then shares with nobody, and one that ceases to be isolated takes nothing back.
+  Instant scopeUsableUntil(const Configuration& sentUnder, const TenantName& tenant,
+                           Duration bound) const;
 };
 
 // Parses the configuration in the snapshot. Null if the snapshot has no newer one than `before`, or
--- a/src/base/counters.h
+++ b/src/base/counters.h
@@ -17,6 +17,8 @@
   X(badInput, "badInput", "requests with bad input or a bad key")                                 \
   X(callerDisconnected, "callerGone", "callers who left before the end")                          \
   X(retries, "extraTries", "sends beyond a request's first")                                      \
+  X(startsRevoked, "startsRevoked",                                                               \
+    "attempts ended before their start because a tenant became isolated while they waited")       \
   X(unconfirmed, "unconfirmed",                                                                   \
     "requests turned away because the configuration or the server list was unconfirmed")          \
   X(fetches, "fetches", "prefixes fetched from a peer or the store")                              \
--- a/src/configuration/configuration.cpp
+++ b/src/configuration/configuration.cpp
@@ -100,9 +100,13 @@
       std::string(kSharedScopePrefix) + digest.substr(digest.find(':') + 1, kScopeDigestDigits);
 }
 
-CacheSalt cacheScope(const Configuration& configuration, const TenantName& tenant) {
+bool isIsolated(const Configuration& configuration, const TenantName& tenant) {
   const auto row = configuration.tenants.find(tenant);
-  if (row == configuration.tenants.end() || !row->second.isolated) return configuration.sharedScope;
+  return row != configuration.tenants.end() && row->second.isolated;
+}
+
+CacheSalt cacheScope(const Configuration& configuration, const TenantName& tenant) {
+  if (!isIsolated(configuration, tenant)) return configuration.sharedScope;
   return CacheSalt{std::string(kIsolatedScopePrefix) + withLength(tenant)};
 }
 
--- a/src/configuration/configuration.h
+++ b/src/configuration/configuration.h
@@ -137,6 +137,8 @@
 
 // Derives the shared cache scope from the tenants. Call it after the last one was added.
 void deriveSharedScope(Configuration* configuration);
+// Whether the configuration has this tenant as an isolated one.
+bool isIsolated(const Configuration& configuration, const TenantName& tenant);
 // The scope of a tenant's cache, which is part of every salt of its requests: what is cached in one
 // scope is never used in another. An isolated tenant has a scope of its own. All others share one,
 // and each set of isolated tenants gives another shared scope: what a tenant cached before it
--- a/src/proxy/deliver.cpp
+++ b/src/proxy/deliver.cpp
@@ -2,6 +2,7 @@
 
 #include <sstream>
 
+#include "base/scope_exit.h"
 #include "net/body_reader.h"
 #include "net/read_pace.h"
 #include "net/request_sender.h"
@@ -12,6 +13,7 @@
 
 namespace {
 constexpr std::size_t kLineLimit = 64 << 10;
+constexpr Duration kStartCheckInterval = 100ms;  // how often Delivery::startDeadline is looked up
 // A caller that reads no bytes for this long counts as gone.
 constexpr Duration kCallerTimeout = 10s;
 
@@ -48,6 +50,33 @@
   return lines;
 }
 
+// Closes the connection to the server once the answer may no longer start. Checked at intervals,
+// because that time may move.
+struct StartWatch {
+  Connection* server = nullptr;  // null once the delivery has ended or its answer has started
+  std::function<Instant()> startDeadline;
+  asio::steady_timer timer;
+  bool isRevoked = false;
+
+  StartWatch(Connection& connection, std::function<Instant()> deadline)
+      : server(&connection), startDeadline(std::move(deadline)), timer(connection.get_executor()) {}
+  static void arm(const std::shared_ptr<StartWatch>& watch) {
+    watch->timer.expires_after(kStartCheckInterval);
+    watch->timer.async_wait([watch](const ErrorCode& code) {
+      if (!code && watch->server) check(watch);
+    });
+  }
+  static void check(const std::shared_ptr<StartWatch>& watch) {
+    if (BootClock::now() < watch->startDeadline()) return arm(watch);
+    watch->isRevoked = true;
+    watch->server->close();
+  }
+  void stop() {
+    server = nullptr;
+    timer.cancel();
+  }
+};
+
 Duration remaining(Instant deadline) {
   return std::max<Duration>(deadline - BootClock::now(), Duration(1));
 }
@@ -77,9 +106,13 @@
 
 // Reads the server's answer and streams its pieces to the caller.
 awaitable<DeliveryResult> streamAnswer(const Delivery& delivery, Connection& server,
-                                       Connection& caller, Instant startedAt) {
+                                       Connection& caller, Instant startedAt,
+                                       StartWatch& startWatch) {
   ErrorCode code;
   const auto failedAfterSend = [&](const std::string& what) {
+    if (startWatch.isRevoked)
+      return DeliveryResult{DeliveryOutcome::StartRevoked,
+                            "a tenant became isolated while it waited at the server"};
     const bool isLate =
         code == beast::error::timeout || BootClock::now() >= delivery.firstPieceDeadline;
     return DeliveryResult{isLate ? DeliveryOutcome::DeadlineExceeded : DeliveryOutcome::Unknown,
@@ -137,6 +170,8 @@
       if (pause > Duration{}) co_await pauseFor(pause);
       continue;
     }
+    if (startWatch.isRevoked) co_return failedAfterSend("answer");
+    startWatch.stop();
     if (!headSent) {
       http::response<http::empty_body> answer(http::status::ok, 11);
       answer.set(http::field::content_type, "application/x-ndjson");
@@ -180,8 +215,8 @@
 }  // namespace
 
 const char* deliveryOutcomeName(DeliveryOutcome outcome) {
-  static constexpr const char* kNames[] = {"never sent", "not run", "unknown",    "due passed",
-                                           "done",       "cut",     "caller gone"};
+  static constexpr const char* kNames[] = {"never sent",    "not run", "unknown", "due passed",
+                                           "start revoked", "done",    "cut",     "caller gone"};
   return kNames[static_cast<std::size_t>(outcome)];
 }
 
@@ -208,7 +243,11 @@
   sender.begin();
   if (sender.hasSentNothing() && sender.hasStopped())
     co_return DeliveryResult{DeliveryOutcome::NeverSent, "no longer confirmed at the point of use"};
-  const DeliveryResult result = co_await streamAnswer(delivery, server, caller, startedAt);
+  const auto startWatch = std::make_shared<StartWatch>(server, delivery.startDeadline);
+  StartWatch::arm(startWatch);
+  ScopeExit stopWatch([startWatch] { startWatch->stop(); });
+  const DeliveryResult result =
+      co_await streamAnswer(delivery, server, caller, startedAt, *startWatch);
   if (!sender.isComplete()) {
     server.close();
     co_await sender.waitUntilStopped();
--- a/src/proxy/deliver.h
+++ b/src/proxy/deliver.h
@@ -20,6 +20,8 @@
   // When the first piece must have arrived; never after `deadline`. If it is missed, the delivery
   // ends as DeadlineExceeded, and whether the request ran is unknown.
   Instant firstPieceDeadline;
+  // The same for a time that may move while the delivery waits.
+  std::function<Instant()> startDeadline = [] { return Instant::max(); };
 };
 
 // How a delivery ended. Only NeverSent and NotRun guarantee that the request did not run.
@@ -28,6 +30,7 @@
   NotRun,            // the server answered that it did not run the request
   Unknown,           // a byte may have reached the server, nothing has reached the caller
   DeadlineExceeded,  // as Unknown, because a deadline passed
+  StartRevoked,      // as Unknown, because `startDeadline` passed
   Done,              // the answer was passed on completely, including the server's end mark
   Truncated,         // some pieces reached the caller, then the answer broke off; the caller's
                      // connection is closed without the chunked terminator
--- a/src/proxy/run.cpp
+++ b/src/proxy/run.cpp
@@ -14,6 +14,7 @@
 constexpr Duration kFetchTimeout = 300ms;         // beyond this, prefill is likely faster
 constexpr std::size_t kMinFetchGainTokens = 256;  // fewer are not worth the calls
 constexpr Duration kMaxStartDelay = 2s;           // allowed from sending to the first piece
+constexpr Duration kStartDeadlineMargin = 200ms;  // for a close to reach the server
 
 // The first attempt of a repeatable request leaves half of the remaining time for another one, if
 // the retry budget may allow it.
@@ -133,8 +134,15 @@
     const Instant firstPieceDeadline =
         std::min(firstPieceDeadlineOf(job.policy, job.entered, attempt, job.deadline),
                  view()->usableUntil(placed.chosenServer, settings_.rolloutTimeLimit));
+    // mayRun() checks right before the request is sent that it goes under this view's cache scope.
+    const std::function<Instant()> scopeDeadline = [this, sentUnder = currentView->configuration,
+                                                    tenant = job.tenant] {
+      const Instant until = view()->scopeUsableUntil(*sentUnder, tenant, settings_.applyLimit);
+      return until == Instant::max() ? until : until - kStartDeadlineMargin;
+    };
     Delivery delivery{job.id,   placed.chosenServer, placed.salt,       formatPrefix(job.prefix),
                       job.body, job.deadline,        firstPieceDeadline};
+    delivery.startDeadline = scopeDeadline;
     const std::function<bool()> mayStart = [this, &job, &placed, wasSent] {
       if (!mayRun(job, placed)) return false;
       if (!wasSent)
@@ -180,6 +188,12 @@
         mayHaveRun = true;
         isLate = BootClock::now() >= job.deadline;
         break;
+      case DeliveryOutcome::StartRevoked:
+        // It may go to the same server under the scope that is in force now.
+        ++counters_.startsRevoked;
+        tried.erase(placed.chosenServer.name);
+        mayHaveRun = true;
+        break;
       case DeliveryOutcome::Unknown:
         mayHaveRun = true;
         break;
--- a/src/relay/attempt.cpp
+++ b/src/relay/attempt.cpp
@@ -1,6 +1,7 @@
 // One attempt at one server: gets a connection, makes the final checks and sends the request.
 #include "relay/attempt.h"
 
+#include "base/scope_exit.h"
 #include "net/request_sender.h"
 #include "relay/header_text.h"
 
@@ -13,12 +14,25 @@
 // If this much time passes between two steps that do not wait for anything, the process was
 // stalled.
 constexpr Duration kStallThreshold = 100ms;
+
+// Why the attempt was ended by its timer.
+const char* describeExpiry(StartLimit limit) {
+  switch (limit) {
+    case StartLimit::Weights:
+      return "its weights were superseded too long ago";
+    case StartLimit::Isolation:
+      return "a tenant became isolated while it waited at the server";
+    case StartLimit::None:
+      break;
+  }
+  return "silent";
+}
 }  // namespace
 
 void Relay::Attempt::arm(Instant deadline) {
   watch->deadline = deadline;
   const Instant now = BootClock::now();
-  const Instant until = watch->hasStarted ? Instant::max() : watch->startDeadline();
+  const Instant until = watch->currentStartDeadline().at;
   Instant wakeAt = deadline;
   if (!watch->hasStarted) wakeAt = std::min(wakeAt, now + kStartCheckInterval);
   if (until > now) wakeAt = std::min(wakeAt, until);
@@ -32,8 +46,10 @@
 // received before are processed first, and once a head was read, its events are waited for.
 void Relay::Attempt::onTimer() {
   const Instant now = BootClock::now();
-  watch->isOutdated = !watch->hasStarted && now >= watch->startDeadline();
-  if (!watch->isOutdated && now < watch->deadline) return arm(watch->deadline);
+  const StartDeadline start = watch->currentStartDeadline();
+  const bool isTooLateToStart = now >= start.at;
+  watch->startLimit = isTooLateToStart ? start.limit : StartLimit::None;
+  if (!isTooLateToStart && now < watch->deadline) return arm(watch->deadline);
   if (!watch->hasStarted) {
     if (!std::exchange(watch->isDeferred, true))
       return asio::post(timer.get_executor(), [this, watch = watch] {
@@ -41,7 +57,7 @@
       });
     watch->isDeferred = false;
     const bool isAlive =
-        watch->isReceiving(now) || (!watch->isOutdated && watch->deservesExtension(now));
+        watch->isReceiving(now) || (!isTooLateToStart && watch->deservesExtension(now));
     if (isAlive) return arm(std::min(watch->hardDeadline, now + kActivityWindow));
   }
   watch->expired = true;
@@ -93,13 +109,20 @@
   attempt.watch->lastActivity = lastActivityOf(server.name);
   attempt.watch->startedAt = now;
   attempt.watch->hardDeadline = job.deadline;
-  // Only a stream shows when its response starts.
-  if (job.policy.isStream)
-    attempt.watch->startDeadline = [this, &server] { return startDeadline(server); };
+  attempt.sentUnder = view_->configuration;
+  attempt.watch->startDeadline = [this, &attempt] { return startDeadline(attempt); };
+  caller->recheckStart = [&attempt, watch = attempt.watch] {
+    if (watch->socket) attempt.onTimer();
+  };
   caller->abortAttempt = [watch = attempt.watch] {
     ErrorCode ignored;
     if (watch->socket) watch->socket->close(ignored);
   };
+  // Also when an exception ends the attempt.
+  const ScopeExit detach([caller, watch = attempt.watch] {
+    watch->socket = nullptr;
+    caller->abortAttempt = caller->recheckStart = nullptr;
+  });
   attempt.watch->receivingUntil = options.firstDeadline + kActivityWindow;
   attempt.arm(options.firstDeadline);
   RequestSender sender(socket, requestHead(job, placed, now, *progress), job.original.body(),
@@ -128,13 +151,13 @@
   }
   attempt.watch->socket = nullptr;
   attempt.timer.cancel();
-  caller->abortAttempt = nullptr;
+  caller->abortAttempt = caller->recheckStart = nullptr;
   if (result.outcome != AttemptOutcome::Done && caller->isDisconnected)
     co_return AttemptResult{AttemptOutcome::CallerGone, result.detail};
   if (attempt.watch->expired && result.outcome == AttemptOutcome::Unknown) {
-    if (!attempt.watch->isOutdated) result.outcome = AttemptOutcome::Silent;
-    result.detail =
-        attempt.watch->isOutdated ? "its weights were superseded too long ago" : "silent";
+    result.startLimit = attempt.watch->startLimit;
+    if (result.startLimit == StartLimit::None) result.outcome = AttemptOutcome::Silent;
+    result.detail = describeExpiry(result.startLimit);
   }
   if (sender.isComplete()) returnConnection(attempt, result);
   co_return result;
--- a/src/relay/attempt.h
+++ b/src/relay/attempt.h
@@ -25,11 +25,13 @@
     Instant receivingUntil = Instant::max();
     // When the head of a successful response was read. The first event follows closely.
     Instant headReadAt{};
-    // The time until which the response may start (see Relay::startDeadline).
-    std::function<Instant()> startDeadline = [] { return Instant::max(); };
-    // hasStarted: the first event was forwarded. isOutdated: the response may no longer start,
-    // because the weights were superseded too long ago.
-    bool hasStarted = false, expired = false, isOutdated = false;
+    // See Relay::startDeadline.
+    std::function<StartDeadline()> startDeadline = [] { return StartDeadline{}; };
+    // hasStarted: the first event was forwarded. isAnswered: the head of an answer in one piece was
+    // read, so the request has begun to run.
+    bool hasStarted = false, isAnswered = false, expired = false;
+    // Set once the response may no longer start.
+    StartLimit startLimit = StartLimit::None;
     // The deadline has passed, and bytes received before it are processed first.
     bool isDeferred = false;
     // True if a response is on its way: its head was just read, or bytes wait in the socket.
@@ -38,6 +40,9 @@
       return now < std::min(hardDeadline, receivingUntil) &&
              (now - headReadAt < kActivityWindow || socket->available(ignored) > 0);
     }
+    StartDeadline currentStartDeadline() const {
+      return hasStarted || isAnswered ? StartDeadline{} : startDeadline();
+    }
     // True if the server has recently answered another request.
     bool deservesExtension(Instant now) const {
       return (now < hardDeadline) && (*lastActivity > startedAt) &&
@@ -68,7 +73,9 @@
   std::optional<http::response_parser<http::buffer_body>> parser;
   std::shared_ptr<Watch> watch = std::make_shared<Watch>();
   asio::steady_timer timer;
-  Instant sentAt{};               // right before the latest piece of the request was sent
+  Instant sentAt{};  // right before the latest piece of the request was sent
+  // The configuration in force when the request was sent.
+  std::shared_ptr<const Configuration> sentUnder;
   int strayResponses = 0;         // complete responses that belonged to other requests
   ByteBudget::Share answerShare;  // what is held of the answer
 
--- a/src/relay/relay.cpp
+++ b/src/relay/relay.cpp
@@ -6,6 +6,8 @@
 
 #include "base/scope_exit.h"
 #include "net/log.h"
+#include "relay/attempt.h"
+#include "relay/header_text.h"
 
 namespace quayrill {
 
@@ -18,6 +20,8 @@
 // Covers the time from a server's first token until it arrives here, and from a close here
 // until the server notices it.
 constexpr Duration kStartDeadlineMargin = 200ms;
+// Figures that arrive later than this after a request was sent were taken after it had arrived.
+constexpr Duration kLoadReportDelay = 500ms;
 constexpr Duration kFirstEventSlack = 400ms;  // added to the route's target for the first event
 }  // namespace
 
@@ -49,6 +53,7 @@
       configuration = readConfigurationOf(snapshot, *view_, dialect_.readConfiguration);
     auto next = std::make_shared<ProxyView>(
         nextView(*view_, snapshot, requestedAt, std::move(configuration)));
+    const auto configurationBefore = view_->configuration;
     if (next->configurationVersion != view_->configurationVersion) {
       ++counters_.configurationChanges;
       const auto& stores = next->configuration->stores;
@@ -66,11 +71,14 @@
     const Instant now = BootClock::now();
     pool_.closeExpired(now);
     updateRetryBudgets(snapshot.proxies, now);
-    std::erase_if(lastActivity_,
-                  [this](const auto& row) { return !serverRows_.contains(row.first); });
+    const auto isGone = [this](const auto& row) { return !serverRows_.contains(row.first); };
+    std::erase_if(lastActivity_, isGone);
+    std::erase_if(noneQueuedAt_, isGone);
     std::set<ServerName> listed;
     for (const auto& [name, index] : serverRows_) listed.insert(name);
     answerFaults_.retain(listed);
+    if (configurationBefore && configurationBefore->sharedScope != view_->sharedScope())
+      recheckStarts();
   });
 }
 
@@ -107,18 +115,58 @@
   if (row == serverRows_.end()) return false;
   const ServerState& current = currentView.servers[row->second];
   return !current.leaving && current.identity == server.identity &&
-         startDeadline(server) > BootClock::now();
+         weightsDeadline(server) > BootClock::now();
 }
 
 // The time until which a response may start, given the weights that the request asks the
 // server for.
-Instant Relay::startDeadline(const ServerState& server) const {
+Instant Relay::weightsDeadline(const ServerState& server) const {
   const Instant usableUntil = view_->usableUntil(server, settings_.rolloutTimeLimit);
   return usableUntil == Instant::max() || usableUntil == Instant::min()
              ? usableUntil
              : usableUntil - kStartDeadlineMargin;
 }
 
+// The time until which a response may start, given the cache scope that the request was sent under.
+// Without a prompt prefix it uses no cache.
+Instant Relay::scopeDeadline(const RelayRequest& job, const Configuration& sentUnder) const {
+  if (view(job.original[headerNames_.prefix]).empty()) return Instant::max();
+  const Instant usableUntil = view_->scopeUsableUntil(sentUnder, job.tenant, settings_.applyLimit);
+  return usableUntil == Instant::max() ? usableUntil : usableUntil - kStartDeadlineMargin;
+}
+
+// An answer in one piece does not show when it starts. True if its server's figures do: some time
+// after the request was sent, no request waited there.
+bool Relay::isKnownToRun(const Attempt& attempt) const {
+  const auto row = noneQueuedAt_.find(attempt.placed.chosenServer.name);
+  return row != noneQueuedAt_.end() && attempt.sentAt != Instant{} &&
+         row->second - attempt.sentAt > kLoadReportDelay;
+}
+
+StartDeadline Relay::startDeadline(const Attempt& attempt) const {
+  StartDeadline deadline;
+  const bool isStream = attempt.job.policy.isStream;
+  if (isStream) deadline = {weightsDeadline(attempt.placed.chosenServer), StartLimit::Weights};
+  if (!isStream && isKnownToRun(attempt)) return deadline;
+  const Instant scopeUsableUntil = scopeDeadline(attempt.job, *attempt.sentUnder);
+  if (scopeUsableUntil < deadline.at) deadline = {scopeUsableUntil, StartLimit::Isolation};
+  return deadline;
+}
+
+// Called when the cache scopes have changed: attempts that wait at servers may have less time.
+void Relay::recheckStarts() {
+  std::size_t attempts = 0;
+  for (const auto& weak : callerList_) {
+    const auto caller = weak.lock();
+    if (!caller || !caller->recheckStart) continue;
+    caller->recheckStart();
+    ++attempts;
+  }
+  LOG_LINE(kInfo) << "configuration " << view_->configurationVersion
+                  << " changes who is isolated while servers have " << attempts << " requests; "
+                  << counters_.startsRevoked << " were ended for such changes before";
+}
+
 std::optional<PlacementResult> Relay::place(const RelayRequest& job,
                                             const std::set<ServerName>& tried) {
   // The tenant may have become isolated since the request was admitted.
@@ -128,7 +176,7 @@
   const Instant now = BootClock::now();
   // A request sent now may have to wait at the server before its response starts.
   request.isAllowed = [this, now](const ServerState& server) {
-    return startDeadline(server) > now + kExpectedStartDelay;
+    return weightsDeadline(server) > now + kExpectedStartDelay;
   };
   while (!shares.empty()) {
     std::uint64_t sum = 0;
@@ -236,7 +284,9 @@
       if (++uncountedAttempts >= 3) break;
       continue;  // the same server, with what it just reported
     }
-    tried.insert(server.name);
+    if (result.startLimit == StartLimit::Isolation) ++counters_.startsRevoked;
+    // What was ended before its start may go to the same server under what is in force now.
+    if (result.startLimit == StartLimit::None) tried.insert(server.name);
     failure = std::move(result.failure);
     failureShare = std::move(result.failureShare);
     if (result.outcome == AttemptOutcome::NotRun) continue;
--- a/src/relay/relay.h
+++ b/src/relay/relay.h
@@ -73,6 +73,8 @@
   bool mayAbort = false;
   // Set while a server has the request: closes the connection to that server.
   std::function<void()> abortAttempt;
+  // The same: judges anew whether the response may still start.
+  std::function<void()> recheckStart;
 };
 
 // What has been sent to the caller so far, over all attempts.
@@ -99,6 +101,15 @@
 // One attempt as text for the decision record: how it ended, and what was estimated for its server.
 std::string describeAttempt(const PlacementResult& placed, const AttemptResult& result);
 
+// Why a response may no longer start.
+enum class StartLimit { None, Weights, Isolation };
+
+// The time until which a response may start, and what sets it.
+struct StartDeadline {
+  Instant at = Instant::max();
+  StartLimit limit = StartLimit::None;
+};
+
 // The result of one attempt.
 struct AttemptResult {
   AttemptOutcome outcome{};
@@ -112,6 +123,8 @@
   bool retrySameServer = false;
   bool isUnreachable = false;       // no connection could be established
   bool isRetryBudgetSpent = false;  // the attempt was a retry that the budget did not allow
+  // What the attempt was ended for, because its response had not started in time.
+  StartLimit startLimit = StartLimit::None;
   AnswerFault fault = AnswerFault::None;
 };
 
@@ -198,13 +211,19 @@
   std::optional<HttpResponse> intake(const HttpRequest& request, RelayRequest* job);
   HttpResponse reject(ErrorKind kind, const std::string& why, const std::string& id);
 
+  struct Attempt;
+
   // relay.cpp: one request over all its attempts
   awaitable<std::optional<HttpResponse>> run(const std::shared_ptr<Caller>& caller,
                                              const RelayRequest& job, bool keepAlive);
   void updateRetryBudgets(std::size_t daemons, Instant now);
   std::optional<PlacementResult> place(const RelayRequest& job, const std::set<ServerName>& tried);
   bool isStillAllowed(const RelayRequest& job, const PlacementResult& placed) const;
-  Instant startDeadline(const ServerState& server) const;
+  Instant weightsDeadline(const ServerState& server) const;
+  Instant scopeDeadline(const RelayRequest& job, const Configuration& sentUnder) const;
+  bool isKnownToRun(const Attempt& attempt) const;
+  StartDeadline startDeadline(const Attempt& attempt) const;
+  void recheckStarts();
   void applyOutcome(const ServerState& server, const AttemptResult& result);
   void recordDecision(const RelayRequest& job, const std::string& tries, const char* outcome);
 
@@ -219,7 +238,6 @@
   std::shared_ptr<Instant> lastActivityOf(const ServerName& server);
 
   // attempt.cpp: one attempt at one server
-  struct Attempt;
   awaitable<AttemptResult> attempt(const std::shared_ptr<Caller>& caller, const RelayRequest& job,
                                    const PlacementResult& placed, ResponseProgress* progress,
                                    const AttemptOptions& options);
@@ -261,6 +279,8 @@
   // When each listed server last sent anything. Distinguishes a slow server, which still answers
   // other requests, from a silent one.
   std::map<ServerName, std::shared_ptr<Instant>> lastActivity_;
+  // When an answer of each listed server last told that no request waits there.
+  std::map<ServerName, Instant> noneQueuedAt_;
   Reporter reporter_;
   std::vector<PartEventBatch> unreportedBatches_;  // read since the last report
   Counters counters_;
--- a/src/relay/response.cpp
+++ b/src/relay/response.cpp
@@ -51,7 +51,10 @@
 void Relay::applyResponseHeaders(const ServerState& server, const http::response_header<>& head) {
   const Instant now = BootClock::now();
   const auto load = parseNumbers(view(head[headerNames_.load]));
-  if (load.size() == 3) placement_.noteLoad(server.name, load[0], load[1], load[2], now);
+  if (load.size() == 3) {
+    placement_.noteLoad(server.name, load[0], load[1], load[2], now);
+    if (load[1] == 0) noneQueuedAt_[server.name] = now;
+  }
   const auto weights = parseNumbers(view(head[headerNames_.weights]));
   if (!weights.empty())
     placement_.noteWeights(server.name, server.identity,
@@ -178,6 +181,7 @@
       attempt.watch->headReadAt = BootClock::now();
       co_return co_await forwardEvents(attempt);
     }
+    if (isForRequest) attempt.watch->isAnswered = true;
     // Any other response is read completely before it is evaluated.
     const bool isNotRun = owner != ResponseOwner::Other && reportsNotRun(head, headerNames_);
     const bool isForCaller = isForRequest && !isNotRun && (isSuccess || !promisesNotRun(status));
--- a/tests/isolation_tests.cpp
+++ b/tests/isolation_tests.cpp
@@ -1,5 +1,5 @@
 // Tests of the cache wall while the configuration changes who is isolated, in both data planes.
-#include "relay_stage.h"
+#include "isolation_stage.h"
 
 using namespace quayrill;
 using namespace quayrill::tests;
@@ -14,25 +14,6 @@
   }
   return salts;
 }
-
-// Adds the tenant "east", which is not isolated, beside those of the stage.
-void addSecondOpenTenant(RelayStage& stage) {
-  stage.configuration.tenants[TenantName{"east"}] = {};
-  stage.configuration.tenantByKeyDigest[keyDigest("east-key")] = TenantName{"east"};
-  ++stage.snapshot.configurationVersion;
-  stage.publishSnapshot();
-}
-
-// Makes "north" isolated or not, in a new configuration.
-void setNorthIsolated(RelayStage& stage, bool isIsolated) {
-  stage.configuration.tenants[TenantName{"north"}].isolated = isIsolated;
-  deriveSharedScope(&stage.configuration);
-  ++stage.snapshot.configurationVersion;
-  stage.relay->applySnapshot(stage.snapshot, BootClock::now());
-}
-
-constexpr char kNorth[] = "X-Key: key\r\n";
-constexpr char kEast[] = "X-Key: east-key\r\n";
 }  // namespace
 
 // Guards against: other tenants use what a tenant cached before it became isolated.
--- a/tests/view_tests.cpp
+++ b/tests/view_tests.cpp
@@ -58,3 +58,56 @@
   CHECK(unread.configurationVersion == 3);
   CHECK(unread.confirmedAt == kStart);
 }
+
+namespace {
+// A configuration with the tenants a, b and c, of which these are isolated.
+std::shared_ptr<const Configuration> isolating(const std::set<std::string>& isolated) {
+  Configuration configuration;
+  for (const char* name : {"a", "b", "c"})
+    configuration.tenants[TenantName{name}].isolated = isolated.contains(name);
+  deriveSharedScope(&configuration);
+  return std::make_shared<const Configuration>(std::move(configuration));
+}
+
+// The view that follows `before` with this configuration, confirmed at `confirmedAt`.
+ProxyView viewAfter(const ProxyView& before, std::shared_ptr<const Configuration> configuration,
+                    Instant confirmedAt) {
+  Snapshot snapshot;
+  snapshot.configurationVersion = before.configurationVersion + 1;
+  snapshot.confirmedAgoMicros = 0;
+  return nextView(before, snapshot, confirmedAt, std::move(configuration));
+}
+}  // namespace
+
+// Guards against: a request starts under a cache scope whose tenants are no longer all open.
+TEST_CASE("view: a cache scope is usable for a bound after a tenant of it became isolated") {
+  const auto none = isolating({}), onlyA = isolating({"a"}), aAndB = isolating({"a", "b"});
+  const TenantName a{"a"}, c{"c"};
+  const ProxyView first = viewAfter({}, none, kStart);
+  const ProxyView second = viewAfter(first, onlyA, kStart + 10s);
+  const ProxyView third = viewAfter(second, aAndB, kStart + 20s);
+  CHECK(first.scopeUsableUntil(*none, c, 2s) == Instant::max());
+  // The change came at some time after the last confirmation of what was before it.
+  CHECK(second.scopeUsableUntil(*none, c, 2s) == kStart + 2s);
+  CHECK(second.scopeUsableUntil(*none, a, 2s) == kStart + 2s);
+  CHECK(third.scopeUsableUntil(*none, c, 2s) == kStart + 2s);
+  CHECK(third.scopeUsableUntil(*onlyA, c, 2s) == kStart + 12s);
+  // Tenant a had a scope of its own when this was sent.
+  CHECK(third.scopeUsableUntil(*onlyA, a, 2s) == Instant::max());
+  // What opens again takes nothing back.
+  const ProxyView fourth = viewAfter(third, onlyA, kStart + 30s);
+  CHECK(fourth.scopeUsableUntil(*aAndB, c, 2s) == Instant::max());
+  CHECK(fourth.scopeUsableUntil(*none, c, 2s) == kStart + 2s);
+  // One opens and another is isolated in one change.
+  const ProxyView swapped = viewAfter(second, isolating({"b"}), kStart + 20s);
+  CHECK(swapped.scopeUsableUntil(*onlyA, c, 2s) == kStart + 12s);
+  CHECK(ProxyView{}.scopeUsableUntil(*none, c, 2s) == Instant::max());
+}
+
+// Guards against: a tenant that was removed and is named again as an isolated one counts as old.
+TEST_CASE("view: a tenant that is named again is isolated since then") {
+  const ProxyView first = viewAfter({}, isolating({"a"}), kStart);
+  const ProxyView removed = viewAfter(first, std::make_shared<const Configuration>(), kStart + 10s);
+  const ProxyView again = viewAfter(removed, isolating({"a"}), kStart + 20s);
+  CHECK(again.scopeUsableUntil(*removed.configuration, TenantName{"c"}, 2s) == kStart + 12s);
+}
