Keep a limit on heads that 32 bits do not hold

Cause: the limit was narrowed by a cast where the parser takes 32 bits; 2^32 became 0. The operators' listener narrowed its own limit likewise, where it is a constant.

Change: saturated() gives the nearest value that the type holds. The port of an address is read by them too: one above 65535 became another port.

Evidence: "limits: a limit on heads beyond 32 bits lets heads pass" fails on the code before for 2^32, 2^32 + 1 and 2^33 + 100.

--- a/src/net/http.cpp
+++ b/src/net/http.cpp
@@ -5,6 +5,7 @@
 #include <vector>
 
 #include "base/json_text.h"
+#include "base/numbers.h"
 #include "net/body_reader.h"
 #include "net/outgoing.h"
 #include "net/read_buffer.h"
@@ -24,7 +25,8 @@
   ErrorCode error;
   const auto ip = asio::ip::make_address(address.value.substr(0, colon), error);
   if (error || colon == std::string::npos) return {};
-  return {ip, static_cast<unsigned short>(std::atoi(address.value.c_str() + colon + 1))};
+  const auto port = wholeNumber<std::uint16_t>(std::string_view(address.value).substr(colon + 1));
+  return port ? Tcp::endpoint{ip, *port} : Tcp::endpoint{};
 }
 
 bool isMachineShortage(const ErrorCode& code) {
@@ -171,11 +173,11 @@
   ErrorCode code;
   socket.set_option(Tcp::no_delay(true), code);
   Connection connection(std::move(socket));
-  ReadBuffer buffer(std::max(kReadBufferLimit, 2 * settings_.headerLimit));
+  ReadBuffer buffer(std::max<std::size_t>(kReadBufferLimit, 2 * settings_.headerLimit));
   while (!stopping_) {
     http::request_parser<http::string_body> parser;
     parser.body_limit(settings_.bodyLimit);
-    parser.header_limit(static_cast<std::uint32_t>(settings_.headerLimit));
+    parser.header_limit(settings_.headerLimit);
     if (buffer.size() == 0) {
       buffer.trim();
       const bool readable = co_await waitReadable(connection.socket());
--- a/src/net/http.h
+++ b/src/net/http.h
@@ -48,8 +48,8 @@
 
 struct HttpServerSettings {
   Address listen;
-  std::size_t bodyLimit = 1 << 20;     // bytes
-  std::size_t headerLimit = 16 << 10;  // bytes
+  std::size_t bodyLimit = 1 << 20;       // bytes
+  std::uint32_t headerLimit = 16 << 10;  // bytes
   std::size_t connectionLimit = 4096;
   std::size_t bodyBudget = 64 << 20;  // bytes, of all bodies that are read or being answered
   Duration readTimeout = std::chrono::seconds(10);  // for one request, and for writing its answer
--- a/src/relay/caller_connections.cpp
+++ b/src/relay/caller_connections.cpp
@@ -1,6 +1,7 @@
 // Connections from callers: what they may send, and how long that may take.
 #include <sys/socket.h>
 
+#include "base/numbers.h"
 #include "net/body_reader.h"
 #include "net/log.h"
 #include "net/metrics.h"
@@ -246,10 +247,11 @@
   caller->timedOut = false;
   caller->requestStartedAt = BootClock::now();
   const CallerLimits limits = limitsNow();
+  const auto headerLimit = saturated<std::uint32_t>(limits.headerBytes);
   caller->buffer.max_size(std::max<std::size_t>(kMaxPipelinedBytes + kPipelinedReadSize,
-                                                limits.headerBytes + kReadAheadSize));
+                                                headerLimit + kReadAheadSize));
   http::request_parser<http::string_body> parser;
-  parser.header_limit(static_cast<std::uint32_t>(limits.headerBytes));
+  parser.header_limit(headerLimit);
   parser.body_limit(limits.bodyBytes);
   setDeadline(caller, BootClock::now() + limits.headerTimeout);
   co_await http::async_read_header(caller->socket, caller->buffer, parser, into(code));
--- a/tests/caller_limit_tests.cpp
+++ b/tests/caller_limit_tests.cpp
@@ -51,6 +51,20 @@
   CHECK(stage.arrivals() == 2);
 }
 
+// Guards against: a limit on heads that 32 bits don't hold is cut to a small one, and every request
+// ends with 431.
+TEST_CASE("limits: a limit on heads beyond 32 bits lets heads pass") {
+  RelayStage stage(1);
+  for (const std::uint64_t limit :
+       {(std::uint64_t{1} << 32) - 1, std::uint64_t{1} << 32, (std::uint64_t{1} << 32) + 1,
+        (std::uint64_t{1} << 33) + 100, std::numeric_limits<std::uint64_t>::max()}) {
+    CAPTURE(limit);
+    stage.configuration.callerLimits.headerBytes = limit;
+    publishConfiguration(stage);
+    CHECK(statusOf(stage.post("/once/", "r1")) == 200);
+  }
+}
+
 TEST_CASE("limits: a refusal arrives although its caller goes on sending the body") {
   RelayStage stage(1);
   stage.configuration.callerLimits.bodyBytes = 10;
