Give heads of requests their share of the memory for requests

Seen: under a limit on heads of 2^31 - 1, one client whose head never ends takes an edge to 3 GB, 30 clients to 4.5 GB, of 256 MB.

Cause: a head was bounded by the operator's limit alone; it is held whole until its last line has come. Bodies share a budget, heads had none. The same limit bounded the framing of chunks behind the head.

Change: heads are read in steps that take a share of the budget of bodies, for the bytes, the copies and each field. More than half of the budget is 431; no share within 0.5 s is 503; large heads leave half of it to others. The buffer shrinks behind the head. A field that the HTTP library can't hold ends with 431 in place of an exception.

Evidence: on the code before, "endless: heads of requests without end under a large limit" fails with bad_alloc in the edge's handlers (limit of memory enforced), and "limits: a head may have its limit, and no more" with a closed connection for a field of 100 KB.

--- a/src/relay/caller_connections.cpp
+++ b/src/relay/caller_connections.cpp
@@ -24,8 +24,8 @@
 constexpr std::size_t kReadAheadSize = 16 << 10;
 constexpr std::size_t kMaxCallerConnections = 3000;
 constexpr std::size_t kMaxIdlePerServer = 32;
-// Of the memory, for the bodies of requests.
-constexpr std::size_t kBodyFraction = 3;
+// Of the memory, for the heads and bodies of requests.
+constexpr std::size_t kRequestFraction = 3;
 // The same for answers of servers that are held.
 constexpr std::size_t kAnswerFraction = 8;
 constexpr Duration kDefaultIdleTimeout = 4s;  // if the server does not specify a time
@@ -52,7 +52,7 @@
       retrySlack_(settings_.retryWindow),
       pool_(io_, settings_.mechanisms.isEnabled(Mechanism::ConnectionReuse) ? kMaxIdlePerServer : 0,
             kDefaultIdleTimeout),
-      bodies_(memoryLimitOf(settings_) / kBodyFraction),
+      requests_(memoryLimitOf(settings_) / kRequestFraction),
       answers_(memoryLimitOf(settings_) / kAnswerFraction) {}
 
 Relay::~Relay() {
@@ -232,7 +232,8 @@
   };
   ErrorCode code;
   caller->isIdle = true;
-  caller->bodyShare = bodies_.open();
+  caller->headShare = requests_.open();
+  caller->bodyShare = requests_.open();
   if (caller->buffer.size() == 0) {
     caller->buffer.trim();
     const Instant idleSince = BootClock::now();
@@ -248,13 +249,17 @@
   caller->requestStartedAt = BootClock::now();
   const CallerLimits limits = limitsNow();
   const auto headerLimit = saturated<std::uint32_t>(limits.headerBytes);
-  caller->buffer.max_size(std::max<std::size_t>(kMaxPipelinedBytes + kPipelinedReadSize,
-                                                headerLimit + kReadAheadSize));
+  caller->buffer.max_size(
+      std::max<std::size_t>(kMaxPipelinedBytes + kPipelinedReadSize, headerLimit + kReadAheadSize));
   http::request_parser<http::string_body> parser;
   parser.header_limit(headerLimit);
   parser.body_limit(limits.bodyBytes);
   setDeadline(caller, BootClock::now() + limits.headerTimeout);
-  co_await http::async_read_header(caller->socket, caller->buffer, parser, into(code));
+  co_await readHeadWithin(caller->socket, caller->buffer, parser, caller->headShare,
+                          requests_.limit(), &code);
+  // The framing of a body has no need of the room for a large head.
+  caller->buffer.max_size(
+      std::max(kMaxPipelinedBytes + kPipelinedReadSize, caller->buffer.size() + kReadAheadSize));
   if (!code && !parser.is_done()) {
     setDeadline(caller, bodyDeadline(parser.get(), caller->requestStartedAt));
     if (parser.get()[http::field::expect] == "100-continue") {
@@ -279,7 +284,7 @@
   if (code == http::error::buffer_overflow) error = {ErrorKind::MalformedRequest, kFramingTooLong};
   if (code == boost::system::errc::not_enough_memory) {
     co_await sendResponse(caller,
-                          reject(ErrorKind::Rejected, "other bodies take the memory for bodies",
+                          reject(ErrorKind::Rejected, "other requests take the memory for requests",
                                  std::string(parser.get()[headerNames_.requestId])),
                           false);
     co_await drain(caller);
--- a/src/relay/relay.h
+++ b/src/relay/relay.h
@@ -63,8 +63,8 @@
   Instant requestStartedAt{};        // when the first byte of the current request was read
   bool isDisconnectWatched = false;  // a wait for the caller's disconnect is pending
   bool staysOpen = true;             // stays open after the current response
-  // What the body of the current request takes of the relay's budget.
-  ByteBudget::Share bodyShare;
+  // What the head and the body of the current request take of the relay's budget.
+  ByteBudget::Share headShare, bodyShare;
   // A whole request was read, and its response is not complete.
   bool isAwaitingResponse = false;
   // The caller closed or half-closed the connection while a response was pending.
@@ -272,8 +272,8 @@
   RetryBudgets budgets_;
   RetrySlack retrySlack_;
   ConnectionPool pool_;
-  ByteBudget bodies_;   // of callers' requests, from their first byte to the end of the response
-  ByteBudget answers_;  // of servers' answers, until they are sent on
+  ByteBudget requests_;  // of callers, from their first byte to the end of the response
+  ByteBudget answers_;   // of servers' answers, until they are sent on
   std::map<ServerName, std::size_t> serverRows_;  // index of each server in view_
   std::list<std::weak_ptr<Caller>> callerList_;
   // When each listed server last sent anything. Distinguishes a slow server, which still answers
--- a/tests/caller_limit_tests.cpp
+++ b/tests/caller_limit_tests.cpp
@@ -65,6 +65,74 @@
   }
 }
 
+TEST_CASE("limits: a head may have its limit, and no more") {
+  RelayStage stage(1);
+  stage.configuration.callerLimits.headerBytes = 20000;
+  publishConfiguration(stage);
+  const auto withHead = [](std::size_t bytes) {
+    const std::string start =
+        "POST /once/ HTTP/1.1\r\nHost: h.example\r\nX-Id: r1\r\nX-Model: m\r\nX-Key: key\r\n"
+        "Connection: close\r\nContent-Length: 2\r\nX-Long: ";
+    return start + std::string(bytes - start.size() - 4, 'x') + "\r\n\r\n{}";
+  };
+  CHECK(statusOf(RelayStage::exchange(stage.callers, withHead(19000))) == 200);
+  CHECK(statusOf(RelayStage::exchange(stage.callers, withHead(21000))) == 431);
+  // One field may have as much as the parser can hold, and is refused beyond it.
+  stage.configuration.callerLimits.headerBytes = 1 << 20;
+  publishConfiguration(stage);
+  CHECK(statusOf(RelayStage::exchange(stage.callers, withHead(60000))) == 200);
+  CHECK(statusOf(RelayStage::exchange(stage.callers, withHead(100000))) == 431);
+}
+
+// Guards against: heads without end under a large limit fill the memory or deny others theirs.
+TEST_CASE("limits: heads without end leave room for the heads of others") {
+  constexpr std::size_t kMemoryLimit = 48 << 20;
+  RelayStage stage(1, 60s, true, 20, 2s, kMemoryLimit);
+  stage.configuration.callerLimits.headerBytes = (std::size_t{1} << 31) - 1;
+  stage.configuration.callerLimits.headerTimeout = 60s;
+  publishConfiguration(stage);
+  const std::string start = "POST /once/ HTTP/1.1\r\nHost: h.example\r\nX-Id: r1\r\nX-Key: key\r\n";
+  // One line without an end, lines, and lines that are little more than their ends.
+  const std::size_t lineBytes = GENERATE(0, 100, 1);
+  CAPTURE(lineBytes);
+  const bool isOneLine = lineBytes == 0;
+  std::string block;
+  while (block.size() < (64 << 10))
+    block += isOneLine ? "x" : "X:" + std::string(lineBytes, 'x') + "\r\n";
+  // Sends a head until it is refused; returns the status.
+  const auto sendHead = [&] {
+    asio::io_context io;
+    Tcp::socket socket(io);
+    ErrorCode code;
+    socket.connect(endpointOf(stage.callers), code);
+    asio::write(socket, asio::buffer(start + (isOneLine ? "X-Long: " : "")), code);
+    for (int i = 0; i < 1000 && !code && socket.available(code) == 0; ++i)
+      asio::write(socket, asio::buffer(block), code);
+    std::string bytes;
+    asio::read(socket, asio::dynamic_buffer(bytes), code);
+    return statusOf(bytes);
+  };
+  CHECK(sendHead() == 431);  // more than this machine has for one head
+  std::atomic<int> running{6};
+  std::vector<int> statuses(6);
+  std::vector<std::thread> senders;
+  for (int& status : statuses) {
+    senders.emplace_back([&] {
+      status = sendHead();
+      --running;
+    });
+  }
+  while (running > 0) {
+    stage.relay->applySnapshot(stage.snapshot, BootClock::now());  // confirms the configuration
+    CHECK(statusOf(stage.post("/once/", "sound")) == 200);
+  }
+  for (auto& sender : senders) sender.join();
+  for (const int status : statuses) {
+    CAPTURE(status);
+    CHECK((status == 431 || status == 503));
+  }
+}
+
 TEST_CASE("limits: a refusal arrives although its caller goes on sending the body") {
   RelayStage stage(1);
   stage.configuration.callerLimits.bodyBytes = 10;
--- a/tests/edge_processes.h
+++ b/tests/edge_processes.h
@@ -26,7 +26,8 @@
   // After this silence a client gives its request up.
   static constexpr std::chrono::milliseconds kClientPatience{2000};
 
-  explicit EdgeProcesses(int servers) : edge_(hostOf(kEdgeHost)) {
+  explicit EdgeProcesses(int servers, std::uint64_t maxHeaderBytes = 16384)
+      : maxHeaderBytes_(maxHeaderBytes), edge_(hostOf(kEdgeHost)) {
     for (int i = 0; i < servers; ++i) {
       const Address at = localAddress(kFirstServerHost + i, kServerPort);
       servers_.push_back(std::make_unique<EndlessServer>(io_, at, "i-" + std::to_string(i + 1)));
@@ -192,7 +193,7 @@
              {"maxInflight", 12},
              {"models", {{{"name", "m"}}}}}}}}},
         {"limits",
-         {{"maxHeaderBytes", 16384},
+         {{"maxHeaderBytes", maxHeaderBytes_},
           {"maxBodyBytes", 4194304},
           {"headerTimeoutMs", 3000},
           {"idleTimeoutMs", 15000}}},
@@ -211,6 +212,7 @@
     return got >= 12 && std::string(part, static_cast<std::size_t>(got)).substr(9, 3) == "200";
   }
 
+  const std::uint64_t maxHeaderBytes_;
   asio::io_context io_;
   std::vector<std::unique_ptr<EndlessServer>> servers_;
   std::unique_ptr<HttpServer> list_;
--- a/tests/endless_answer_tests.cpp
+++ b/tests/endless_answer_tests.cpp
@@ -40,6 +40,26 @@
   CHECK(processes.edge().log().find("was ended by an exception") == std::string::npos);
 }
 
+// Clients that send `start` and then bytes without end, again and again for kFloodSpan.
+void floodFrom(const std::string& ip, unsigned short port, const std::string& start,
+               int clients = 8) {
+  std::vector<std::thread> senders;
+  const auto until = std::chrono::steady_clock::now() + kFloodSpan;
+  for (int i = 0; i < clients; ++i) {
+    senders.emplace_back([&] {
+      const std::string block(64 << 10, 'x');
+      while (std::chrono::steady_clock::now() < until) {
+        const int socket = EdgeProcesses::connectTo(ip, port);
+        ssize_t sent = ::send(socket, start.data(), start.size(), MSG_NOSIGNAL);
+        while (sent > 0 && std::chrono::steady_clock::now() < until)
+          sent = ::send(socket, block.data(), block.size(), MSG_NOSIGNAL);
+        ::close(socket);
+      }
+    });
+  }
+  for (auto& sender : senders) sender.join();
+}
+
 // One form behind both statuses: from all servers on some routes, then from one server on all
 // routes.
 void checkForm(EndlessForm form) {
@@ -116,23 +136,6 @@
 // Guards against: framing without an end in what callers and operators send fills the memory.
 TEST_CASE("endless: requests whose framing never ends") {
   EdgeProcesses processes(1);
-  const auto floodFrom = [](const std::string& ip, unsigned short port, const std::string& start) {
-    std::vector<std::thread> senders;
-    const auto until = std::chrono::steady_clock::now() + kFloodSpan;
-    for (int i = 0; i < 8; ++i) {
-      senders.emplace_back([&] {
-        const std::string block(64 << 10, 'x');
-        while (std::chrono::steady_clock::now() < until) {
-          const int socket = EdgeProcesses::connectTo(ip, port);
-          ssize_t sent = ::send(socket, start.data(), start.size(), MSG_NOSIGNAL);
-          while (sent > 0 && std::chrono::steady_clock::now() < until)
-            sent = ::send(socket, block.data(), block.size(), MSG_NOSIGNAL);
-          ::close(socket);
-        }
-      });
-    }
-    for (auto& sender : senders) sender.join();
-  };
   const std::string chunked =
       "Content-Type: application/json\r\nTransfer-Encoding: chunked\r\n\r\n";
   floodFrom(processes.edge().ip(), EdgeProcesses::kClientPort,
@@ -146,6 +149,31 @@
   CHECK(processes.core().answers());
 }
 
+// Guards against: under a large limit on heads, heads without end fill the memory.
+TEST_CASE("endless: heads of requests without end under a large limit") {
+  constexpr std::uint64_t kLargeLimit = (std::uint64_t{1} << 31) - 1;
+  EdgeProcesses processes(1, kLargeLimit);
+  for (const int clients : {1, 30}) {
+    CAPTURE(clients);
+    std::atomic<bool> isFlooded{true};
+    std::thread flood([&] {
+      floodFrom(processes.edge().ip(), EdgeProcesses::kClientPort,
+                "POST /good/a HTTP/1.1\r\nHost: h.example\r\nQuayrill-Request-Id: 1\r\n"
+                "Quayrill-Key: key\r\nX-Long: ",
+                clients);
+      isFlooded = false;
+    });
+    int asked = 0, served = 0;
+    for (; isFlooded && !processes.edge().hasEnded(); ++asked) {
+      if (processes.ask("/good/a", EdgeProcesses::kClientPatience).status == 200) ++served;
+      std::this_thread::sleep_for(20ms);
+    }
+    flood.join();
+    CHECK(served >= asked * 9 / 10);
+    checkEdge(processes);
+  }
+}
+
 // Guards against: the answer to a call for cache events, which no caller asked for, has no end.
 TEST_CASE("endless: answers to the daemon's own calls") {
   const auto form = GENERATE(EndlessForm::HeaderLine, EndlessForm::ChunkSizeJunk,
