--- a/src/configuration/schema.cpp
+++ b/src/configuration/schema.cpp
@@ -1,5 +1,7 @@
 #include "configuration/schema.h"
 
+#include <algorithm>
+#include <limits>
 #include <nlohmann/json.hpp>
 #include <valijson/adapters/nlohmann_json_adapter.hpp>
 #include <valijson/schema.hpp>
@@ -62,6 +64,22 @@
   return others != schema.end() && others->is_object() ? &*others : nullptr;
 }
 
+// Whether a number in the value is above the largest signed one: the validator would take it for a
+// negative one.
+bool hasLargeNumber(const Json& value) {
+  if (value.is_number_unsigned())
+    return value.get<std::uint64_t>() > std::numeric_limits<std::int64_t>::max();
+  return value.is_structured() && std::any_of(value.begin(), value.end(), hasLargeNumber);
+}
+
+// Replaces each such number by the nearest floating-point one.
+void widenLargeNumbers(Json* value) {
+  if (value->is_number_unsigned() && hasLargeNumber(*value))
+    *value = static_cast<double>(value->get<std::uint64_t>());
+  if (!value->is_structured()) return;
+  for (Json& child : *value) widenLargeNumbers(&child);
+}
+
 // A value that violates `schema`, with its path.
 struct Violation {
   const Json* schema;
@@ -117,6 +135,11 @@
 }  // namespace
 
 std::optional<SchemaError> schemaError(const char* schemaText, const nlohmann::json& document) {
+  if (hasLargeNumber(document)) {
+    Json widened = document;
+    widenLargeNumbers(&widened);
+    return schemaError(schemaText, widened);
+  }
   const Json root = Json::parse(schemaText);
   if (CompiledSchema(root, root).accepts(document)) return std::nullopt;
   Violation violation{&root, &document, ""};
--- a/tests/platform_config_tests.cpp
+++ b/tests/platform_config_tests.cpp
@@ -206,6 +206,77 @@
   if (bad != sample()) CHECK_FALSE(platform::configReplacement(bad.dump(), 0).ok());
 }
 
+// Guards against: a change is refused, or a figure becomes another one, because it is large.
+TEST_CASE("platform config: a figure may be as large as it likes") {
+  const std::string figure =
+      GENERATE(as<std::string>{}, "2147483648", "4294967296", "8589934692", "1000000000000001",
+               "9223372036854775807", "18446744073709551615", "1e15", "4294967296.0", "1e300");
+  CAPTURE(figure);
+  const Document large = Document::parse(figure);
+  Document document = sample();
+  for (const char* field : {"maxHeaderBytes", "maxBodyBytes", "headerTimeoutMs", "idleTimeoutMs"})
+    document["limits"][field] = large;
+  for (const char* field : {"deadlineMs", "targetMs", "gapTargetMs", "tries", "prio"})
+    document["routes"][0][field] = large;
+  document["backends"][0]["maxConns"] = large;
+  for (const char* field : {"slots", "kvCapacity", "kvTokenBytes", "netMbps", "maxInflight"})
+    document["backends"][0]["runtime"][field] = large;
+  for (const char* field : {"kvCapacity", "netMbps", "maxInflight"})
+    document["backends"][2][field] = large;
+  document["tenants"][0]["prio"] = large;
+  const auto config = platform::parseConfig(document);
+  INFO(config.status().ToString());
+  REQUIRE(config.ok());
+  const Configuration& read = config->configuration;
+  constexpr std::uint64_t kLeast = 1'000'000'000;  // no figure has become a small one
+  CHECK(read.callerLimits.headerBytes >= kLeast);
+  CHECK(read.callerLimits.bodyBytes >= kLeast);
+  const RoutePolicy& policy = read.policies.at(PolicyName{"chat"});
+  CHECK(policy.tries >= kLeast);
+  CHECK(policy.priority >= kLeast);
+  CHECK(policy.timeout.count() >= static_cast<std::int64_t>(kLeast));
+  const Service& service = read.services.at(ServiceName{"east"});
+  CHECK(service.slots >= kLeast);
+  CHECK(service.maxConnections >= kLeast);
+  CHECK(service.cacheTokens >= kLeast);
+  CHECK(service.tokenBytes >= kLeast);
+  CHECK(service.eventReaders >= kLeast);
+  CHECK(read.stores.at(ServiceName{"shelf"}).cacheTokens >= kLeast);
+  CHECK(read.tenants.at(TenantName{"kaje80"}).priority >= kLeast);
+}
+
+TEST_CASE("platform config: large weights keep their ratio") {
+  Document document = sample();
+  document["routes"][0]["split"][0]["weight"] = Document::parse("6000000000000");
+  document["routes"][0]["split"][1]["weight"] = Document::parse("2000000000000");
+  const auto config = platform::parseConfig(document);
+  REQUIRE(config.ok());
+  for (const Route& route : config->configuration.routes) {
+    if (route.name != "chat") continue;
+    const double ratio = static_cast<double>(route.split[0].weight) / route.split[1].weight;
+    CHECK(ratio == Approx(3.0).epsilon(0.001));
+  }
+}
+
+// Guards against: the error for a figure names a remedy that has nothing to do with it.
+TEST_CASE("platform config: a figure that is no amount is refused for what it is") {
+  for (const char* figure : {"-1", "0.5", "\"8\"", "true"}) {
+    CAPTURE(figure);
+    Document document = sample();
+    document["limits"]["maxHeaderBytes"] = Document::parse(figure);
+    CHECK_THAT(errorOf(document), Contains("/limits/maxHeaderBytes: "));
+  }
+  for (const char* version : {"-1", "7.5", "1e3", "18446744073709551616"}) {
+    CAPTURE(version);
+    Document document = sample();
+    document["gen"] = Document::parse(version);
+    CHECK_THAT(errorOf(document), Contains("/gen: "));
+  }
+  Document newest = sample();
+  newest["gen"] = Document::parse("18446744073709551615");
+  CHECK(errorOf(newest).empty());
+}
+
 TEST_CASE("platform config: the register keeps a document as it was sent") {
   const std::string text = documentText(7);
   const std::string body = bodyAfter(platform::configReplacement(text, 0), "");
