Read figures of servers, lists and callers without cutting them

Counts in JSON kept their low 32 bits, negative versions and positions became large ones, and operator calls read numbers by atoll.

Kept connections are kept for an hour at most. Four copies of the same reading of a number in text are one.

--- a/src/agent/operator_api.cpp
+++ b/src/agent/operator_api.cpp
@@ -2,6 +2,7 @@
 
 #include "agent/agent.h"
 #include "base/json_text.h"
+#include "base/numbers.h"
 #include "base/scope_exit.h"
 #include "net/log.h"
 #include "net/metrics.h"
@@ -47,18 +48,16 @@
 }
 
 awaitable<HttpResponse> Agent::changeConfiguration(HttpRequest& request, bool isPatch) {
-  const std::string expectText = queryValue(request, "expect");
-  if (expectText.empty() || expectText.find_first_not_of("0123456789") != std::string::npos ||
-      expectText.size() > 18)
+  const auto expected = wholeNumber(queryValue(request, "expect"));
+  if (!expected)
     co_return errorResponse(
         {ErrorKind::MalformedRequest, "?expect=VERSION is missing: name the version you read"});
-  const std::uint64_t expected = std::stoull(expectText);
   if (!hasReplicasToSpare())
     co_return rejection("too few register replicas to survive the loss of one");
   const ChangeOutcome current = co_await linearizableRead(2s);
   if (current.result != ChangeResult::Chosen)
     co_return rejection("no majority of register replicas answered");
-  if (current.value.version != expected) {
+  if (current.value.version != *expected) {
     HttpResponse response =
         errorResponse({ErrorKind::VersionConflict,
                        "the configuration is at version " + std::to_string(current.value.version)});
@@ -80,7 +79,7 @@
   if (const auto parsed = dialect_.readConfiguration(body); !parsed.ok())
     co_return errorResponse(
         {ErrorKind::InvalidConfiguration, std::string(parsed.status().message())});
-  ChangeRequest change{{}, kConfigurationKey, false, expected, body, {}, BootClock::now() + 3s};
+  ChangeRequest change{{}, kConfigurationKey, false, *expected, body, {}, BootClock::now() + 3s};
   const ChangeOutcome done = co_await submitChange(change);
   switch (done.result) {
     case ChangeResult::Chosen: {
@@ -248,14 +247,12 @@
   if (path == "/q/servers") co_return jsonResponse(200, serversJson(now));
   if (path == "/q/feed") {
     const std::string knownVersion = queryValue(request, "spec");
-    const Snapshot current =
-        snapshot(static_cast<std::uint64_t>(std::atoll(knownVersion.c_str())), now);
+    const Snapshot current = snapshot(wholeNumber(knownVersion).value_or(0), now);
     co_return textResponse(200, encodeValue(current));
   }
   if (path == "/q/decisions") {
     const std::string from = queryValue(request, "from");
-    const DecisionPage page =
-        decisions_.read(static_cast<std::uint64_t>(std::atoll(from.c_str())), 500);
+    const DecisionPage page = decisions_.read(wholeNumber(from).value_or(0), 500);
     co_return jsonResponse(200,
                            {{"first", page.first}, {"next", page.next}, {"lines", page.lines}});
   }
--- a/src/net/model_server.cpp
+++ b/src/net/model_server.cpp
@@ -1,6 +1,7 @@
 #include "net/model_server.h"
 
 #include "base/json_text.h"
+#include "base/numbers.h"
 
 namespace quayrill {
 
@@ -43,10 +44,10 @@
     state.identity = ServerIdentity{json->at("identity").get<std::string>()};
     state.model = ModelName{json->at("model").get<std::string>()};
     state.weights = WeightsVersion{json->at("weights").get<std::string>()};
-    state.running = json->at("running").get<std::uint32_t>();
-    state.queued = json->at("queued").get<std::uint32_t>();
-    state.slots = json->at("slots").get<std::uint32_t>();
-    state.cacheTokens = json->at("cache_tokens").get<std::uint64_t>();
+    state.running = amountAs<std::uint32_t>(json->at("running"));
+    state.queued = amountAs<std::uint32_t>(json->at("queued"));
+    state.slots = amountAs<std::uint32_t>(json->at("slots"));
+    state.cacheTokens = amountIn(json->at("cache_tokens"));
     state.healthy = json->at("state").get<std::string>() == "ready";
     state.polledAt = requestedAt;
     co_return state;
@@ -78,11 +79,11 @@
   try {
     CacheEvents result;
     result.identity = ServerIdentity{json->at("identity").get<std::string>()};
-    result.first = json->at("first").get<std::uint64_t>();
-    result.next = json->at("next").get<std::uint64_t>();
+    result.first = exactNumberIn(json->at("first"));
+    result.next = exactNumberIn(json->at("next"));
     for (const auto& row : json->at("events")) {
       CacheEvent event;
-      event.position = row.at("position").get<std::uint64_t>();
+      event.position = exactNumberIn(row.at("position"));
       event.kind = row.at("kind") == "dropped" ? CacheEventKind::Dropped : CacheEventKind::Stored;
       event.salt = CacheSalt{row.at("salt").get<std::string>()};
       auto prefix = parsePrefix(row.at("prefix").get<std::string>());
--- a/src/proxy/proxy.cpp
+++ b/src/proxy/proxy.cpp
@@ -2,6 +2,7 @@
 
 #include <random>
 
+#include "base/numbers.h"
 #include "net/log.h"
 #include "net/metrics.h"
 #include "net/spawn.h"
@@ -192,8 +193,7 @@
 
 HttpResponse Proxy::readDecisions(const HttpRequest& request) const {
   const std::string from = queryValue(request, "from");
-  const DecisionPage page =
-      decisions_.read(static_cast<std::uint64_t>(std::atoll(from.c_str())), 500);
+  const DecisionPage page = decisions_.read(wholeNumber(from).value_or(0), 500);
   return jsonResponse(200, {{"first", page.first}, {"next", page.next}, {"lines", page.lines}});
 }
 
--- a/src/relay/attempt.cpp
+++ b/src/relay/attempt.cpp
@@ -1,6 +1,7 @@
 // One attempt at one server: gets a connection, makes the final checks and sends the request.
 #include "relay/attempt.h"
 
+#include "base/numbers.h"
 #include "base/scope_exit.h"
 #include "net/request_sender.h"
 #include "relay/header_text.h"
@@ -11,6 +12,7 @@
 
 namespace {
 constexpr Duration kConnectTimeout = 400ms;
+constexpr std::chrono::seconds kMaxKeepAlive{3600};  // for which an idle connection is kept
 // If this much time passes between two steps that do not wait for anything, the process was
 // stalled.
 constexpr Duration kStallThreshold = 100ms;
@@ -172,8 +174,12 @@
       (result.outcome == AttemptOutcome::Done || result.outcome == AttemptOutcome::NotRun);
   if (!isResponseComplete || attempt.strayResponses > 0 || attempt.job.id.value.empty()) return;
   std::optional<Duration> keepFor;
-  const auto announced = parseNumbers(view(response->get()["Keep-Alive"]));
-  if (!announced.empty()) keepFor = std::chrono::seconds(announced.front());
+  const auto announced = digitRuns(view(response->get()["Keep-Alive"]));
+  if (!announced.empty()) {
+    const auto seconds = wholeNumber<std::uint32_t>(announced.front());
+    keepFor = std::min<Duration>(kMaxKeepAlive,
+                                 std::chrono::seconds(seconds.value_or(kMaxKeepAlive.count())));
+  }
   attempt.connection->lastRequest = attempt.job.id;
   pool_.returnIdle(attempt.placed.chosenServer.name, std::move(attempt.connection), keepFor,
                    BootClock::now());
--- a/src/relay/caller_connections.cpp
+++ b/src/relay/caller_connections.cpp
@@ -118,8 +118,7 @@
   }
   if (path == "/q/decisions") {
     const std::string from = queryValue(request, "from");
-    const DecisionPage page =
-        decisions_.read(static_cast<std::uint64_t>(std::atoll(from.c_str())), 500);
+    const DecisionPage page = decisions_.read(wholeNumber(from).value_or(0), 500);
     co_return jsonResponse(200,
                            {{"first", page.first}, {"next", page.next}, {"lines", page.lines}});
   }
--- a/src/relay/event_splitter.cpp
+++ b/src/relay/event_splitter.cpp
@@ -1,7 +1,8 @@
 #include "relay/event_splitter.h"
 
 #include <algorithm>
-#include <charconv>
+
+#include "base/numbers.h"
 
 namespace quayrill {
 
@@ -23,10 +24,7 @@
 std::optional<std::uint64_t> numberIn(std::string_view text) {
   while (!text.empty() && text.front() == ' ') text.remove_prefix(1);
   while (!text.empty() && (text.back() == ' ' || text.back() == '\r')) text.remove_suffix(1);
-  std::uint64_t number = 0;
-  const auto [last, error] = std::from_chars(text.data(), text.data() + text.size(), number);
-  if (error != std::errc{} || last != text.data() + text.size()) return std::nullopt;
-  return number;
+  return wholeNumber(text);
 }
 
 // The numeric id of an event; nullopt if it has none.
--- a/src/relay/header_text.cpp
+++ b/src/relay/header_text.cpp
@@ -1,6 +1,6 @@
 #include "relay/header_text.h"
 
-#include <charconv>
+#include <algorithm>
 
 namespace quayrill {
 
@@ -20,19 +20,15 @@
   head->append(name).append(": ").append(value).append("\r\n");
 }
 
-std::vector<std::uint32_t> parseNumbers(std::string_view text) {
-  std::vector<std::uint32_t> numbers;
-  for (std::size_t at = 0; at < text.size();) {
-    std::uint32_t number = 0;
-    const auto [end, error] = std::from_chars(text.data() + at, text.data() + text.size(), number);
-    if (error != std::errc{}) {
-      ++at;
-      continue;
-    }
-    numbers.push_back(number);
-    at = static_cast<std::size_t>(end - text.data());
+std::vector<std::string_view> digitRuns(std::string_view text) {
+  constexpr char kDigits[] = "0123456789";
+  std::vector<std::string_view> runs;
+  for (std::size_t start = text.find_first_of(kDigits); start != std::string_view::npos;) {
+    const std::size_t end = std::min(text.find_first_not_of(kDigits, start), text.size());
+    runs.push_back(text.substr(start, end - start));
+    start = text.find_first_of(kDigits, end);
   }
-  return numbers;
+  return runs;
 }
 
 }  // namespace quayrill
--- a/src/relay/header_text.h
+++ b/src/relay/header_text.h
@@ -19,7 +19,7 @@
 // Appends a header line to `head`.
 void addHeader(std::string* head, std::string_view name, std::string_view value);
 
-// All unsigned integers in `text`, whatever separates them.
-std::vector<std::uint32_t> parseNumbers(std::string_view text);
+// All runs of decimal digits in `text`, whatever separates them.
+std::vector<std::string_view> digitRuns(std::string_view text);
 
 }  // namespace quayrill
--- a/src/relay/intake.cpp
+++ b/src/relay/intake.cpp
@@ -1,8 +1,8 @@
 // Checks a request before it is placed: route, key and time limit.
 #include <algorithm>
-#include <charconv>
 
 #include "base/digest.h"
+#include "base/numbers.h"
 #include "relay/relay.h"
 
 namespace quayrill {
@@ -25,18 +25,12 @@
   return field == request.end() ? std::string{} : std::string(field->value());
 }
 
-std::optional<std::uint64_t> numberOf(const std::string& text) {
-  std::uint64_t number = 0;
-  const auto [end, error] = std::from_chars(text.data(), text.data() + text.size(), number);
-  if (text.empty() || error != std::errc{} || end != text.data() + text.size()) return std::nullopt;
-  return number;
-}
 // The header has the tokens of the prompt and the most tokens of the answer, joined by a comma. An
 // event holds a token or more; a few hold none.
 std::optional<std::uint64_t> maxEventsOf(const std::string& tokenCount) {
   const auto comma = tokenCount.rfind(',');
   if (comma == std::string::npos) return std::nullopt;
-  const auto tokens = numberOf(tokenCount.substr(comma + 1));
+  const auto tokens = wholeNumber(tokenCount.substr(comma + 1));
   if (!tokens) return std::nullopt;
   return std::min(*tokens, kMaxToldTokens) * kEventsPerToken + kEventsWithoutToken;
 }
@@ -47,7 +41,7 @@
 // The timeout of the route, or that of the caller if it is shorter.
 Duration Relay::timeoutFor(const http::request_header<>& head, const RoutePolicy& policy) const {
   const Duration timeout = policy.timeout;
-  const auto requested = numberOf(headerOf(head, headerNames_.timeoutMs));
+  const auto requested = wholeNumber(headerOf(head, headerNames_.timeoutMs));
   if (!requested) return timeout;
   return std::min<Duration>(timeout,
                             std::chrono::milliseconds(std::min(*requested, kMaxTimeoutMs)));
@@ -118,7 +112,7 @@
   if (auto prefix = parsePrefix(headerOf(request, headerNames_.prefix)); prefix.ok())
     job->prefix = std::move(*prefix);
   job->maxEvents = maxEventsOf(headerOf(request, headerNames_.tokenCount));
-  job->resumeAfter = numberOf(headerOf(request, headerNames_.lastEventId));
+  job->resumeAfter = wholeNumber(headerOf(request, headerNames_.lastEventId));
   return std::nullopt;
 }
 
--- a/src/relay/response.cpp
+++ b/src/relay/response.cpp
@@ -3,6 +3,7 @@
 #include <array>
 #include <charconv>
 
+#include "base/numbers.h"
 #include "net/body_reader.h"
 #include "net/read_pace.h"
 #include "relay/attempt.h"
@@ -31,6 +32,11 @@
   return std::string(digits, end) + "\r\n";
 }
 
+// A figure of a server's load. One that is too large counts as the largest.
+std::uint32_t loadFigure(std::string_view digits) {
+  return wholeNumber<std::uint32_t>(digits).value_or(std::numeric_limits<std::uint32_t>::max());
+}
+
 void failBody(AnswerBody* body, AnswerFault fault) {
   body->fault = fault;
   body->error = describeFault(fault);
@@ -50,15 +56,16 @@
 // Updates load and weights of the server from a response.
 void Relay::applyResponseHeaders(const ServerState& server, const http::response_header<>& head) {
   const Instant now = BootClock::now();
-  const auto load = parseNumbers(view(head[headerNames_.load]));
+  const auto load = digitRuns(view(head[headerNames_.load]));
   if (load.size() == 3) {
-    placement_.noteLoad(server.name, load[0], load[1], load[2], now);
-    if (load[1] == 0) noneQueuedAt_[server.name] = now;
+    const std::uint32_t queued = loadFigure(load[1]);
+    placement_.noteLoad(server.name, loadFigure(load[0]), queued, loadFigure(load[2]), now);
+    if (queued == 0) noneQueuedAt_[server.name] = now;
   }
-  const auto weights = parseNumbers(view(head[headerNames_.weights]));
-  if (!weights.empty())
-    placement_.noteWeights(server.name, server.identity,
-                           WeightsVersion{std::to_string(weights.back())});
+  const auto versions = digitRuns(view(head[headerNames_.weights]));
+  const auto newest = versions.empty() ? std::nullopt : wholeNumber(versions.back());
+  if (newest)
+    placement_.noteWeights(server.name, server.identity, WeightsVersion{std::to_string(*newest)});
 }
 
 void Relay::countRead(std::size_t bytes) {
