Ask a server's report whether answers in one piece have begun

An answer in one piece does not show when its request begins to run. Where no answer of the server bears load figures, a request that ran for long was ended with those that wait when a tenant became isolated.

Change: at such a change, servers at which answers in one piece are awaited under the scope of before are asked four times, 0.4 s apart, how many requests wait. A report with none, taken late enough after the request was sent, shows that it runs, and it is left alone. Streams and other changes cause no call.

Evidence: "isolation wait: a request that its server's report shows running is not ended", with none waiting (200) and with one (502).

--- a/src/dialect/dialect.h
+++ b/src/dialect/dialect.h
@@ -58,6 +58,11 @@
   std::function<awaitable<absl::StatusOr<WeightsReport>>(Address server, Address from,
                                                          ModelName model, Duration timeout)>
       readWeights;
+  // Reads how many requests wait at a server, as of some hundred milliseconds ago. If empty,
+  // servers don't tell.
+  std::function<awaitable<absl::StatusOr<std::uint32_t>>(Address server, ServerIdentity identity,
+                                                         Duration timeout)>
+      readQueued;
   // Orders a server to switch to `weights`. `owner` names the holder of the fence and is unique
   // among all runs of all daemons.
   std::function<awaitable<OrderAnswer>(Address server, Address from, ServerIdentity identity,
--- a/src/relay/attempt.cpp
+++ b/src/relay/attempt.cpp
@@ -113,8 +113,11 @@
   attempt.watch->hardDeadline = job.deadline;
   attempt.sentUnder = view_->configuration;
   attempt.watch->startDeadline = [this, &attempt] { return startDeadline(attempt); };
-  caller->recheckStart = [&attempt, watch = attempt.watch] {
-    if (watch->socket) attempt.onTimer();
+  caller->recheckStart = [this, &attempt, watch = attempt.watch] {
+    if (!watch->socket) return;
+    const bool isBounded = watch->currentStartDeadline().limit == StartLimit::Isolation;
+    if (isBounded && !attempt.job.policy.isStream) askQueue(attempt.placed.chosenServer);
+    attempt.onTimer();
   };
   caller->abortAttempt = [watch = attempt.watch] {
     ErrorCode ignored;
--- a/src/relay/relay.cpp
+++ b/src/relay/relay.cpp
@@ -6,6 +6,7 @@
 
 #include "base/scope_exit.h"
 #include "net/log.h"
+#include "net/spawn.h"
 #include "relay/attempt.h"
 #include "relay/header_text.h"
 
@@ -22,6 +23,10 @@
 constexpr Duration kStartDeadlineMargin = 200ms;
 // Figures that arrive later than this after a request was sent were taken after it had arrived.
 constexpr Duration kLoadReportDelay = 500ms;
+// How old the figures in a server's report of its queue may be.
+constexpr Duration kQueueReportAge = 400ms;
+constexpr Duration kQueueReadInterval = 400ms;
+constexpr int kQueueReads = 4;
 constexpr Duration kFirstEventSlack = 400ms;  // added to the route's target for the first event
 }  // namespace
 
@@ -167,6 +172,30 @@
                   << counters_.startsRevoked << " were ended for such changes before";
 }
 
+// Asks a server how many requests wait there, if it can tell and is not being asked.
+void Relay::askQueue(const ServerState& server) {
+  if (!dialect_.readQueued || !queuesAsked_.insert(server.name).second) return;
+  spawnTask(io_, "reading a server's queue", readQueue(server.name, server.identity));
+}
+
+// Several times, because a report shows requests that were sent some time before it only.
+awaitable<void> Relay::readQueue(ServerName server, ServerIdentity identity) {
+  const ScopeExit done([this, alive = alive_, server] {
+    if (*alive) queuesAsked_.erase(server);
+  });
+  // A variable, because GCC 12 destroys temporaries twice that initialize an aggregate in a
+  // coroutine.
+  const Address address{server.value};
+  for (int call = 0; call < kQueueReads; ++call) {
+    if (call > 0) co_await pauseFor(kQueueReadInterval);
+    const Instant askedAt = BootClock::now();
+    const auto queued = co_await dialect_.readQueued(address, identity, kQueueReadInterval);
+    Instant& noneQueuedAt = noneQueuedAt_[server];
+    if (queued.ok() && *queued == 0)
+      noneQueuedAt = std::max(noneQueuedAt, askedAt - Instant::duration(kQueueReportAge));
+  }
+}
+
 std::optional<PlacementResult> Relay::place(const RelayRequest& job,
                                             const std::set<ServerName>& tried) {
   // The tenant may have become isolated since the request was admitted.
--- a/src/relay/relay.h
+++ b/src/relay/relay.h
@@ -224,6 +224,8 @@
   bool isKnownToRun(const Attempt& attempt) const;
   StartDeadline startDeadline(const Attempt& attempt) const;
   void recheckStarts();
+  void askQueue(const ServerState& server);
+  awaitable<void> readQueue(ServerName server, ServerIdentity identity);
   void applyOutcome(const ServerState& server, const AttemptResult& result);
   void recordDecision(const RelayRequest& job, const std::string& tries, const char* outcome);
 
@@ -281,6 +283,7 @@
   std::map<ServerName, std::shared_ptr<Instant>> lastActivity_;
   // When an answer of each listed server last told that no request waits there.
   std::map<ServerName, Instant> noneQueuedAt_;
+  std::set<ServerName> queuesAsked_;  // servers that are being asked how many requests wait
   Reporter reporter_;
   std::vector<PartEventBatch> unreportedBatches_;  // read since the last report
   Counters counters_;
--- a/tests/isolation_wait_tests.cpp
+++ b/tests/isolation_wait_tests.cpp
@@ -163,6 +163,20 @@
   CHECK(startsRevoked(stage) == 0);
 }
 
+// Guards against: the same where no answer bears figures, and only a report tells.
+TEST_CASE("isolation wait: a request that its server's report shows running is not ended") {
+  const std::uint32_t queued = GENERATE(0U, 1U);
+  WaitingStage stage;
+  stage.onReadQueued = [queued] { return queued; };
+  stage.sendWaiting("/unsafe/", kEast);
+  std::this_thread::sleep_for(1100ms);
+  stage.publishSnapshot();  // confirms the configuration again
+  setNorthIsolated(stage, true);
+  stage.answerPastBound();
+  CHECK(statusOf(stage.answer) == (queued == 0 ? 200 : 502));
+  CHECK(startsRevoked(stage) == queued);
+}
+
 // Guards against: the same as the first, in the data plane of the built-in dialect.
 TEST_CASE("isolation wait: the built-in dialect ends what waits under the scope of before") {
   const bool isRepeatable = GENERATE(false, true);
--- a/tests/platform_servers_tests.cpp
+++ b/tests/platform_servers_tests.cpp
@@ -118,3 +118,10 @@
   for (const unsigned status : {404U, 429U, 500U, 502U, 503U, 504U})
     CHECK(platform::readOrderAnswer(status) == OrderAnswer::Unclear);
 }
+
+TEST_CASE("platform servers: a report tells how many requests wait") {
+  CHECK(*platform::parseQueued(R"({"queued":3,"active":12})") == 3);
+  CHECK(*platform::parseQueued(R"({"queued":4294967296})") == 0xffffffffU);
+  for (const char* body : {"", "[]", "{}", R"({"queued":-1})", R"({"queued":"3"})"})
+    CHECK_FALSE(platform::parseQueued(body).ok());
+}
--- a/tests/relay_stage.h
+++ b/tests/relay_stage.h
@@ -42,6 +42,8 @@
   Configuration configuration;
   Snapshot snapshot;
   Duration grace{};  // for beginLeaving()
+  // What a server's report tells of its queue; empty: servers don't tell.
+  std::function<absl::StatusOr<std::uint32_t>()> onReadQueued;
   // Called on the relay's traffic thread whenever it reads a configuration.
   std::function<void()> onReadConfiguration = [] {};
 
@@ -97,6 +99,11 @@
       onReadConfiguration();
       return configuration;
     };
+    dialect.readQueued = [this](Address, ServerIdentity,
+                                Duration) -> awaitable<absl::StatusOr<std::uint32_t>> {
+      if (onReadQueued) co_return onReadQueued();
+      co_return absl::UnavailableError("no report");
+    };
     relay = std::make_unique<Relay>(settings, dialect);
     REQUIRE(relay->start().ok());
     if (hasSnapshot) publishSnapshot();
