Log what a change of who is isolated ended

The line comes once the bound has passed, with the requests that the daemon's servers had at the change and those of them that were ended before their start.

--- a/src/relay/relay.cpp
+++ b/src/relay/relay.cpp
@@ -28,6 +28,18 @@
 constexpr Duration kQueueReadInterval = 400ms;
 constexpr int kQueueReads = 4;
 constexpr Duration kFirstEventSlack = 400ms;  // added to the route's target for the first event
+
+// Logs, once `span` has passed, how many of the requests that servers had at a change of who is
+// isolated were ended for it.
+awaitable<void> reportRevokedStarts(const Counters& counters, std::uint64_t configurationVersion,
+                                    std::size_t requests, std::uint64_t revokedBefore,
+                                    Duration span) {
+  co_await pauseFor(span);
+  LOG_LINE(kInfo) << "configuration " << configurationVersion
+                  << " changed who is isolated while servers had " << requests
+                  << " requests: " << counters.startsRevoked - revokedBefore
+                  << " were ended before their start";
+}
 }  // namespace
 
 std::string describeAttempt(const PlacementResult& placed, const AttemptResult& result) {
@@ -160,16 +172,17 @@
 
 // Called when the cache scopes have changed: attempts that wait at servers may have less time.
 void Relay::recheckStarts() {
-  std::size_t attempts = 0;
+  std::size_t requests = 0;
+  const std::uint64_t revokedBefore = counters_.startsRevoked;
   for (const auto& weak : callerList_) {
     const auto caller = weak.lock();
     if (!caller || !caller->recheckStart) continue;
     caller->recheckStart();
-    ++attempts;
+    ++requests;
   }
-  LOG_LINE(kInfo) << "configuration " << view_->configurationVersion
-                  << " changes who is isolated while servers have " << attempts << " requests; "
-                  << counters_.startsRevoked << " were ended for such changes before";
+  spawnTask(io_, "reporting revoked starts",
+            reportRevokedStarts(counters_, view_->configurationVersion, requests, revokedBefore,
+                                settings_.applyLimit));
 }
 
 // Asks a server how many requests wait there, if it can tell and is not being asked.
