Acknowledge a change that isolates once what waited has been ended

Cause: the acknowledgement promised the isolation before the requests of before had begun or been ended, and a close is not heard by every server.

Change: a change by which a tenant becomes isolated is in force at once, and acknowledged 1.6 s after this daemon learned of it (applyLimit less the margin of a close), when what waited has been ended. So nothing crosses after an acknowledgement at servers that drop what is closed, and others have that time to work off their queues. Other changes wait only if they come within that span.

--- a/src/agent/agent.cpp
+++ b/src/agent/agent.cpp
@@ -1,5 +1,6 @@
 #include "agent/agent.h"
 
+#include <algorithm>
 #include <filesystem>
 #include <random>
 
@@ -12,6 +13,13 @@
 using namespace std::chrono_literals;
 
 namespace {
+// Whether a tenant is isolated by `after` and not by `before`.
+bool isolatesMore(const Configuration& before, const Configuration& after) {
+  return std::any_of(after.tenants.begin(), after.tenants.end(), [&](const auto& row) {
+    return row.second.isolated && !isIsolated(before, row.first);
+  });
+}
+
 constexpr Duration kTickInterval = 50ms;
 constexpr Duration kLateTurn = 500ms;  // reported; peers take a second of silence for a failure
 constexpr Duration kSnapshotInterval = 100ms;
@@ -196,6 +204,7 @@
   }
   core_->onWeightsConfigured(parsed->weights,
                              configurationVersion_ > 0 ? configurationConfirmedAt_ : std::nullopt);
+  if (configuration_ && isolatesMore(*configuration_, *parsed)) isolatedAt_ = BootClock::now();
   configuration_ = std::make_shared<const Configuration>(std::move(*parsed));
   configurationVersion_ = value.version;
   ++counters_.configurationChanges;
--- a/src/agent/agent.h
+++ b/src/agent/agent.h
@@ -118,6 +118,8 @@
   awaitable<HttpResponse> changeConfiguration(HttpRequest& request, bool isPatch);
   // Submits a read or a change to the register and waits for its result.
   awaitable<ChangeOutcome> submitChange(ChangeRequest change);
+  // Waits until requests that a change of who is isolated crosses have started or been ended.
+  awaitable<void> awaitIsolation();
   // True if there are enough register replicas that a change survives the loss of one.
   bool hasReplicasToSpare() const;
   // The server's state as known from all sources. `row.state` must be set.
@@ -153,6 +155,8 @@
   Instant nextSnapshotAt_{};
   std::shared_ptr<const Configuration> configuration_;  // the one in force, parsed; null: none
   std::uint64_t configurationVersion_ = 0;
+  // When this daemon learned of the latest change by which a tenant became isolated.
+  std::optional<Instant> isolatedAt_;
   std::uint64_t unreadableVersion_ = 0;  // of the register's value that this build can't parse
   // When configuration_ was last known to be the newest one.
   std::optional<Instant> configurationConfirmedAt_;
--- a/src/agent/configuration_update.cpp
+++ b/src/agent/configuration_update.cpp
@@ -1,6 +1,7 @@
 // Changes to the configuration that are based on its current value (read, modify, propose).
 
 #include "agent/agent.h"
+#include "agent/view.h"
 #include "net/log.h"
 #include "register/update_operation.h"
 
@@ -23,6 +24,14 @@
          std::min<std::size_t>(3, settings_.replicasWanted);
 }
 
+// Some servers run a request although its connection was closed, so what the data planes end may
+// start all the same. The later the change is acknowledged, the fewer requests are left to do so.
+awaitable<void> Agent::awaitIsolation() {
+  const Duration span = settings_.applyLimit - kStartDeadlineMargin;
+  while (isolatedAt_ && BootClock::now() < *isolatedAt_ + span)
+    co_await pauseFor(*isolatedAt_ + span - BootClock::now());
+}
+
 awaitable<UpdateOutcome> Agent::updateConfiguration(Update change) {
   if (!isRegisterReachable())
     co_return UpdateOutcome{UpdateResult::NotApplied,
@@ -38,8 +47,10 @@
     const ChangeOutcome answer = co_await submitChange(*request);
     updateOperation.onAnswer(answer);
   }
-  if (updateOperation.done()->result == UpdateResult::Applied)
-    LOG_LINE(kInfo) << "configuration change acknowledged";
+  const UpdateResult result = updateOperation.done()->result;
+  if (result == UpdateResult::Applied || result == UpdateResult::AlreadyApplied)
+    co_await awaitIsolation();
+  if (result == UpdateResult::Applied) LOG_LINE(kInfo) << "configuration change acknowledged";
   co_return *updateOperation.done();
 }
 
--- a/src/agent/operator_api.cpp
+++ b/src/agent/operator_api.cpp
@@ -83,6 +83,7 @@
   const ChangeOutcome done = co_await submitChange(change);
   switch (done.result) {
     case ChangeResult::Chosen: {
+      co_await awaitIsolation();
       LOG_LINE(kInfo) << "configuration " << done.value.version << " acknowledged";
       HttpResponse response = jsonResponse(200, {{"version", done.value.version}});
       response.set("Quayrill-Spec-Version", std::to_string(done.value.version));
--- a/src/agent/view.h
+++ b/src/agent/view.h
@@ -12,6 +12,10 @@
 
 namespace quayrill {
 
+// Covers the time from a server's first token until it arrives here, and from a close here until
+// the server notices it.
+inline constexpr Duration kStartDeadlineMargin = std::chrono::milliseconds(200);
+
 // How old the last confirmation of a configuration may be for requests to be served by it.
 struct StalenessLimits {
   Duration inTouch{};
--- a/src/proxy/run.cpp
+++ b/src/proxy/run.cpp
@@ -14,7 +14,6 @@
 constexpr Duration kFetchTimeout = 300ms;         // beyond this, prefill is likely faster
 constexpr std::size_t kMinFetchGainTokens = 256;  // fewer are not worth the calls
 constexpr Duration kMaxStartDelay = 2s;           // allowed from sending to the first piece
-constexpr Duration kStartDeadlineMargin = 200ms;  // for a close to reach the server
 
 // The first attempt of a repeatable request leaves half of the remaining time for another one, if
 // the retry budget may allow it.
--- a/src/relay/relay.cpp
+++ b/src/relay/relay.cpp
@@ -18,9 +18,6 @@
 // The usual upper limit for the time between sending a request and its first token. A request that
 // waits longer is aborted when its server's weights may no longer be used for new responses.
 constexpr Duration kExpectedStartDelay = 2s;
-// Covers the time from a server's first token until it arrives here, and from a close here
-// until the server notices it.
-constexpr Duration kStartDeadlineMargin = 200ms;
 // Figures that arrive later than this after a request was sent were taken after it had arrived.
 constexpr Duration kLoadReportDelay = 500ms;
 // How old the figures in a server's report of its queue may be.
--- a/tests/edge_processes.h
+++ b/tests/edge_processes.h
@@ -110,6 +110,30 @@
     return answer;
   }
 
+  // Sends a change that builds on that version to a core, and waits 5 s at most for the answer.
+  ClientAnswer changeConfiguration(const std::string& verb, const nlohmann::json& change,
+                                   std::uint64_t baseVersion) const {
+    const std::string body = change.dump();
+    const std::string text =
+        verb + " /config HTTP/1.1\r\nHost: x\r\nContent-Type: application/json\r\nIf-Match: " +
+        std::to_string(baseVersion) +
+        "\r\nConnection: close\r\nContent-Length: " + std::to_string(body.size()) + "\r\n\r\n" +
+        body;
+    const auto begun = std::chrono::steady_clock::now();
+    const int socket = connectTo(cores_.front()->ip(), 8683);
+    (void)::send(socket, text.data(), text.size(), MSG_NOSIGNAL);
+    char part[4096];
+    ssize_t got = -1;
+    for (int i = 0; i < 100 && got < 0; ++i) got = ::recv(socket, part, sizeof part, 0);
+    ::close(socket);
+    ClientAnswer answer;
+    answer.took = std::chrono::duration_cast<std::chrono::milliseconds>(
+        std::chrono::steady_clock::now() - begun);
+    if (got >= 12)
+      answer.status = std::stoi(std::string(part, static_cast<std::size_t>(got)).substr(9, 3));
+    return answer;
+  }
+
   static constexpr unsigned short kClientPort = 8680, kReadyPort = 8687;
 
   static int connectTo(const std::string& ip, unsigned short port) {
@@ -198,18 +222,7 @@
           {"headerTimeoutMs", 3000},
           {"idleTimeoutMs", 15000}}},
         {"tenants", {{{"name", "t"}, {"apiKeys", {"key"}}, {"prio", 1}, {"isolated", false}}}}};
-    const std::string body = configuration.dump();
-    const std::string text =
-        "PUT /config HTTP/1.1\r\nHost: x\r\nContent-Type: application/json\r\nIf-Match: 0\r\n"
-        "Connection: close\r\nContent-Length: " +
-        std::to_string(body.size()) + "\r\n\r\n" + body;
-    const int socket = connectTo(cores_.front()->ip(), 8683);
-    (void)::send(socket, text.data(), text.size(), MSG_NOSIGNAL);
-    char part[4096];
-    ssize_t got = -1;
-    for (int i = 0; i < 40 && got < 0; ++i) got = ::recv(socket, part, sizeof part, 0);
-    ::close(socket);
-    return got >= 12 && std::string(part, static_cast<std::size_t>(got)).substr(9, 3) == "200";
+    return changeConfiguration("PUT", configuration, 0).status == 200;
   }
 
   const std::uint64_t maxHeaderBytes_;
