--- a/src/base/numbers.h
+++ b/src/base/numbers.h
@@ -13,7 +13,7 @@
 
 // The value as a `To`, or the nearest one that a `To` can hold.
 template <typename To, typename From>
-constexpr To saturated(From value) {
+constexpr To clamped(From value) {
   static_assert(std::is_integral_v<To> && std::is_integral_v<From>);
   using Limits = std::numeric_limits<To>;
   if (std::cmp_less(value, Limits::min())) return Limits::min();
--- a/src/relay/caller_connections.cpp
+++ b/src/relay/caller_connections.cpp
@@ -247,7 +247,7 @@
   caller->timedOut = false;
   caller->requestStartedAt = BootClock::now();
   const CallerLimits limits = limitsNow();
-  const auto headerLimit = saturated<std::uint32_t>(limits.headerBytes);
+  const auto headerLimit = clamped<std::uint32_t>(limits.headerBytes);
   caller->buffer.max_size(
       std::max<std::size_t>(kMaxPipelinedBytes + kPipelinedReadSize, headerLimit + kReadAheadSize));
   http::request_parser<http::string_body> parser;
--- a/tests/numbers_tests.cpp
+++ b/tests/numbers_tests.cpp
@@ -8,11 +8,11 @@
 using Json = nlohmann::json;
 
 TEST_CASE("numbers: a value that is too large becomes the largest, not another one") {
-  CHECK(saturated<std::uint32_t>(std::uint64_t{1} << 32) == 0xffffffffU);
-  CHECK(saturated<std::uint32_t>((std::uint64_t{1} << 32) - 1) == 0xffffffffU);
-  CHECK(saturated<std::uint32_t>(std::int64_t{-1}) == 0);
-  CHECK(saturated<std::int64_t>(std::uint64_t{1} << 63) == 0x7fffffffffffffff);
-  CHECK(saturated<std::uint32_t>(std::uint64_t{7}) == 7);
+  CHECK(clamped<std::uint32_t>(std::uint64_t{1} << 32) == 0xffffffffU);
+  CHECK(clamped<std::uint32_t>((std::uint64_t{1} << 32) - 1) == 0xffffffffU);
+  CHECK(clamped<std::uint32_t>(std::int64_t{-1}) == 0);
+  CHECK(clamped<std::int64_t>(std::uint64_t{1} << 63) == 0x7fffffffffffffff);
+  CHECK(clamped<std::uint32_t>(std::uint64_t{7}) == 7);
 }
 
 TEST_CASE("numbers: text is a number as a whole or not at all") {
